--- /dev/null
+++ b/core/bergamotbundle/pipeline.go
@@ -0,0 +1,35 @@
+package bergamotbundle
+
+import "time"
+
+// Pipeline is a name that callers ask for, served by a model with or without an adapter.
+type Pipeline struct {
+	name     string
+	model    Model
+	adapter  string
+	priority int
+	replicas int
+	deadline time.Duration
+	limit    int
+}
+
+// Name returns the name of the pipeline.
+func (p Pipeline) Name() string { return p.name }
+
+// Model returns the model that serves the pipeline.
+func (p Pipeline) Model() Model { return p.model }
+
+// Adapter returns the name of the adapter, empty for none.
+func (p Pipeline) Adapter() string { return p.adapter }
+
+// Priority returns the rank of the pipeline, where a larger number goes first.
+func (p Pipeline) Priority() int { return p.priority }
+
+// Replicas returns how many instances should hold each layer.
+func (p Pipeline) Replicas() int { return p.replicas }
+
+// Deadline returns the default time for a whole answer.
+func (p Pipeline) Deadline() time.Duration { return p.deadline }
+
+// Limit returns the most tokens in one answer.
+func (p Pipeline) Limit() int { return p.limit }
--- /dev/null
+++ b/core/bergamotclock/virtual.go
@@ -0,0 +1,64 @@
+package bergamotclock
+
+import (
+	"sync"
+	"time"
+)
+
+// Virtual is a clock that moves only when a test advances it.
+type Virtual struct {
+	mu     sync.Mutex
+	now    time.Time
+	timers []timer
+}
+
+type timer struct {
+	at time.Time
+	ch chan time.Time
+}
+
+// NewVirtual returns a virtual clock set to start.
+func NewVirtual(start time.Time) *Virtual { return &Virtual{now: start} }
+
+// Now returns the virtual time.
+func (v *Virtual) Now() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.now
+}
+
+// After returns a channel that receives the time once the clock has advanced by d.
+func (v *Virtual) After(d time.Duration) <-chan time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ch := make(chan time.Time, 1)
+	if d <= 0 {
+		ch <- v.now
+		return ch
+	}
+	v.timers = append(v.timers, timer{at: v.now.Add(d), ch: ch})
+	return ch
+}
+
+// Advance moves the clock forward by d and fires the timers that are due.
+func (v *Virtual) Advance(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.now = v.now.Add(d)
+	var rest []timer
+	for _, t := range v.timers {
+		if t.at.After(v.now) {
+			rest = append(rest, t)
+			continue
+		}
+		t.ch <- v.now
+	}
+	v.timers = rest
+}
+
+// Timers returns how many timers have not fired yet.
+func (v *Virtual) Timers() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.timers)
+}
--- /dev/null
+++ b/core/bergamotcontrol/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotcontrol runs the control loop that owns the control state and publishes read-only views of it.
+package bergamotcontrol
--- /dev/null
+++ b/core/bergamotini/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotini reads INI documents section by section and collects every fault with its line.
+package bergamotini
--- /dev/null
+++ b/core/bergamotsetting/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotsetting reads and checks the settings of one process.
+package bergamotsetting
