Serve a request from end to end over a chain of stages

Cause: every later part needs the folders, core types and one whole path to attach to. Ruled out: relaying activations through the entry, see docs/design.md section 6. A repeated booking still runs twice (the demo prints 2 calls): the at-most-once filter is not built yet.

--- /dev/null
+++ b/cmd/bergamotcommand/command.go
@@ -0,0 +1,64 @@
+package bergamotcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// commands is the grammar of the command line.
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run an entry instance."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file or a bundle and print every fault."`
+	Status  statusCommand  `cmd:"" help:"Show the state of entries."`
+	Demo    demoCommand    `cmd:"" help:"Run fakes and two entries on loopback and send sample requests."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+	Fake    fakeCommand    `cmd:"" hidden:"" help:"Run one fake of the platform or a target."`
+}
+
+// streams are where a command writes.
+type streams struct {
+	ctx context.Context
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the command line and returns the exit code: 0 for success, 1 for a failure, 2 for wrong usage.
+func Main(args []string, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	exit := -1
+	parser, err := kong.New(&commands{}, kong.Name("bergamotspur"), kong.Writers(out, errs),
+		kong.Description("Routes inference requests over pipelines of mixed accelerators."),
+		kong.UsageOnError(), kong.Exit(func(code int) { exit = code }))
+	if err != nil {
+		return fail(errs, err)
+	}
+	parsed, err := parser.Parse(args)
+	if exit >= 0 { // --help has been printed
+		return exit
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(errs, "bergamotspur: %s\n", err)
+		return 2
+	}
+	if err = parsed.Run(&streams{ctx: ctx, out: out, err: errs}); err != nil {
+		return fail(errs, err)
+	}
+	return 0
+}
+
+func fail(errs io.Writer, err error) int {
+	// There is nothing to do when standard error is closed.
+	_, _ = fmt.Fprintf(errs, "bergamotspur: %s\n", err)
+	return 1
+}
+
+func (s *streams) printf(format string, a ...any) {
+	// A closed output ends the command by its signal.
+	_, _ = fmt.Fprintf(s.out, format, a...)
+}
--- /dev/null
+++ b/cmd/bergamotcommand/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotcommand is the command line, one command for each file.
+package bergamotcommand
--- /dev/null
+++ b/cmd/bergamotcommand/errors.go
@@ -0,0 +1,5 @@
+package bergamotcommand
+
+import "errors"
+
+var errFaults = errors.New("there are faults")
--- /dev/null
+++ b/cmd/bergamotcommand/fake.go
@@ -0,0 +1,73 @@
+package bergamotcommand
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"bergamotspur/io/bergamotengine"
+	"bergamotspur/io/bergamotfake"
+	"bergamotspur/io/bergamotlist"
+	"bergamotspur/io/bergamotwire"
+)
+
+type fakeCommand struct {
+	Kind     string        `arg:"" enum:"platform,engine,service" help:"What to run: platform, engine or service."`
+	Address  string        `default:"127.0.0.1:0" help:"Address to listen on."`
+	Platform string        `help:"Address of the platform whose instance list the target joins."`
+	Name     string        `default:"fake" help:"Name of the instance."`
+	Centre   string        `default:"north" help:"Data centre of the instance."`
+	Role     string        `default:"pickup" help:"Name of the service."`
+	Model    string        `default:"care" help:"Model of the engine."`
+	From     int           `help:"First layer of the engine."`
+	To       int           `default:"12" help:"Layer after the engine's last one."`
+	Step     time.Duration `help:"Time of one batch of the engine."`
+}
+
+// target is a fake that can be started and run.
+type target interface {
+	Start(address string) error
+	Address() string
+	Run(ctx context.Context) error
+}
+
+// Run serves one fake until the process is stopped and prints its address.
+func (c *fakeCommand) Run(s *streams) (err error) {
+	fake, role := c.build()
+	if err = fake.Start(c.Address); err != nil {
+		return err
+	}
+	if c.Platform != "" {
+		if err = c.join(s.ctx, fake.Address(), role); err != nil {
+			return err
+		}
+	}
+	s.printf("address=%s\n", fake.Address())
+	return fake.Run(s.ctx)
+}
+
+func (c *fakeCommand) build() (fake target, role string) {
+	switch c.Kind {
+	case "platform":
+		return bergamotfake.NewPlatform(), ""
+	case "service":
+		return bergamotfake.NewService(), c.Role
+	default:
+		e := bergamotfake.NewEngine(bergamotengine.HoldingMessage{Model: c.Model, Version: "1", From: c.From, To: c.To})
+		e.StepTime = c.Step
+		return e, "runner"
+	}
+}
+
+// join puts the fake on the platform's instance list.
+func (c *fakeCommand) join(ctx context.Context, address, role string) error {
+	wire := bergamotwire.NewClient()
+	defer wire.Close()
+	m := bergamotlist.InstanceMessage{
+		Name: c.Name, Address: address, Centre: c.Centre, Kind: "cpu", Role: role, Memory: c.To - c.From, State: "live",
+	}
+	if err := wire.Post(ctx, c.Platform, "/instances", m, nil); err != nil {
+		return fmt.Errorf("join the instance list: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bergamotcommand/whole_test.go
@@ -0,0 +1,126 @@
+package bergamotcommand_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/io/bergamotfake"
+	"bergamotspur/io/bergamotobject"
+	"bergamotspur/io/bergamottable"
+)
+
+const wholeKey = "whole-path-key"
+
+var wholeBundle = fmt.Sprintf(`[bundle]
+version = 1
+[model care]
+layers = 12
+[pipeline advice]
+model = care
+limit = 500
+[service pickup]
+once = book
+[operator mari]
+key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
+[workspace kitchen]
+keys = %s
+pipelines = *
+services = *
+rate = 1000
+tokens = 100000
+`, bergamotbundle.HashKey(wholeKey))
+
+// rollOut puts text in force through the platform's services.
+func rollOut(ctx context.Context, platform, text string) {
+	objects, table := bergamotobject.NewClient(platform), bergamottable.NewClient(platform)
+	defer objects.Close()
+	defer table.Close()
+	b, err := bergamotrollout.Propose(ctx, objects, "bundle", []byte(text))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(bergamotrollout.Roll(ctx, table, b, "mari")).To(gomega.Succeed())
+}
+
+func writeSettings(name, platform string) string {
+	text := fmt.Sprintf(`[entry]
+name = %s
+centre = tallinn
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+[platform]
+table = %[2]s
+objects = %[2]s
+weights = %[2]s
+list = %[2]s
+[timing]
+probe = 100ms
+head = 100ms
+poll = 100ms
+`, name, platform)
+	file := filepath.Join(ginkgo.GinkgoT().TempDir(), name+".ini")
+	gomega.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
+	return file
+}
+
+func complete(address, prompt string, tokens int, stream bool) (*http.Response, error) {
+	body, _ := json.Marshal(map[string]any{"model": "advice", "prompt": prompt, "max_tokens": tokens, "stream": stream})
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+wholeKey)
+	return http.DefaultClient.Do(r)
+}
+
+func textOf(resp *http.Response) string {
+	defer resp.Body.Close()
+	var m struct{ Choices []struct{ Text string } }
+	if json.NewDecoder(resp.Body).Decode(&m) != nil || len(m.Choices) == 0 {
+		return ""
+	}
+	return m.Choices[0].Text
+}
+
+var _ = ginkgo.Describe("separate processes", func() {
+	// Guards against a path that works only inside one process: layers of three engines must join into
+	// the answer that a single machine gives, and SIGTERM must not cut off a stream in flight.
+	ginkgo.It("answer a request and drain without cutting off a stream", func(ctx context.Context) {
+		platform := start("fake", "platform").value("address")
+		for n, r := range [][2]string{{"0", "5"}, {"5", "9"}, {"9", "12"}} {
+			start("fake", "engine", "--platform", platform, "--name", fmt.Sprintf("runner%d", n),
+				"--from", r[0], "--to", r[1], "--step", "1ms").value("address")
+		}
+		rollOut(ctx, platform, wholeBundle)
+		entry := start("serve", writeSettings("entry1", platform))
+		callers := entry.value("callers")
+
+		gomega.Eventually(func() string {
+			resp, err := complete(callers, "oil for beech", 20, false)
+			if err != nil {
+				return ""
+			}
+			return textOf(resp)
+		}).WithTimeout(20 * time.Second).Should(gomega.Equal(bergamotfake.Reference("oil for beech", 0, 12, 20)))
+
+		resp, err := complete(callers, "long quote", 200, true)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer resp.Body.Close()
+		entry.terminate()
+		stream, err := io.ReadAll(resp.Body)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(stream)).To(gomega.HaveSuffix("data: [DONE]\n\n"))
+		gomega.Expect(entry.wait()).To(gomega.Succeed())
+	})
+})
--- /dev/null
+++ b/core/bergamotcontrol/loop.go
@@ -0,0 +1,122 @@
+package bergamotcontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"bergamotspur/core/bergamotfleet"
+)
+
+// Limits of the loop.
+const (
+	inboxSize = 4096 // events that may wait; more are dropped, since every event is repeated by its source
+	taskLimit = 64   // tasks that run at the same time
+)
+
+// Clock tells the time and wakes the loop.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// Loop is the control goroutine: it owns the state, applies events and runs the controllers.
+type Loop struct {
+	Clock       Clock
+	Period      time.Duration // longest time between two passes
+	Controllers []Controller
+	Drops       func() // called when an event is dropped because the inbox is full
+
+	inbox chan Event
+	done  chan result
+	view  atomic.Pointer[View]
+}
+
+type result struct {
+	name  string
+	event Event
+}
+
+// Init prepares the loop so that Post and View work before Run.
+func (l *Loop) Init() {
+	l.inbox = make(chan Event, inboxSize)
+	l.done = make(chan result, taskLimit)
+	l.view.Store(NewView(l.Clock.Now(), nil, bergamotfleet.NewFleet(nil)))
+}
+
+// View returns the latest published view; it takes no lock.
+func (l *Loop) View() *View { return l.view.Load() }
+
+// Post hands an event to the loop without waiting and tells whether there was room.
+func (l *Loop) Post(e Event) bool {
+	select {
+	case l.inbox <- e:
+		return true
+	default:
+		if l.Drops != nil {
+			l.Drops()
+		}
+		return false
+	}
+}
+
+// Run applies events until ctx ends. A restart begins with an empty state but keeps the bundle in force.
+func (l *Loop) Run(ctx context.Context) error {
+	s := NewState()
+	s.bundle = l.View().Bundle()
+	running := map[string]bool{}
+	for ctx.Err() == nil {
+		s.now = l.Clock.Now()
+		for _, c := range l.Controllers {
+			for _, t := range c.Reconcile(s) {
+				l.start(ctx, running, t)
+			}
+		}
+		l.view.Store(s.view())
+		l.wait(ctx, s, running)
+	}
+	// Tasks see the same context, so that all of them end and report.
+	for len(running) > 0 {
+		r := <-l.done
+		delete(running, r.name)
+	}
+	return ctx.Err()
+}
+
+func (l *Loop) start(ctx context.Context, running map[string]bool, t Task) {
+	if running[t.name] || len(running) >= taskLimit {
+		return
+	}
+	running[t.name] = true
+	go func() { l.done <- result{name: t.name, event: t.run(ctx)} }()
+}
+
+// wait blocks for one input or the period, then takes all other inputs that are ready.
+func (l *Loop) wait(ctx context.Context, s *State, running map[string]bool) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-l.Clock.After(l.Period):
+	case e := <-l.inbox:
+		e.Apply(s)
+	case r := <-l.done:
+		finish(s, running, r)
+	}
+	for n := 0; n < inboxSize; n++ {
+		select {
+		case e := <-l.inbox:
+			e.Apply(s)
+		case r := <-l.done:
+			finish(s, running, r)
+		default:
+			return
+		}
+	}
+}
+
+func finish(s *State, running map[string]bool, r result) {
+	delete(running, r.name)
+	if r.event != nil {
+		r.event.Apply(s)
+	}
+}
--- /dev/null
+++ b/core/bergamotcontrol/view.go
@@ -0,0 +1,29 @@
+package bergamotcontrol
+
+import (
+	"time"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotfleet"
+)
+
+// View is a read-only copy of the control state for traffic.
+type View struct {
+	at     time.Time
+	bundle *bergamotbundle.Bundle
+	fleet  *bergamotfleet.Fleet
+}
+
+// NewView returns a view of a bundle, which may be nil, and a fleet.
+func NewView(at time.Time, b *bergamotbundle.Bundle, f *bergamotfleet.Fleet) *View {
+	return &View{at: at, bundle: b, fleet: f}
+}
+
+// At returns when the view was taken.
+func (v *View) At() time.Time { return v.at }
+
+// Bundle returns the bundle in force, nil before the first is known.
+func (v *View) Bundle() *bergamotbundle.Bundle { return v.bundle }
+
+// Fleet returns the instances.
+func (v *View) Fleet() *bergamotfleet.Fleet { return v.fleet }
--- /dev/null
+++ b/core/bergamotfilter/resolve.go
@@ -0,0 +1,55 @@
+package bergamotfilter
+
+import (
+	"context"
+
+	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotrequest"
+)
+
+// Resolve finds the pipeline or service that the request names and checks access to it.
+type Resolve struct{}
+
+// Name returns "resolve".
+func (Resolve) Name() string { return "resolve" }
+
+// Filter refuses unknown names and names that the workspace may not use.
+func (f Resolve) Filter(ctx context.Context, x *bergamotchain.Exchange, next bergamotchain.Handler) error {
+	resolve := f.pipeline
+	if x.Request().Kind() == bergamotrequest.KindService {
+		resolve = f.service
+	}
+	if refusal := resolve(x); refusal != nil {
+		return refusal
+	}
+	return next.Handle(ctx, x)
+}
+
+func (Resolve) pipeline(x *bergamotchain.Exchange) *bergamotrequest.Refusal {
+	name := x.Request().Model()
+	p, ok := x.View().Bundle().Pipeline(name)
+	if !ok {
+		return bergamotrequest.Refuse(bergamotrequest.ReasonModel, "no pipeline or adapter is called %q", name)
+	}
+	if !x.Workspace().MayRun(name) {
+		return bergamotrequest.Refuse(bergamotrequest.ReasonAccess, "workspace %s may not use %q", x.Workspace().Name(), name)
+	}
+	x.SetPipeline(p)
+	return nil
+}
+
+func (Resolve) service(x *bergamotchain.Exchange) *bergamotrequest.Refusal {
+	r := x.Request()
+	s, ok := x.View().Bundle().Service(r.Service())
+	if !ok || !s.Has(r.Call()) {
+		return bergamotrequest.Refuse(bergamotrequest.ReasonService, "no service offers %s/%s", r.Service(), r.Call())
+	}
+	if !x.Workspace().MayCall(s.Name()) {
+		return bergamotrequest.Refuse(bergamotrequest.ReasonAccess, "workspace %s may not call %q", x.Workspace().Name(), s.Name())
+	}
+	if s.Once(r.Call()) && r.Idem() == "" {
+		return bergamotrequest.Refuse(bergamotrequest.ReasonIdem, "call %s/%s needs an Idempotency-Key header", s.Name(), r.Call())
+	}
+	x.SetService(s)
+	return nil
+}
--- /dev/null
+++ b/core/bergamotroute/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotroute chooses the instances that run the layers of a request.
+package bergamotroute
--- /dev/null
+++ b/core/bergamotsession/prefix.go
@@ -0,0 +1,26 @@
+package bergamotsession
+
+// Prefix is what an attempt starts from: the prompt and the tokens that the caller already has.
+type Prefix struct {
+	prompt string
+	tokens []int
+	limit  int
+	seed   uint64
+}
+
+// NewPrefix returns a prefix; limit is the length of the whole answer in tokens.
+func NewPrefix(prompt string, tokens []int, limit int, seed uint64) Prefix {
+	return Prefix{prompt: prompt, tokens: tokens, limit: limit, seed: seed}
+}
+
+// Prompt returns the text of the caller.
+func (p Prefix) Prompt() string { return p.prompt }
+
+// Tokens returns the tokens that the caller already has, in order.
+func (p Prefix) Tokens() []int { return p.tokens }
+
+// Limit returns the most tokens in the whole answer.
+func (p Prefix) Limit() int { return p.limit }
+
+// Seed returns the seed of the sampling.
+func (p Prefix) Seed() uint64 { return p.seed }
--- /dev/null
+++ b/core/bergamottest/doc.go
@@ -0,0 +1,2 @@
+// Package bergamottest registers test tables with ginkgo.
+package bergamottest
--- /dev/null
+++ b/io/bergamotdemo/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotdemo runs fakes and two entries on loopback in one process.
+package bergamotdemo
--- /dev/null
+++ b/io/bergamotengine/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotengine speaks to model engines over HTTP.
+package bergamotengine
--- /dev/null
+++ b/io/bergamotentry/assembly.go
@@ -0,0 +1,98 @@
+package bergamotentry
+
+import (
+	"time"
+
+	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/core/bergamotroute"
+	"bergamotspur/core/bergamotsession"
+	"bergamotspur/core/bergamotsetting"
+	"bergamotspur/io/bergamotengine"
+	"bergamotspur/io/bergamotlist"
+	"bergamotspur/io/bergamotobject"
+	"bergamotspur/io/bergamotservice"
+	"bergamotspur/io/bergamottable"
+)
+
+const (
+	loopPeriod  = 50 * time.Millisecond
+	probeMisses = 3
+)
+
+// adapters are the clients of one entry to targets and platform.
+type adapters struct {
+	engines  *bergamotengine.Client
+	services *bergamotservice.Client
+	table    *bergamottable.Client
+	objects  *bergamotobject.Client
+	list     *bergamotlist.Client
+}
+
+func newAdapters(s *bergamotsetting.Setting) *adapters {
+	return &adapters{
+		engines: bergamotengine.NewClient(), services: bergamotservice.NewClient(),
+		table: bergamottable.NewClient(s.Table()), objects: bergamotobject.NewClient(s.Objects()),
+		list: bergamotlist.NewClient(s.List()),
+	}
+}
+
+func (a *adapters) close() {
+	a.engines.Close()
+	a.services.Close()
+	a.table.Close()
+	a.objects.Close()
+	a.list.Close()
+}
+
+// newLoop returns the control loop with its controllers.
+func (e *Entry) newLoop() *bergamotcontrol.Loop {
+	s := e.Setting
+	return &bergamotcontrol.Loop{
+		Clock: e.clock, Period: loopPeriod, Drops: func() { e.metrics.Count("control.drops") },
+		Controllers: []bergamotcontrol.Controller{
+			&bergamotcontrol.Instances{Source: e.adapters.list, Period: s.Poll(), Report: e.report("instances")},
+			&bergamotcontrol.Probes{Source: e.adapters.engines, Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses},
+			&bergamotcontrol.Heads{
+				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects},
+				Period: s.Head(), Report: e.report("heads"),
+			},
+		},
+	}
+}
+
+func (e *Entry) report(part string) func(err error) {
+	return func(err error) {
+		e.metrics.Count("control." + part + ".errors")
+		e.log.Warn("%s: %s", part, err)
+	}
+}
+
+// newChain returns the filter chain in the order in which a request passes it.
+func (e *Entry) newChain() bergamotchain.Handler {
+	return bergamotchain.NewChain(
+		&bergamotfilter.Dispatch{
+			Pipelines: &bergamotsession.Session{
+				Engine: e.adapters.engines, Router: bergamotroute.NewRouter(), Counter: e.metrics,
+				Stall: e.Setting.Stall(), Attempts: e.Setting.Attempts(),
+			},
+			Services: &bergamotfilter.Call{Caller: e.adapters.services, Counter: e.metrics},
+		},
+		&bergamotfilter.Recover{Counter: e.metrics, Report: func(id string, v any) { e.log.Error("panic in request %s: %v", id, v) }},
+		e.drain,
+		bergamotfilter.Identify{},
+		bergamotfilter.Resolve{},
+		&bergamotfilter.Deadline{Clock: e.clock},
+	)
+}
+
+// counterNames returns the counters that exist from the start, one for each refusal and retry reason.
+func counterNames() (names []string) {
+	for _, r := range bergamotrequest.Reasons() {
+		names = append(names, "refusal."+string(r), "retry."+string(r))
+	}
+	return names
+}
--- /dev/null
+++ b/io/bergamotentry/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotentry assembles one entry: the filter chain, the control loop and the listeners, under a supervisor.
+package bergamotentry
--- /dev/null
+++ b/io/bergamotentry/entry.go
@@ -0,0 +1,125 @@
+package bergamotentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/thejerf/suture/v4"
+
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotsetting"
+	"bergamotspur/io/bergamotfront"
+	"bergamotspur/io/bergamotlog"
+	"bergamotspur/io/bergamotmetric"
+)
+
+// Entry is one process between callers and targets.
+type Entry struct {
+	Setting *bergamotsetting.Setting
+	Log     io.Writer
+
+	clock     bergamotclock.Real
+	log       *bergamotlog.Logger
+	metrics   *bergamotmetric.Registry
+	loop      *bergamotcontrol.Loop
+	drain     *bergamotfilter.Drain
+	adapters  *adapters
+	callers   net.Listener
+	operators net.Listener
+}
+
+// Init opens the listeners, so that their addresses are known before Run.
+func (e *Entry) Init() (err error) {
+	defer func() { err = oops.In("entry").Wrapf(err, "init") }()
+	e.log = bergamotlog.New(e.Log, e.Setting.Name(), "entry")
+	e.metrics = bergamotmetric.NewRegistry(counterNames()...)
+	e.adapters = newAdapters(e.Setting)
+	e.loop = e.newLoop()
+	e.loop.Init()
+	e.drain = bergamotfilter.NewDrain()
+	if e.callers, err = net.Listen("tcp", e.Setting.Callers()); err != nil {
+		return err
+	}
+	if e.operators, err = net.Listen("tcp", e.Setting.Operators()); err != nil {
+		return errors.Join(err, e.callers.Close())
+	}
+	return nil
+}
+
+// Callers returns the address for callers.
+func (e *Entry) Callers() string { return e.callers.Addr().String() }
+
+// Operators returns the address for operators.
+func (e *Entry) Operators() string { return e.operators.Addr().String() }
+
+// Metrics returns the counters.
+func (e *Entry) Metrics() *bergamotmetric.Registry { return e.metrics }
+
+// View returns the current control state.
+func (e *Entry) View() *bergamotcontrol.View { return e.loop.View() }
+
+// Run serves until ctx ends, then refuses new requests and waits for those in flight.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	defer func() { err = oops.In("entry").Wrapf(err, "run") }()
+	defer e.adapters.close()
+	front := &bergamotfront.Server{Chain: e.newChain(), Views: e.loop, Clock: e.clock, Entry: e.Setting.Name()}
+	root := suture.New(e.Setting.Name(), suture.Spec{EventHook: e.hook, Timeout: 5 * time.Second})
+	root.Add(&service{name: "control", run: e.loop.Run})
+	root.Add(newHTTPService("callers", e.callers, front.Handler()))
+	root.Add(newHTTPService("operators", e.operators, e.operatorHandler()))
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := root.ServeBackground(serving)
+	e.log.Info("serving callers on %s, operators on %s", e.Callers(), e.Operators())
+	<-ctx.Done()
+	e.awaitIdle()
+	stop()
+	if err = <-done; errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// awaitIdle refuses new requests and waits for those in flight, at most for the drain time.
+func (e *Entry) awaitIdle() {
+	e.log.Info("draining")
+	select {
+	case <-e.drain.Start():
+		e.log.Info("drained")
+	case <-e.clock.After(e.Setting.Drain()):
+		e.log.Warn("requests still in flight after %s", e.Setting.Drain())
+	}
+}
+
+func (e *Entry) hook(event suture.Event) { e.log.Warn("%s", event) }
+
+// ready tells whether the entry can serve: it knows the bundle in force and is not draining.
+func (e *Entry) ready() bool { return e.View().Bundle() != nil && !e.drain.Draining() }
+
+func (e *Entry) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.ready() {
+			writeText(w, http.StatusServiceUnavailable, "not ready")
+			return
+		}
+		writeText(w, http.StatusOK, "ready")
+	})
+	mux.Handle("GET /metrics", e.metrics)
+	mux.HandleFunc("GET /status", e.status)
+	return mux
+}
+
+func writeText(w http.ResponseWriter, code int, text string) {
+	w.WriteHeader(code)
+	// A prober that has gone away needs no answer.
+	_, _ = io.WriteString(w, text+"\n")
+}
--- /dev/null
+++ b/io/bergamotentry/status.go
@@ -0,0 +1,40 @@
+package bergamotentry
+
+import (
+	"net/http"
+
+	"bergamotspur/io/bergamotwire"
+)
+
+// StatusMessage is the JSON form of the state of an entry.
+type StatusMessage struct {
+	Entry     string            `json:"entry"`
+	Centre    string            `json:"centre"`
+	Ready     bool              `json:"ready"`
+	Version   int64             `json:"version"`
+	Digest    string            `json:"digest"`
+	Instances []InstanceMessage `json:"instances"`
+}
+
+// InstanceMessage is the JSON form of one instance as the entry sees it.
+type InstanceMessage struct {
+	Name    string   `json:"name"`
+	Role    string   `json:"role"`
+	Centre  string   `json:"centre"`
+	State   string   `json:"state"`
+	Running int      `json:"running"`
+	Layers  []string `json:"layers,omitempty"`
+}
+
+// status writes the state of the entry.
+func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
+	v := e.View()
+	m := StatusMessage{Entry: e.Setting.Name(), Centre: e.Setting.DataCentre(), Ready: e.ready(), Instances: []InstanceMessage{}}
+	if b := v.Bundle(); b != nil {
+		m.Version, m.Digest = b.Version(), b.Digest()
+	}
+	for _, i := range v.Fleet().Instances() {
+		m.Instances = append(m.Instances, newInstanceMessage(i))
+	}
+	bergamotwire.Write(w, http.StatusOK, m)
+}
--- /dev/null
+++ b/io/bergamotfake/engine.go
@@ -0,0 +1,207 @@
+package bergamotfake
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"bergamotspur/core/bergamotsession"
+	"bergamotspur/io/bergamotengine"
+	"bergamotspur/io/bergamotwire"
+)
+
+// Engine is a fake model engine that holds ranges of layers and batches continuously.
+type Engine struct {
+	Faults   Faults
+	StepTime time.Duration // time of one batch
+	SlotTime time.Duration // time that each further sequence adds to a batch
+	Beat     time.Duration // time between two heartbeats on an idle stream
+
+	mu       sync.Mutex
+	holdings []bergamotengine.HoldingMessage
+	leaving  bool
+	spans    map[key]*span
+	queue    []StepMessage
+	busy     bool
+	journal  []Entry
+	wire     *bergamotwire.Client
+	server   *Server
+}
+
+// Entry is one line of an engine's journal: layers that it ran for a position of a session.
+type Entry struct {
+	Session  string
+	Attempt  int
+	Position int
+	From     int
+	To       int
+}
+
+// NewEngine returns an engine that holds the given layers.
+func NewEngine(holdings ...bergamotengine.HoldingMessage) *Engine {
+	return &Engine{holdings: holdings, spans: map[key]*span{}, Beat: 200 * time.Millisecond, wire: bergamotwire.NewClient()}
+}
+
+// Start serves the engine on address.
+func (e *Engine) Start(address string) (err error) {
+	e.server, err = Listen(address, e.Faults.Wrap(e.handler()))
+	return err
+}
+
+// Address returns host and port.
+func (e *Engine) Address() string { return e.server.Address() }
+
+// Kill ends the engine at once.
+func (e *Engine) Kill() { e.server.Kill() }
+
+// Run serves until ctx ends.
+func (e *Engine) Run(ctx context.Context) error { return e.server.Run(ctx) }
+
+// Leave makes the engine refuse new spans and report that it is leaving.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Journal returns a copy of what the engine ran.
+func (e *Engine) Journal() []Entry {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Entry(nil), e.journal...)
+}
+
+// enqueue adds a step to the next batch and starts the worker when it is idle.
+func (e *Engine) enqueue(m StepMessage) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.spans[key{m.Session, m.Attempt}]; !ok {
+		return false
+	}
+	e.queue = append(e.queue, m)
+	if !e.busy {
+		e.busy = true
+		go e.work()
+	}
+	return true
+}
+
+// work runs batches until the queue is empty.
+func (e *Engine) work() {
+	for {
+		batch := e.take()
+		if len(batch) == 0 {
+			return
+		}
+		if d := e.StepTime + time.Duration(len(batch)-1)*e.SlotTime; d > 0 {
+			<-time.After(d)
+		}
+		for _, m := range batch {
+			if send := e.step(m); send != nil {
+				go send()
+			}
+		}
+	}
+}
+
+func (e *Engine) take() []StepMessage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	batch := e.queue
+	e.queue = nil
+	e.busy = len(batch) > 0
+	return batch
+}
+
+// step runs the layers and returns what sends the result on, nil when there is nothing to send.
+func (e *Engine) step(m StepMessage) func() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.spans[key{m.Session, m.Attempt}]
+	if !ok {
+		return nil
+	}
+	e.journal = append(e.journal, Entry{m.Session, m.Attempt, m.Position, s.message.From, s.message.To})
+	m = s.run(m)
+	if s.message.Next != "" {
+		return func() { e.forward(s, s.message.Next, "/span/step", m) }
+	}
+	t := s.emit(m)
+	if t.Last {
+		return nil
+	}
+	next := NextMessage{Session: m.Session, Attempt: m.Attempt, Position: t.Position + 1, Token: t.Token}
+	return func() { e.forward(s, s.message.First, "/span/next", next) }
+}
+
+// forward sends a message to another stage; a failure is reported to the last stage, which tells the entry.
+func (e *Engine) forward(s *span, address, path string, m any) {
+	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+	defer cancel()
+	err := e.wire.Post(ctx, address, path, m, nil)
+	if err == nil {
+		return
+	}
+	fail := bergamotengine.TokenMessage{Fail: err.Error(), Target: address, Session: s.message.Session, Attempt: s.message.Attempt}
+	if s.message.Next == "" {
+		e.fail(fail)
+		return
+	}
+	// When the last stage cannot be reached either, its stream to the entry breaks.
+	_ = e.wire.Post(ctx, s.message.Last, "/span/fail", fail, nil)
+}
+
+const forwardTimeout = 2 * time.Second
+
+func (e *Engine) fail(m bergamotengine.TokenMessage) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.spans[key{m.Session, m.Attempt}]; ok {
+		s.fail = &m
+		s.notify()
+	}
+}
+
+// start embeds the prompt and the delivered tokens as the first step.
+func (e *Engine) start(m bergamotengine.StartMessage) int {
+	e.mu.Lock()
+	s, ok := e.spans[key{m.Session, m.Attempt}]
+	if !ok {
+		e.mu.Unlock()
+		return http.StatusNotFound
+	}
+	s.seed, s.limit = m.Seed, m.Limit
+	position := s.message.Start
+	e.mu.Unlock()
+	step := StepMessage{
+		Session: m.Session, Attempt: m.Attempt, Position: position, Limit: m.Limit,
+		Digest: bergamotsession.FirstDigest(m.Session, m.Attempt, position),
+	}
+	for _, token := range append(promptTokens(m.Prompt), m.Tokens...) {
+		step.Hidden = append(step.Hidden, embed(m.Seed, token))
+	}
+	if !e.enqueue(step) {
+		return http.StatusNotFound
+	}
+	return http.StatusOK
+}
+
+// next embeds a generated token as the next step.
+func (e *Engine) next(m NextMessage) int {
+	e.mu.Lock()
+	s, ok := e.spans[key{m.Session, m.Attempt}]
+	e.mu.Unlock()
+	if !ok {
+		return http.StatusNotFound
+	}
+	ok = e.enqueue(StepMessage{
+		Session: m.Session, Attempt: m.Attempt, Position: m.Position, Limit: s.limit,
+		Hidden: []uint64{embed(s.seed, m.Token)},
+		Digest: bergamotsession.FirstDigest(m.Session, m.Attempt, m.Position),
+	})
+	if !ok {
+		return http.StatusNotFound
+	}
+	return http.StatusOK
+}
--- /dev/null
+++ b/io/bergamotfront/errors.go
@@ -0,0 +1,97 @@
+package bergamotfront
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"bergamotspur/core/bergamotrequest"
+)
+
+// errorMessage is an error in the shape that clients of the API know.
+type errorMessage struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+	Run     string  `json:"run"`
+}
+
+// status returns the HTTP status for each reason of a refusal.
+func status(r bergamotrequest.Reason) int {
+	switch r {
+	case bergamotrequest.ReasonBody, bergamotrequest.ReasonIdem:
+		return http.StatusBadRequest
+	case bergamotrequest.ReasonKey:
+		return http.StatusUnauthorized
+	case bergamotrequest.ReasonAccess:
+		return http.StatusForbidden
+	case bergamotrequest.ReasonModel, bergamotrequest.ReasonService:
+		return http.StatusNotFound
+	case bergamotrequest.ReasonProgress:
+		return http.StatusConflict
+	case bergamotrequest.ReasonDigest, bergamotrequest.ReasonSuspect:
+		return http.StatusUnprocessableEntity
+	case bergamotrequest.ReasonRate, bergamotrequest.ReasonTokens:
+		return http.StatusTooManyRequests
+	case bergamotrequest.ReasonDeadline, bergamotrequest.ReasonStall:
+		return http.StatusGatewayTimeout
+	case bergamotrequest.ReasonTarget, bergamotrequest.ReasonProof, bergamotrequest.ReasonUnknown:
+		return http.StatusBadGateway
+	case bergamotrequest.ReasonInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func errorType(code int) string {
+	switch {
+	case code == http.StatusUnauthorized:
+		return "authentication_error"
+	case code == http.StatusForbidden:
+		return "permission_error"
+	case code == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case code >= http.StatusInternalServerError:
+		return "server_error"
+	default:
+		return "invalid_request_error"
+	}
+}
+
+func errorBody(f *bergamotrequest.Refusal) errorMessage {
+	return errorMessage{Error: errorDetail{
+		Message: f.Text(), Type: errorType(status(f.Reason())), Code: string(f.Reason()), Run: f.Run().String(),
+	}}
+}
+
+func writeRefusal(w http.ResponseWriter, f *bergamotrequest.Refusal) {
+	writeError(w, status(f.Reason()), f)
+}
+
+func writeError(w http.ResponseWriter, code int, f *bergamotrequest.Refusal) {
+	w.Header().Set(HeaderRun, f.Run().String())
+	w.Header().Set(HeaderReason, string(f.Reason()))
+	if f.After() > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(f.After().Seconds()))))
+	}
+	writeJSON(w, code, errorBody(f))
+}
+
+func writeJSON(w http.ResponseWriter, code int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	// A caller that has gone away cannot be told anything.
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/io/bergamotlist/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotlist reads the platform's list of instances over HTTP.
+package bergamotlist
--- /dev/null
+++ b/io/bergamotmetric/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotmetric counts events and serves the counters over HTTP.
+package bergamotmetric
--- /dev/null
+++ b/io/bergamotservice/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotservice speaks to plain services over HTTP.
+package bergamotservice
--- /dev/null
+++ b/io/bergamottable/doc.go
@@ -0,0 +1,2 @@
+// Package bergamottable speaks to the platform's table service over HTTP.
+package bergamottable
