--- /dev/null
+++ b/core/bergamotcontrol/loop_test.go
@@ -0,0 +1,158 @@
+package bergamotcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotfleet"
+)
+
+func bundle(version int) *bergamotbundle.Bundle {
+	parent := ""
+	if version > 1 {
+		parent = "parent = " + bergamotbundle.Digest([]byte("parent")) + "\n"
+	}
+	text := fmt.Sprintf("[bundle]\nversion = %d\n%s[operator mari]\nkey = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n", version, parent)
+	b, err := bergamotbundle.Parse("test", []byte(text))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return b
+}
+
+// controllerFunc is a controller made of a function.
+type controllerFunc func(s *bergamotcontrol.State) []bergamotcontrol.Task
+
+func (controllerFunc) Name() string                                                { return "test" }
+func (f controllerFunc) Reconcile(s *bergamotcontrol.State) []bergamotcontrol.Task { return f(s) }
+
+// run starts the loop and returns what stops it and waits for its end.
+func run(l *bergamotcontrol.Loop) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	return func() {
+		cancel()
+		gomega.Eventually(done).Should(gomega.Receive())
+	}
+}
+
+func newLoop(controllers ...bergamotcontrol.Controller) *bergamotcontrol.Loop {
+	l := &bergamotcontrol.Loop{Clock: bergamotclock.NewVirtual(time.Unix(0, 0)), Period: time.Hour, Controllers: controllers}
+	l.Init()
+	return l
+}
+
+var _ = ginkgo.Describe("Loop", func() {
+	// Guards against an older bundle coming back through a late read of the head.
+	ginkgo.It("never puts an older bundle in force", func() {
+		l := newLoop()
+		defer run(l)()
+		for _, v := range []int{1, 3, 2} {
+			l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bundle(v)) }))
+		}
+		applied := make(chan struct{})
+		l.Post(bergamotcontrol.EventFunc(func(*bergamotcontrol.State) { close(applied) }))
+		gomega.Eventually(applied).Should(gomega.BeClosed())
+		gomega.Eventually(func() int64 { return version(l) }).Should(gomega.Equal(int64(3)))
+	})
+
+	// Guards against a restart by the supervisor that forgets the bundle and takes an older one.
+	ginkgo.It("keeps the bundle in force through a restart", func() {
+		l := newLoop()
+		stop := run(l)
+		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bundle(5)) }))
+		gomega.Eventually(func() int64 { return version(l) }).Should(gomega.Equal(int64(5)))
+		stop()
+		defer run(l)()
+		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bundle(4)) }))
+		seen := make(chan int64, 1)
+		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { seen <- s.Bundle().Version() }))
+		gomega.Eventually(seen).Should(gomega.Receive(gomega.Equal(int64(5))))
+	})
+
+	// Guards against slow reads that pile up while the platform does not answer.
+	ginkgo.It("runs one task of a name at a time", func() {
+		var starts atomic.Int32
+		release := make(chan struct{})
+		l := newLoop(controllerFunc(func(*bergamotcontrol.State) []bergamotcontrol.Task {
+			return []bergamotcontrol.Task{bergamotcontrol.NewTask("slow", func(ctx context.Context) bergamotcontrol.Event {
+				starts.Add(1)
+				select {
+				case <-release:
+				case <-ctx.Done():
+				}
+				return nil
+			})}
+		}))
+		defer run(l)()
+		for range 10 {
+			passed := make(chan struct{})
+			l.Post(bergamotcontrol.EventFunc(func(*bergamotcontrol.State) { close(passed) }))
+			gomega.Eventually(passed).Should(gomega.BeClosed())
+		}
+		gomega.Expect(starts.Load()).To(gomega.BeNumerically("<=", 1))
+		close(release)
+	})
+
+	// Guards against traffic that blocks when the control goroutine is busy.
+	ginkgo.It("drops events instead of blocking when the inbox is full", func() {
+		drops := 0
+		l := newLoop()
+		l.Drops = func() { drops++ }
+		for l.Post(bergamotcontrol.EventFunc(func(*bergamotcontrol.State) {})) {
+		}
+		gomega.Expect(drops).To(gomega.Equal(1))
+	})
+})
+
+func version(l *bergamotcontrol.Loop) int64 {
+	b := l.View().Bundle()
+	if b == nil {
+		return 0
+	}
+	return b.Version()
+}
+
+// lister returns fixed lists, one after the other, and then the last one again.
+type lister struct{ lists [][]bergamotfleet.Spec }
+
+func (f *lister) List(context.Context) ([]bergamotfleet.Spec, error) {
+	list := f.lists[0]
+	if len(f.lists) > 1 {
+		f.lists = f.lists[1:]
+	}
+	return list, nil
+}
+
+var _ = ginkgo.Describe("Instances", func() {
+	// Guards against new work for an instance that some list has called leaving, when an older list follows.
+	ginkgo.It("keeps an instance leaving when a lagging list says that it is live", func() {
+		clock := bergamotclock.NewVirtual(time.Unix(0, 0))
+		live := bergamotfleet.Spec{Name: "a", Address: "10.0.0.1:1", Role: bergamotfleet.RoleRunner}
+		leaving := live
+		leaving.Leaving = true
+		other := bergamotfleet.Spec{Name: "b", Address: "10.0.0.2:1", Role: bergamotfleet.RoleRunner}
+		l := &bergamotcontrol.Loop{Clock: clock, Period: time.Second, Controllers: []bergamotcontrol.Controller{
+			&bergamotcontrol.Instances{
+				Source: &lister{lists: [][]bergamotfleet.Spec{{live}, {leaving}, {live, other}}},
+				Period: time.Second, Report: func(error) {},
+			},
+		}}
+		l.Init()
+		defer run(l)()
+		gomega.Eventually(func() bool {
+			clock.Advance(time.Second)
+			_, ok := l.View().Fleet().Instance("b")
+			return ok
+		}).Should(gomega.BeTrue())
+		a, _ := l.View().Fleet().Instance("a")
+		gomega.Expect(a.Usable()).To(gomega.BeFalse())
+	})
+})
--- /dev/null
+++ b/core/bergamotcontrol/suite_test.go
@@ -0,0 +1,9 @@
+package bergamotcontrol_test
+
+import (
+	"testing"
+
+	"bergamotspur/core/bergamottest"
+)
+
+func TestControl(t *testing.T) { bergamottest.Run(t, "control") }
--- /dev/null
+++ b/core/bergamotfilter/exchange_test.go
@@ -0,0 +1,80 @@
+package bergamotfilter_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotrequest"
+)
+
+var baseBundle = fmt.Sprintf(`[bundle]
+version = 1
+[model care]
+layers = 12
+[pipeline advice]
+model = care
+deadline = 20s
+[pipeline quote]
+model = care
+[service pickup]
+once = book
+repeat = slots
+deadline = 5s
+[service ledger]
+once = payout
+[operator mari]
+key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
+[workspace kitchen]
+keys = %s
+pipelines = advice
+services = pickup
+`, bergamotbundle.HashKey("kitchen-key"))
+
+var epoch = time.Unix(1000, 0)
+
+// baseView returns a view with baseBundle in force and no instances.
+func baseView() *bergamotcontrol.View {
+	b, err := bergamotbundle.Parse("base", []byte(baseBundle))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return newView(b)
+}
+
+// newView returns a view of a bundle, which may be nil, and no instances.
+func newView(b *bergamotbundle.Bundle) *bergamotcontrol.View {
+	return bergamotcontrol.NewView(epoch, b, bergamotfleet.NewFleet(nil))
+}
+
+// baseSpec returns a valid completion request of the workspace kitchen.
+func baseSpec() bergamotrequest.Spec {
+	return bergamotrequest.Spec{
+		ID: "r1", Kind: bergamotrequest.KindCompletion, Key: "kitchen-key", Model: "advice", Prompt: "oil", Limit: 5, Arrival: epoch,
+	}
+}
+
+// newExchange returns an exchange for spec.
+func newExchange(spec bergamotrequest.Spec) *bergamotchain.Exchange {
+	r, err := bergamotrequest.New(spec)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return bergamotchain.NewExchange(r, baseView(), nil)
+}
+
+// reached returns a handler that notes its call.
+func reached(called *bool) bergamotchain.Handler {
+	return bergamotchain.HandlerFunc(func(context.Context, *bergamotchain.Exchange) error {
+		*called = true
+		return nil
+	})
+}
+
+// names counts events by name.
+type names map[string]int
+
+// Count adds 1 to the count of name.
+func (n names) Count(name string) { n[name]++ }
--- /dev/null
+++ b/core/bergamotfilter/recover_test.go
@@ -0,0 +1,46 @@
+package bergamotfilter_test
+
+import (
+	"context"
+	"errors"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamottest"
+)
+
+type recoverCase struct {
+	next   func() error
+	reason bergamotrequest.Reason
+	run    bergamotrequest.Run
+}
+
+// Guards against a fault in one request that ends the process, and against an error of unknown kind
+// that is reported as "not run".
+var _ = ginkgo.Describe("Recover", func() {
+	bergamottest.Entries(map[string]recoverCase{
+		"keeps a refusal": {
+			func() error { return bergamotrequest.Refuse(bergamotrequest.ReasonFull, "full") },
+			bergamotrequest.ReasonFull, bergamotrequest.RunNo,
+		},
+		"calls another error internal and its run unknown": {
+			func() error { return errors.New("broken") }, bergamotrequest.ReasonInternal, bergamotrequest.RunUnknown,
+		},
+		"turns a panic into a refusal": {
+			func() error { panic("broken") }, bergamotrequest.ReasonInternal, bergamotrequest.RunUnknown,
+		},
+	}, func(c recoverCase) {
+		counts := names{}
+		f := &bergamotfilter.Recover{Counter: counts, Report: func(string, any) {}}
+		err := f.Filter(context.Background(), newExchange(baseSpec()), bergamotchain.HandlerFunc(
+			func(context.Context, *bergamotchain.Exchange) error { return c.next() }))
+		refusal := bergamotrequest.AsRefusal(err)
+		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.reason))
+		gomega.Expect(refusal.Run()).To(gomega.Equal(c.run))
+		gomega.Expect(counts).To(gomega.Equal(names{"refusal." + string(c.reason): 1}))
+	})
+})
--- /dev/null
+++ b/io/bergamotengine/path_bench_test.go
@@ -0,0 +1,137 @@
+package bergamotengine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"bergamotspur/core/bergamotroute"
+	"bergamotspur/core/bergamotsession"
+)
+
+// The benchmarks compare what one token costs the entry when it relays the hidden state between stages
+// with what it costs when the stages forward to each other and the entry only takes the token.
+
+const (
+	benchStages = 4
+	benchWidth  = 8192 // bytes of the hidden state of one token
+)
+
+// BenchmarkRelayedToken reads the hidden state from one stage and writes it to the next over loopback
+// connections, once for each hop, as the leanest possible relay.
+func BenchmarkRelayedToken(b *testing.B) {
+	in, out := pipe(b), pipe(b)
+	hidden := make([]byte, benchWidth)
+	ends := make(chan error, 2)
+	go func() { ends <- produce(in.far, hidden) }()
+	go func() {
+		_, err := io.Copy(io.Discard, out.far)
+		ends <- err
+	}()
+	b.ReportAllocs()
+	for b.Loop() {
+		for range benchStages - 1 {
+			if _, err := io.ReadFull(in.near, hidden); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := out.near.Write(hidden); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(2*(benchStages-1)*benchWidth, "wire-B/token")
+	b.StopTimer()
+	in.close()
+	out.close()
+	<-ends
+	<-ends
+}
+
+// BenchmarkPlannedToken reads a token line over a loopback connection, decodes it and checks its proof.
+func BenchmarkPlannedToken(b *testing.B) {
+	stages := make([]bergamotroute.Stage, benchStages)
+	for n := range stages {
+		stages[n] = bergamotroute.NewStage("i", "127.0.0.1:1", n*8, n*8+8)
+	}
+	plan := bergamotroute.NewPlan(stages...)
+	v := bergamotsession.NewVerifier("entry-session", 1, 0, plan)
+	line := tokenLine(b, plan, 0)
+	conn := pipe(b)
+	ends := make(chan error, 1)
+	go func() { ends <- produce(conn.far, line) }()
+	d := json.NewDecoder(bufio.NewReader(conn.near))
+	b.ReportAllocs()
+	for b.Loop() {
+		var m TokenMessage
+		if err := d.Decode(&m); err != nil {
+			b.Fatal(err)
+		}
+		step := m.Step()
+		if err := v.Check(step.Token(), step.Proof()); err != nil {
+			b.Fatal(err)
+		}
+		v = bergamotsession.NewVerifier("entry-session", 1, 0, plan)
+	}
+	b.ReportMetric(float64(len(line)), "wire-B/token")
+	b.StopTimer()
+	conn.close()
+	<-ends
+}
+
+// tokenLine returns the line that the last stage sends for the token at a position.
+func tokenLine(tb testing.TB, plan bergamotroute.Plan, position int) []byte {
+	m := TokenMessage{Session: "entry-session", Attempt: 1, Position: position, Token: 17, Text: "linseed "}
+	digest := bergamotsession.FirstDigest(m.Session, m.Attempt, position)
+	for _, s := range plan.Stages() {
+		m.Receipts = append(m.Receipts, ReceiptMessage{From: s.From(), To: s.To(), Steps: position + 1})
+		digest = bergamotsession.NextDigest(digest, bergamotsession.NewReceipt(s.From(), s.To(), position+1))
+	}
+	m.Digest = bergamotsession.LastDigest(digest, m.Token)
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(m); err != nil {
+		tb.Fatal(err)
+	}
+	return buf.Bytes()
+}
+
+// produce writes data until the connection is closed.
+func produce(w io.Writer, data []byte) error {
+	for {
+		if _, err := w.Write(data); err != nil {
+			return err
+		}
+	}
+}
+
+// duplex is a TCP connection over loopback with both of its ends.
+type duplex struct{ near, far net.Conn }
+
+func (d duplex) close() {
+	_ = d.near.Close()
+	_ = d.far.Close()
+}
+
+func pipe(tb testing.TB) duplex {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			c = nil
+		}
+		accepted <- c
+	}()
+	near, err := net.Dial("tcp", l.Addr().String())
+	far := <-accepted
+	if err = errors.Join(err, l.Close()); err != nil || far == nil {
+		tb.Fatal("no connection", err)
+	}
+	return duplex{near: near, far: far}
+}
