Take a bundle from a text to the one in force with approvals

Cause: rolling needed no approval, entries checked no signature, a reply lost during a roll left the operator without an answer, and the INI reader stopped at its first syntax error and let "[model a.b]" inherit from "[model a]", "%(x)s" expand, and quotes or a trailing backslash swallow following lines.

Ruled out: one object with all approvals (two operators who approve at the same time would overwrite each other, and an object name must always get the same data); approvals in the table (a write for each approval where an object is enough). Ed25519 signatures are deterministic, so that one object for each operator and digest is safe to write again.

Change: commands "bundle check, keygen, propose, approve, roll, status, diff, rollback". The head row carries the approvals, so that an entry reads one row and one object for a new version. Entries verify the digest and the approvals against the operators of the bundle in force, or [trust] when there is none, and walk back along the parents when operators have changed. An entry is ready only after a read of the head confirmed its bundle. Head reads are jittered and time out.

--- /dev/null
+++ b/cmd/bergamotcommand/bundle.go
@@ -0,0 +1,51 @@
+package bergamotcommand
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/core/bergamotsetting"
+	"bergamotspur/io/bergamotobject"
+	"bergamotspur/io/bergamottable"
+)
+
+// bundleCommand groups the commands that take a bundle from a text to the one in force.
+type bundleCommand struct {
+	Check    bundleCheckCommand    `cmd:"" help:"Check a bundle and print every fault."`
+	Keygen   bundleKeygenCommand   `cmd:"" help:"Make an operator's key pair."`
+	Propose  bundleProposeCommand  `cmd:"" help:"Store a bundle under its digest."`
+	Approve  bundleApproveCommand  `cmd:"" help:"Sign the digest of a stored bundle."`
+	Roll     bundleRollCommand     `cmd:"" help:"Put an approved bundle in force."`
+	Status   bundleStatusCommand   `cmd:"" help:"Show the version in force in the table and at entries."`
+	Diff     bundleDiffCommand     `cmd:"" help:"Compare two bundles, each a file or a digest."`
+	Rollback bundleRollbackCommand `cmd:"" help:"Store a new version with the content of an earlier one."`
+}
+
+// platformFlags name the platform's services and the trusted operators by the settings of any entry.
+type platformFlags struct {
+	Settings string        `required:"" type:"existingfile" help:"Settings file of any entry; its [platform] and [trust] are used."`
+	Timeout  time.Duration `default:"30s" help:"Longest time that the command may take."`
+}
+
+// use calls f with access to the platform.
+func (p *platformFlags) use(s *streams, f func(ctx context.Context, r *bergamotrollout.Rollout) error) (err error) {
+	text, err := os.ReadFile(p.Settings)
+	if err != nil {
+		return err
+	}
+	setting, err := bergamotsetting.Parse(p.Settings, text)
+	if err != nil {
+		return err
+	}
+	table, objects := bergamottable.NewClient(setting.Table()), bergamotobject.NewClient(setting.Objects())
+	defer table.Close()
+	defer objects.Close()
+	ctx, cancel := context.WithTimeout(s.ctx, p.Timeout)
+	defer cancel()
+	return f(ctx, &bergamotrollout.Rollout{
+		Table: bounded{table}, Objects: boundedObjects{objects}, Trust: setting.Trust(), Clock: bergamotclock.Real{},
+	})
+}
--- /dev/null
+++ b/cmd/bergamotcommand/bundlestatus.go
@@ -0,0 +1,61 @@
+package bergamotcommand
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/io/bergamotwire"
+)
+
+type bundleStatusCommand struct {
+	platformFlags
+	Entries []string `arg:"" optional:"" help:"Operators' addresses of entries, as IP:PORT."`
+}
+
+// Run prints the head and what each entry has in force; it fails when an entry does not have the head's version.
+func (c *bundleStatusCommand) Run(s *streams) error {
+	return c.use(s, func(ctx context.Context, r *bergamotrollout.Rollout) error {
+		head, _, headErr := r.Head(ctx)
+		w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+		_, _ = fmt.Fprintln(w, "WHERE\tVERSION\tDIGEST\tREADY\tCONFIRMED")
+		if headErr == nil {
+			_, _ = fmt.Fprintf(w, "head (by %s)\t%d\t%s\t\t\n", head.By(), head.Version(), head.Digest())
+		}
+		behind := c.entries(ctx, w, head)
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		if headErr != nil {
+			return headErr
+		}
+		if behind > 0 {
+			return fmt.Errorf("%d of %d entries do not have version %d in force\n"+
+				"  next: run the command again in a few seconds; then look at the log of those entries", behind, len(c.Entries), head.Version())
+		}
+		return nil
+	})
+}
+
+func (c *bundleStatusCommand) entries(ctx context.Context, w *tabwriter.Writer, head bergamotrollout.Head) (behind int) {
+	wire := bergamotwire.NewClient()
+	defer wire.Close()
+	for _, address := range c.Entries {
+		m, err := askStatus(ctx, wire, address)
+		if err != nil {
+			behind++
+			_, _ = fmt.Fprintf(w, "%s\tno answer: %s\t\t\t\n", address, err)
+			continue
+		}
+		confirmed := "never"
+		if m.Confirmed >= 0 {
+			confirmed = fmt.Sprintf("%d ms ago", m.Confirmed)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%v\t%s\n", m.Entry, m.Version, m.Digest, m.Ready, confirmed)
+		if m.Digest != head.Digest() {
+			behind++
+		}
+	}
+	return behind
+}
--- a/cmd/bergamotcommand/command.go
+++ b/cmd/bergamotcommand/command.go
@@ -13,6 +13,7 @@
 // commands is the grammar of the command line.
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry instance."`
+	Bundle  bundleCommand  `cmd:"" help:"Take a bundle from a text to the one in force."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file or a bundle and print every fault."`
 	Status  statusCommand  `cmd:"" help:"Show the state of entries."`
 	Demo    demoCommand    `cmd:"" help:"Run fakes and two entries on loopback and send sample requests."`
--- a/cmd/bergamotcommand/whole_test.go
+++ b/cmd/bergamotcommand/whole_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,6 +17,7 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/io/bergamotfake"
 	"bergamotspur/io/bergamotobject"
@@ -47,9 +50,26 @@
 	objects, table := bergamotobject.NewClient(platform), bergamottable.NewClient(platform)
 	defer objects.Close()
 	defer table.Close()
-	b, err := bergamotrollout.Propose(ctx, objects, "bundle", []byte(text))
+	r := &bergamotrollout.Rollout{Table: table, Objects: objects, Clock: bergamotclock.Real{}, Trust: wholeTrust()}
+	b, err := r.Propose(ctx, "bundle", []byte(text))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	gomega.Expect(bergamotrollout.Roll(ctx, table, b, "mari")).To(gomega.Succeed())
+	_, err = r.Approve(ctx, b.Digest(), "mari", wholePrivate())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = r.Roll(ctx, b.Digest(), "mari")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// wholeSeed is the seed of the first test vector of RFC 8032, whose public key is in wholeBundle.
+const wholeSeed = "9d61b19deffd5a60ba844af492ec2cc44449c5697b326919703bac031cae7f60"
+
+func wholePrivate() ed25519.PrivateKey {
+	seed, err := hex.DecodeString(wholeSeed)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func wholeTrust() bergamotbundle.Authority {
+	return bergamotbundle.NewAuthority(1, bergamotbundle.NewOperator("mari", wholePrivate().Public().(ed25519.PublicKey)))
 }
 
 func writeSettings(name, platform string) string {
@@ -68,6 +88,8 @@
 probe = 100ms
 head = 100ms
 poll = 100ms
+[trust]
+operators = mari:11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 `, name, platform)
 	file := filepath.Join(ginkgo.GinkgoT().TempDir(), name+".ini")
 	gomega.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
--- a/core/bergamotbundle/bundle.go
+++ b/core/bergamotbundle/bundle.go
@@ -12,6 +12,7 @@
 	version    int64
 	parent     string
 	digest     string
+	text       []byte
 	needed     int
 	policy     Policy
 	models     map[string]Model
@@ -30,6 +31,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// IsDigest tells whether s has the form of a digest; only lower case counts, since digests are compared as text.
+func IsDigest(s string) bool {
+	b, err := hex.DecodeString(s)
+	return err == nil && len(b) == sha256.Size && s == hex.EncodeToString(b)
+}
+
 // HashKey returns the hexadecimal SHA-256 digest under which a bundle stores a bearer key.
 func HashKey(key string) string { return Digest([]byte(key)) }
 
@@ -42,6 +49,9 @@
 // Digest returns the digest of the bundle text.
 func (b *Bundle) Digest() string { return b.digest }
 
+// Text returns the bundle text, which callers must not change.
+func (b *Bundle) Text() []byte { return b.text }
+
 // Needed returns how many operators must approve the next version.
 func (b *Bundle) Needed() int { return b.needed }
 
--- a/core/bergamotbundle/parse.go
+++ b/core/bergamotbundle/parse.go
@@ -1,9 +1,6 @@
 package bergamotbundle
 
 import (
-	"crypto/ed25519"
-	"encoding/base64"
-	"encoding/hex"
 	"math"
 	"time"
 
@@ -18,36 +15,28 @@
 	maxReplicas = 10000
 	maxDeadline = 24 * time.Hour
 	maxRate     = 1e9
+	// The approvals of all operators fit into the row of the head.
+	maxOperators = 100
 )
 
 // Parse returns the bundle in text, or bergamotini.Faults with everything that is wrong in it.
 func Parse(name string, text []byte) (b *Bundle, err error) {
 	doc := bergamotini.Parse(name, text)
 	p := &parser{bundle: &Bundle{
-		digest: Digest(text), needed: 1, policy: Policy{throughput: 1, recovery: 1, crest: 1, blocking: 1},
+		digest: Digest(text), text: text, needed: 1, policy: Policy{throughput: 1, recovery: 1, crest: 1, blocking: 1},
 		models: map[string]Model{}, adapters: map[string]Adapter{}, pipelines: map[string]Pipeline{},
 		services: map[string]Service{}, workspaces: map[string]Workspace{}, operators: map[string]Operator{},
 		kinds: map[string]Kind{}, byKey: map[string]string{},
 	}}
-	sections := doc.Sections()
-	// Sections may refer to others in any order, so that each kind is read after those it refers to.
-	for _, kind := range []string{"bundle", "policy", "kind", "model", "adapter", "pipeline", "service", "operator", "workspace"} {
-		for _, s := range sections {
-			if s.Kind() == kind {
-				p.section(s)
-			}
-		}
-	}
-	for _, s := range sections {
-		if !p.known(s.Kind()) {
-			s.Fault("", "unknown section")
-		}
+	p.sections(doc.Sections())
+	if len(p.bundle.operators) > maxOperators {
+		doc.Fault("%d operators are named, at most %d are allowed", len(p.bundle.operators), maxOperators)
 	}
 	if p.bundle.version == 0 {
 		doc.Fault("section [bundle] with a version is required")
 	}
-	if len(p.bundle.operators) < p.bundle.needed {
-		doc.Fault("%d approvals are needed, but %d operators are named", p.bundle.needed, len(p.bundle.operators))
+	if n := len(p.bundle.operators); n < p.bundle.needed {
+		doc.Fault("%d approvals are needed, but %d operators are named", p.bundle.needed, n)
 	}
 	if err = doc.Faults(); err != nil {
 		return nil, err
@@ -57,35 +46,61 @@
 
 type parser struct{ bundle *Bundle }
 
-func (p *parser) known(kind string) bool { return p.reader(kind) != nil }
-
-func (p *parser) reader(kind string) func(*bergamotini.Section) {
-	return map[string]func(*bergamotini.Section){
-		"bundle": p.head, "policy": p.policy, "kind": p.kind, "model": p.model, "adapter": p.adapter,
-		"pipeline": p.pipeline, "service": p.service, "operator": p.operator, "workspace": p.workspace,
-	}[kind]
-}
-
-func (p *parser) section(s *bergamotini.Section) {
-	if s.Kind() != "bundle" && s.Kind() != "policy" && s.Name() == "" {
-		s.Fault("", "section needs a name, as in [%s example]", s.Kind())
+// sections reads all sections. They may refer to others in any order, so that each kind is read after those
+// it refers to.
+func (p *parser) sections(sections []*bergamotini.Section) {
+	byKind := map[string][]*bergamotini.Section{}
+	for _, s := range sections {
+		byKind[s.Kind()] = append(byKind[s.Kind()], s)
+	}
+	for _, r := range []struct {
+		kind string
+		read func(*bergamotini.Section)
+	}{
+		{"bundle", p.head},
+		{"policy", p.policy},
+		{"kind", p.kind},
+		{"model", p.model},
+		{"adapter", p.adapter},
+		{"pipeline", p.pipeline},
+		{"service", p.service},
+		{"operator", p.operator},
+		{"workspace", p.workspace},
+	} {
+		single := r.kind == "bundle" || r.kind == "policy"
+		for _, s := range byKind[r.kind] {
+			switch {
+			case single && s.Name() != "":
+				s.Fault("", "section takes no name")
+			case !single && s.Name() == "":
+				s.Fault("", "section needs a name, as in [%s example]", r.kind)
+			}
+			r.read(s)
+			s.Done()
+		}
+		delete(byKind, r.kind)
+	}
+	for _, rest := range byKind {
+		for _, s := range rest {
+			s.Fault("", "unknown section")
+		}
 	}
-	p.reader(s.Kind())(s)
-	s.Done()
 }
 
 func (p *parser) head(s *bergamotini.Section) {
 	p.bundle.version = int64(s.Int("version", 0, 1, math.MaxInt32))
 	p.bundle.parent = s.Text("parent", "")
-	p.bundle.needed = s.Int("needed", 1, 1, 100)
+	p.bundle.needed = s.Int("needed", 1, 1, maxOperators)
 	if s.Text("version", "") == "" {
 		s.Fault("version", "is required")
 	}
-	if p.bundle.version > 1 && p.bundle.parent == "" {
+	switch {
+	case p.bundle.version > 1 && p.bundle.parent == "":
 		s.Fault("parent", "is required from version 2 on")
-	}
-	if b, err := hex.DecodeString(p.bundle.parent); err != nil || (len(b) != 0 && len(b) != 32) {
-		s.Fault("parent", "is not a SHA-256 digest in hexadecimal")
+	case p.bundle.version == 1 && p.bundle.parent != "":
+		s.Fault("parent", "version 1 has no parent")
+	case p.bundle.parent != "" && !IsDigest(p.bundle.parent):
+		s.Fault("parent", "is not a SHA-256 digest in lower-case hexadecimal")
 	}
 }
 
@@ -161,11 +176,18 @@
 }
 
 func (p *parser) operator(s *bergamotini.Section) {
-	key, err := base64.StdEncoding.DecodeString(s.Need("key"))
-	if err != nil || len(key) != ed25519.PublicKeySize {
-		s.Fault("key", "is not an Ed25519 public key in base64")
+	o, err := ParseOperator(s.Name(), s.Need("key"))
+	if err != nil {
+		s.Fault("key", "%s", err)
+		return
+	}
+	for _, other := range p.bundle.operators {
+		if other.key.Equal(o.key) {
+			// One key under two names would count as two approvals.
+			s.Fault("key", "key already belongs to operator %q", other.name)
+		}
 	}
-	p.bundle.operators[s.Name()] = NewOperator(s.Name(), key)
+	p.bundle.operators[o.name] = o
 }
 
 func (p *parser) workspace(s *bergamotini.Section) {
@@ -178,8 +200,8 @@
 		s.Fault("keys", "is required")
 	}
 	for _, key := range w.keys {
-		if b, err := hex.DecodeString(key); err != nil || len(b) != 32 {
-			s.Fault("keys", "%q is not a SHA-256 digest in hexadecimal", key)
+		if !IsDigest(key) {
+			s.Fault("keys", "%q is not a SHA-256 digest in lower-case hexadecimal", key)
 		}
 		if other, ok := p.bundle.byKey[key]; ok {
 			s.Fault("keys", "key already belongs to workspace %q", other)
--- a/core/bergamotcontrol/heads.go
+++ b/core/bergamotcontrol/heads.go
@@ -7,45 +7,65 @@
 	"bergamotspur/core/bergamotbundle"
 )
 
-// HeadSource reads the bundle that the head names; current is the digest in force, empty for none.
+// HeadSource reads the bundle that the head names; current is the bundle in force, nil for none.
 type HeadSource interface {
 	// Head returns nil when the head still names current.
-	Head(ctx context.Context, current string) (*bergamotbundle.Bundle, error)
+	Head(ctx context.Context, current *bergamotbundle.Bundle) (*bergamotbundle.Bundle, error)
 }
 
 // Heads is the controller that follows the head of the bundle.
 type Heads struct {
-	Source HeadSource
-	Period time.Duration // time between two reads
-	Report func(err error)
+	Source  HeadSource
+	Period  time.Duration  // mean time between two reads
+	Timeout time.Duration  // time after which a read has failed
+	Random  func() float64 // from 0 to 1, for the jitter
+	Report  func(err error)
 
-	next time.Time
+	next  time.Time
+	begun time.Time
+	busy  bool
 }
 
+// Hints from peers start a read at once, but never sooner than this part of the period after the last one:
+// 840 entries at the default period of 2 s then read at most 1,680 times/s of the table's 2,000.
+const hintGap = 4
+
 // Name returns "heads".
 func (c *Heads) Name() string { return "heads" }
 
-// Reconcile reads the head when the period has passed.
+// Reconcile reads the head when the period has passed or a peer knows of a newer one.
 func (c *Heads) Reconcile(s *State) []Task {
-	if s.Now().Before(c.next) {
+	now := s.Now()
+	// A hint that comes during a read is kept for the next one, since that read may have been too early. The
+	// event that ends a read is lost when the loop restarts, hence the limit on the time.
+	if c.busy && now.Before(c.begun.Add(2*c.Timeout)) {
 		return nil
 	}
-	c.next = s.Now().Add(c.Period)
-	current := ""
-	if b := s.Bundle(); b != nil {
-		current = b.Digest()
+	hinted := s.hinted && !now.Before(c.begun.Add(c.Period/hintGap))
+	if now.Before(c.next) && !hinted {
+		return nil
 	}
-	return []Task{NewTask(c.Name(), func(ctx context.Context) Event { return c.read(ctx, current) })}
+	// Without jitter entries that start together would read together for ever.
+	c.next = now.Add(time.Duration(float64(c.Period) * (0.75 + 0.5*c.Random())))
+	c.begun, c.busy, s.hinted = now, true, false
+	current := s.Bundle()
+	return []Task{NewTask(c.Name(), func(ctx context.Context) Event { return c.read(ctx, current, now) })}
 }
 
-func (c *Heads) read(ctx context.Context, current string) Event {
+func (c *Heads) read(ctx context.Context, current *bergamotbundle.Bundle, at time.Time) Event {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
 	b, err := c.Source.Head(ctx, current)
 	if err != nil {
 		c.Report(err)
-		return nil
-	}
-	if b == nil {
-		return nil
 	}
-	return EventFunc(func(s *State) { s.SetBundle(b) })
+	return EventFunc(func(s *State) {
+		c.busy = false
+		if b != nil && err == nil {
+			s.SetBundle(b)
+		}
+		if err == nil && s.bundle != nil && at.After(s.confirmed) {
+			s.confirmed = at
+		}
+	})
 }
--- a/core/bergamotcontrol/loop.go
+++ b/core/bergamotcontrol/loop.go
@@ -63,7 +63,7 @@
 // Run applies events until ctx ends. A restart begins with an empty state but keeps the bundle in force.
 func (l *Loop) Run(ctx context.Context) error {
 	s := NewState()
-	s.bundle = l.View().Bundle()
+	s.bundle, s.confirmed = l.View().Bundle(), l.View().Confirmed()
 	running := map[string]bool{}
 	for ctx.Err() == nil {
 		s.now = l.Clock.Now()
--- a/core/bergamotcontrol/state.go
+++ b/core/bergamotcontrol/state.go
@@ -13,6 +13,8 @@
 type State struct {
 	now       time.Time
 	bundle    *bergamotbundle.Bundle
+	confirmed time.Time
+	hinted    bool
 	instances map[string]bergamotfleet.Instance
 	fleet     *bergamotfleet.Fleet
 }
@@ -61,5 +63,7 @@
 	if s.fleet == nil {
 		s.fleet = bergamotfleet.NewFleet(slices.Collect(maps.Values(s.instances)))
 	}
-	return NewView(s.now, s.bundle, s.fleet)
+	v := NewView(s.now, s.bundle, s.fleet)
+	v.confirmed = s.confirmed
+	return v
 }
--- a/core/bergamotcontrol/view.go
+++ b/core/bergamotcontrol/view.go
@@ -12,6 +12,8 @@
 	at     time.Time
 	bundle *bergamotbundle.Bundle
 	fleet  *bergamotfleet.Fleet
+
+	confirmed time.Time
 }
 
 // NewView returns a view of a bundle, which may be nil, and a fleet.
@@ -25,5 +27,9 @@
 // Bundle returns the bundle in force, nil before the first is known.
 func (v *View) Bundle() *bergamotbundle.Bundle { return v.bundle }
 
+// Confirmed returns when a read of the head began that last found the bundle to be current, zero before the
+// first. An entry is not ready before it, and operators see from it which entries are cut off from the table.
+func (v *View) Confirmed() time.Time { return v.confirmed }
+
 // Fleet returns the instances.
 func (v *View) Fleet() *bergamotfleet.Fleet { return v.fleet }
--- a/core/bergamotini/document.go
+++ b/core/bergamotini/document.go
@@ -1,11 +1,8 @@
 package bergamotini
 
 import (
-	"bufio"
-	"bytes"
 	"fmt"
 	"slices"
-	"strings"
 
 	"gopkg.in/ini.v1"
 )
@@ -18,11 +15,16 @@
 	faults Faults
 }
 
-// Parse returns the document in text; name appears in faults. A syntax error is a fault too.
+// Parse returns the document in text; name appears in faults. A syntax error is a fault of its line,
+// and the other lines are still read.
 func Parse(name string, text []byte) (d *Document) {
 	d = &Document{name: name, lines: map[string]int{}}
-	d.index(text)
-	file, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true}, text)
+	clean := d.scan(text)
+	file, err := ini.LoadSources(ini.LoadOptions{
+		KeyValueDelimiters: "=", IgnoreInlineComment: true, IgnoreContinuation: true, PreserveSurroundedQuote: true,
+		// By default "[model a.b]" inherits the keys of "[model a]"; no section name contains this byte.
+		ChildSectionDelimiter: "\x00",
+	}, clean)
 	if err != nil {
 		d.file = ini.Empty()
 		d.add(1, "", "", err.Error())
@@ -32,48 +34,16 @@
 	return d
 }
 
-// index notes the line of each section and key, which the parser does not keep.
-func (d *Document) index(text []byte) {
-	section := ""
-	s := bufio.NewScanner(bytes.NewReader(text))
-	s.Buffer(nil, len(text)+1)
-	for n := 1; s.Scan(); n++ {
-		line := strings.TrimSpace(s.Text())
-		switch {
-		case line == "" || line[0] == '#' || line[0] == ';':
-		case line[0] == '[' && strings.HasSuffix(line, "]"):
-			section = strings.TrimSpace(line[1 : len(line)-1])
-			d.note(section, n, section, "", "section appears twice")
-		default:
-			key, _, _ := strings.Cut(line, "=")
-			key = strings.TrimSpace(key)
-			d.note(section+"\x00"+key, n, section, key, "key appears twice")
-		}
-	}
-}
-
-func (d *Document) note(at string, n int, section, key, text string) {
-	if first, ok := d.lines[at]; ok {
-		d.add(n, section, key, fmt.Sprintf("%s, first on line %d", text, first))
-		return
-	}
-	d.lines[at] = n
-}
-
 func (d *Document) add(line int, section, key, text string) {
-	d.faults = append(d.faults, Fault{file: d.name, line: line, section: section, key: key, text: text})
+	d.faults = append(d.faults, Fault{file: d.name, line: max(line, 1), section: section, key: key, text: text})
 }
 
 // Sections returns the sections in the order of the document.
 func (d *Document) Sections() (out []*Section) {
 	for _, s := range d.file.Sections() {
-		if s.Name() == ini.DefaultSection {
-			for _, k := range s.Keys() {
-				d.add(d.lines["\x00"+k.Name()], "", k.Name(), "key stands before the first section")
-			}
-			continue
+		if s.Name() != ini.DefaultSection {
+			out = append(out, &Section{doc: d, section: s})
 		}
-		out = append(out, &Section{doc: d, section: s, used: map[string]bool{}})
 	}
 	return out
 }
--- a/core/bergamotini/section.go
+++ b/core/bergamotini/section.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,7 +15,7 @@
 type Section struct {
 	doc     *Document
 	section *ini.Section
-	used    map[string]bool
+	used    []string
 }
 
 // Kind returns the first word of the section's name.
@@ -29,6 +30,18 @@
 	return strings.TrimSpace(name)
 }
 
+// Values returns the value of each key.
+func (s *Section) Values() (out map[string]string) {
+	out = map[string]string{}
+	for _, k := range s.section.Keys() {
+		out[k.Name()] = strings.TrimSpace(k.Value())
+	}
+	return out
+}
+
+// Title returns the whole name of the section.
+func (s *Section) Title() string { return s.section.Name() }
+
 // Fault records a fault of key, or of the section when key is empty.
 func (s *Section) Fault(key, format string, a ...any) {
 	at := s.section.Name()
@@ -43,11 +56,14 @@
 
 // Text returns the value of key, or def when it is not set.
 func (s *Section) Text(key, def string) string {
-	s.used[key] = true
+	if !slices.Contains(s.used, key) {
+		s.used = append(s.used, key)
+	}
 	if !s.section.HasKey(key) {
 		return def
 	}
-	return strings.TrimSpace(s.section.Key(key).String())
+	// String would expand "%(name)s" to the value of another key.
+	return strings.TrimSpace(s.section.Key(key).Value())
 }
 
 // Need returns the value of key and records a fault when it is empty.
@@ -114,7 +130,7 @@
 // Done records a fault for each key that was not read.
 func (s *Section) Done() {
 	for _, k := range s.section.Keys() {
-		if !s.used[k.Name()] {
+		if !slices.Contains(s.used, k.Name()) {
 			s.Fault(k.Name(), "unknown key")
 		}
 	}
--- a/core/bergamotrollout/head.go
+++ b/core/bergamotrollout/head.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"github.com/samber/oops"
+
+	"bergamotspur/core/bergamotbundle"
 )
 
 // HeadKey is the row of the table that names the bundle in force.
@@ -11,18 +14,20 @@
 
 // Head names the bundle in force.
 type Head struct {
-	version int64
-	digest  string
-	parent  string
-	by      string
+	version   int64
+	digest    string
+	parent    string
+	by        string
+	approvals []Approval
 }
 
-// NewHead returns a head that the operator by moved from parent to digest.
-func NewHead(version int64, digest, parent, by string) Head {
-	return Head{version: version, digest: digest, parent: parent, by: by}
+// NewHead returns a head that the operator by moved from parent to digest. It carries the approvals, so that
+// an entry reads one row and one object for a new version.
+func NewHead(version int64, digest, parent, by string, approvals ...Approval) Head {
+	return Head{version: version, digest: digest, parent: parent, by: by, approvals: approvals}
 }
 
-// Version returns the version of the bundle.
+// Version returns the version of the bundle, 0 when none was rolled out.
 func (h Head) Version() int64 { return h.version }
 
 // Digest returns the digest of the bundle text.
@@ -34,26 +39,45 @@
 // By returns the operator who rolled the version out.
 func (h Head) By() string { return h.by }
 
+// Approvals returns the approvals that were collected when the version was rolled out.
+func (h Head) Approvals() []Approval { return h.approvals }
+
 type headFields struct {
-	Version int64  `json:"version"`
-	Digest  string `json:"digest"`
-	Parent  string `json:"parent"`
-	By      string `json:"by"`
+	Version   int64            `json:"version"`
+	Digest    string           `json:"digest"`
+	Parent    string           `json:"parent"`
+	By        string           `json:"by"`
+	Approvals []approvalFields `json:"approvals"`
 }
 
 // Encode returns the content of the row.
 func (h Head) Encode() ([]byte, error) {
-	return json.Marshal(headFields{Version: h.version, Digest: h.digest, Parent: h.parent, By: h.by})
+	f := headFields{Version: h.version, Digest: h.digest, Parent: h.parent, By: h.by}
+	for _, a := range h.approvals {
+		f.Approvals = append(f.Approvals, a.fields())
+	}
+	return json.Marshal(f)
 }
 
-// DecodeHead returns the head that a row contains.
+// DecodeHead returns the head that a row contains; its approvals are not verified yet.
 func DecodeHead(data []byte) (h Head, err error) {
 	defer func() { err = oops.In("rollout").Wrapf(err, "decode head") }()
 	var f headFields
 	if err = json.Unmarshal(data, &f); err != nil {
 		return h, err
 	}
-	return NewHead(f.Version, f.Digest, f.Parent, f.By), nil
+	first := f.Version == 1 && f.Parent == ""
+	if f.Version < 1 || !bergamotbundle.IsDigest(f.Digest) || !first && !bergamotbundle.IsDigest(f.Parent) {
+		return h, errors.New("version, digest or parent is missing or malformed")
+	}
+	h = NewHead(f.Version, f.Digest, f.Parent, f.By)
+	for _, a := range f.Approvals {
+		if err = a.check(); err != nil {
+			return Head{}, err
+		}
+		h.approvals = append(h.approvals, a.approval())
+	}
+	return h, nil
 }
 
 // ObjectName returns the name of the object that holds the bundle text of a digest.
--- a/io/bergamotdemo/shop.go
+++ b/io/bergamotdemo/shop.go
@@ -13,6 +13,8 @@
 
 	"github.com/samber/oops"
 
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/core/bergamotsetting"
 	"bergamotspur/io/bergamotengine"
@@ -53,6 +55,7 @@
 type Shop struct {
 	Log io.Writer
 
+	public   string // key of the operator in base64
 	platform *bergamotfake.Platform
 	engines  []*bergamotfake.Engine
 	service  *bergamotfake.Service
@@ -104,20 +107,28 @@
 }
 
 func (s *Shop) rollOut(ctx context.Context) (err error) {
-	public, _, err := ed25519.GenerateKey(nil)
+	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
 		return err
 	}
-	text := strings.ReplaceAll(bundleText, "PUBLICKEY", base64.StdEncoding.EncodeToString(public))
+	s.public = base64.StdEncoding.EncodeToString(public)
 	objects := bergamotobject.NewClient(s.platform.Address())
 	defer objects.Close()
-	b, err := bergamotrollout.Propose(ctx, objects, "bundle.ini", []byte(text))
+	table := bergamottable.NewClient(s.platform.Address())
+	defer table.Close()
+	r := &bergamotrollout.Rollout{
+		Table: table, Objects: objects, Clock: bergamotclock.Real{},
+		Trust: bergamotbundle.NewAuthority(1, bergamotbundle.NewOperator("mari", public)),
+	}
+	b, err := r.Propose(ctx, "bundle.ini", []byte(strings.ReplaceAll(bundleText, "PUBLICKEY", s.public)))
 	if err != nil {
 		return err
 	}
-	table := bergamottable.NewClient(s.platform.Address())
-	defer table.Close()
-	return bergamotrollout.Roll(ctx, table, b, "mari")
+	if _, err = r.Approve(ctx, b.Digest(), "mari", private); err != nil {
+		return err
+	}
+	_, err = r.Roll(ctx, b.Digest(), "mari")
+	return err
 }
 
 func (s *Shop) startEntries(ctx context.Context) (err error) {
@@ -154,7 +165,9 @@
 probe = 200ms
 head = 200ms
 poll = 200ms
-`, n, centre, s.platform.Address())
+[trust]
+operators = mari:%[4]s
+`, n, centre, s.platform.Address(), s.public)
 }
 
 // awaitReady waits until every entry knows the bundle and the layers that each runner holds.
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -1,6 +1,7 @@
 package bergamotentry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"bergamotspur/core/bergamotchain"
@@ -21,6 +22,8 @@
 const (
 	loopPeriod  = 50 * time.Millisecond
 	probeMisses = 3
+	// A silent connection must not use up the 7 s in which a bundle has to be in force.
+	headTimeout = 2 * time.Second
 )
 
 // adapters are the clients of one entry to targets and platform.
@@ -57,8 +60,9 @@
 			&bergamotcontrol.Instances{Source: e.adapters.list, Period: s.Poll(), Report: e.report("instances")},
 			&bergamotcontrol.Probes{Source: e.adapters.engines, Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses},
 			&bergamotcontrol.Heads{
-				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects},
-				Period: s.Head(), Report: e.report("heads"),
+				// A membership component sets Peers to fetch the bundle text from other entries.
+				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects, Trust: s.Trust()},
+				Period: s.Head(), Timeout: headTimeout, Random: rand.Float64, Report: e.report("heads"),
 			},
 		},
 	}
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -100,8 +100,12 @@
 
 func (e *Entry) hook(event suture.Event) { e.log.Warn("%s", event) }
 
-// ready tells whether the entry can serve: it knows the bundle in force and is not draining.
-func (e *Entry) ready() bool { return e.View().Bundle() != nil && !e.drain.Draining() }
+// ready tells whether the entry can serve: it knows that its bundle was current at some time since the process
+// started, and it is not draining. It stays ready when the table is down later.
+func (e *Entry) ready() bool {
+	v := e.View()
+	return v.Bundle() != nil && !v.Confirmed().IsZero() && !e.drain.Draining()
+}
 
 func (e *Entry) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/io/bergamotentry/status.go
+++ b/io/bergamotentry/status.go
@@ -13,6 +13,7 @@
 	Ready     bool              `json:"ready"`
 	Version   int64             `json:"version"`
 	Digest    string            `json:"digest"`
+	Confirmed int64             `json:"confirmed"` // milliseconds since the head was last read, -1 for never
 	Instances []InstanceMessage `json:"instances"`
 }
 
@@ -29,7 +30,10 @@
 // status writes the state of the entry.
 func (e *Entry) status(w http.ResponseWriter, _ *http.Request) {
 	v := e.View()
-	m := StatusMessage{Entry: e.Setting.Name(), Centre: e.Setting.DataCentre(), Ready: e.ready(), Instances: []InstanceMessage{}}
+	m := StatusMessage{Entry: e.Setting.Name(), Centre: e.Setting.DataCentre(), Ready: e.ready(), Confirmed: -1, Instances: []InstanceMessage{}}
+	if at := v.Confirmed(); !at.IsZero() {
+		m.Confirmed = e.clock.Now().Sub(at).Milliseconds()
+	}
 	if b := v.Bundle(); b != nil {
 		m.Version, m.Digest = b.Version(), b.Digest()
 	}
