--- /dev/null
+++ b/core/bergamotrollout/property_test.go
@@ -0,0 +1,119 @@
+package bergamotrollout_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotrollout"
+)
+
+// world is a rollout with entries and operators that do random things on a store with random faults.
+type world struct {
+	store    *store
+	children map[string]string // parent to the child that was in force
+	approved map[string]bool   // digests that mari signed
+	entries  [3]*bergamotbundle.Bundle
+	highest  [3]int64 // highest version that each entry had, also before a restart
+	count    int
+}
+
+var faultNames = []fault{none, none, none, down, lost, late}
+
+// act does one random thing.
+func (w *world) act(t *rapid.T) {
+	for _, call := range []string{"read", "swap", "fetch", "put"} {
+		w.store.plan[call] = rapid.SliceOfN(rapid.SampledFrom(faultNames), 0, 5).Draw(t, call)
+	}
+	r := newRollout(w.store)
+	ctx := context.Background()
+	switch rapid.IntRange(0, 3).Draw(t, "act") {
+	case 0:
+		w.roll(ctx, t, r)
+	case 1:
+		w.read(ctx, t)
+	case 2:
+		// A restarted entry has no disk.
+		w.entries[rapid.IntRange(0, 2).Draw(t, "restart")] = nil
+	case 3:
+		if h, _, err := r.Head(ctx); err == nil && h.Version() > 1 {
+			if b, err := r.Rollback(ctx, h.Parent()); err == nil {
+				w.approve(ctx, r, b.Digest(), rapid.Bool().Draw(t, "approve"))
+				_, _ = r.Roll(ctx, b.Digest(), "mari")
+			}
+		}
+	}
+	w.look(t)
+}
+
+// roll proposes a bundle on a parent that may be out of date, as an operator who races does.
+func (w *world) roll(ctx context.Context, t *rapid.T, r *bergamotrollout.Rollout) {
+	h := headOf(w.store)
+	version, parent := h.Version()+1, h.Digest()
+	if h.Version() > 1 && rapid.Bool().Draw(t, "stale") {
+		version, parent = h.Version(), h.Parent()
+	}
+	w.count++
+	b, err := r.Propose(ctx, "test", bundleText(version, parent, fmt.Sprint(w.count), 1, "mari"))
+	if err != nil {
+		return
+	}
+	w.approve(ctx, r, b.Digest(), rapid.Bool().Draw(t, "approve"))
+	rolled, err := r.Roll(ctx, b.Digest(), "mari")
+	if err == nil && rolled.Digest() != b.Digest() {
+		t.Fatalf("roll of %s reported success with %s in force", b.Digest(), rolled.Digest())
+	}
+}
+
+func (w *world) approve(ctx context.Context, r *bergamotrollout.Rollout, digest string, wanted bool) {
+	if wanted {
+		// From here on the signature exists, even when the reply is lost.
+		w.approved[digest] = true
+		_, _ = r.Approve(ctx, digest, "mari", seedKey("mari"))
+	}
+}
+
+func (w *world) read(ctx context.Context, t *rapid.T) {
+	n := rapid.IntRange(0, 2).Draw(t, "entry")
+	source := &bergamotrollout.Source{Table: w.store, Objects: w.store, Trust: trust(1, "mari")}
+	b, err := source.Head(ctx, w.entries[n])
+	if err != nil || b == nil {
+		return
+	}
+	if b.Version() < w.highest[n] {
+		t.Fatalf("entry %d went from version %d back to %d", n, w.highest[n], b.Version())
+	}
+	if !w.approved[b.Digest()] {
+		t.Fatalf("entry %d took version %d, which nobody approved", n, b.Version())
+	}
+	w.entries[n], w.highest[n] = b, b.Version()
+}
+
+// look checks what is in force after each act.
+func (w *world) look(t *rapid.T) {
+	h := headOf(w.store)
+	if h.Version() == 0 {
+		return
+	}
+	if child, ok := w.children[h.Parent()]; ok && child != h.Digest() {
+		t.Fatalf("parent %q has the children %s and %s", h.Parent(), child, h.Digest())
+	}
+	w.children[h.Parent()] = h.Digest()
+	if !w.approved[h.Digest()] {
+		t.Fatalf("version %d is in force, which nobody approved", h.Version())
+	}
+}
+
+// Guards against a version that decreases at an entry, a parent with two children and a bundle in force
+// without approval, under lost and late writes, races, outages and restarts.
+func TestRolloutProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{store: newStore(), children: map[string]string{}, approved: map[string]bool{}}
+		for range rapid.IntRange(1, 30).Draw(t, "acts") {
+			w.act(t)
+		}
+	})
+}
--- a/core/bergamotrollout/source.go
+++ b/core/bergamotrollout/source.go
@@ -57,7 +57,10 @@
 	if b, err = s.candidate(ctx, head); err != nil {
 		return nil, err
 	}
-	return b, s.verify(ctx, b, head.approvals, current)
+	if err = s.verify(ctx, b, head.approvals, current); err != nil {
+		return nil, err
+	}
+	return b, nil
 }
 
 func (s *Source) candidate(ctx context.Context, head Head) (b *bergamotbundle.Bundle, err error) {
--- /dev/null
+++ b/core/bergamotrollout/source_test.go
@@ -0,0 +1,201 @@
+package bergamotrollout_test
+
+import (
+	"context"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamottest"
+)
+
+type sourceCase struct {
+	change  func(s *store, digests []string) // what happens before the entry reads
+	current int                              // version in force at the entry, 0 for a new entry
+	trust   []string                         // operators in the settings of the entry
+	peers   bool                             // another entry has the text in force
+	want    int64                            // version that the entry takes, 0 for none
+	err     string
+}
+
+// chain rolls version 1 (mari), 2 (operators juhan and mari), 3 (juhan), which juhan alone approves, and 4.
+func chain(s *store) (digests []string) {
+	operators := [][]string{{"mari", "juhan"}, {"mari", "juhan"}, {"juhan"}, {"juhan"}}
+	approver := []string{"mari", "mari", "juhan", "juhan"}
+	parent := ""
+	for n, names := range operators {
+		parent = propose(s, bundleText(int64(n+1), parent, "a", 1, names...), approver[n])
+		_, err := newRollout(s).Roll(context.Background(), parent, approver[n])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		digests = append(digests, parent)
+	}
+	return digests
+}
+
+// forge writes a head without asking anybody, as someone with access to the table can.
+func forge(s *store, version int64, digest, parent string, signers ...string) {
+	var approvals []bergamotrollout.Approval
+	for _, name := range signers {
+		approvals = append(approvals, bergamotrollout.Sign(name, digest, seedKey(name)))
+	}
+	value, _ := bergamotrollout.NewHead(version, digest, parent, "eve", approvals...).Encode()
+	s.row = bergamotstore.NewRow("head", s.row.Revision()+1, value)
+}
+
+func put(s *store, text []byte) string {
+	digest := bergamotbundle.Digest(text)
+	s.objects[bergamotrollout.ObjectName(digest)] = text
+	return digest
+}
+
+var _ = ginkgo.Describe("an entry that reads the head", func() {
+	// Guards against an entry that takes what operators did not approve, or anything older than it has.
+	bergamottest.Entries(map[string]sourceCase{
+		"takes the next version":                           {current: 3, want: 4},
+		"takes nothing when it is current":                 {current: 4},
+		"follows changes of operators that it missed":      {current: 1, want: 4},
+		"starts from [trust] over changes of operators":    {trust: []string{"mari"}, want: 4},
+		"starts from [trust] that names the new operators": {trust: []string{"juhan"}, want: 4},
+		"starts from nothing that [trust] does not name":   {trust: []string{"eve"}, err: "not approved"},
+		"starts with nothing when none was rolled out": {trust: []string{"mari"}, change: func(s *store, _ []string) {
+			s.row = bergamotstore.Row{}
+		}},
+		"keeps its version when the table lost the head": {
+			current: 4, err: "the table has no head",
+			change: func(s *store, _ []string) { s.row = bergamotstore.Row{} },
+		},
+		"keeps its version when the table is down": {
+			current: 3, err: "no reply",
+			change: func(s *store, _ []string) { s.plan["read"] = []fault{down} },
+		},
+		"keeps its version when the object store is down": {
+			current: 3, err: "no reply",
+			change: func(s *store, _ []string) { s.plan["fetch"] = []fault{down} },
+		},
+		"asks a peer when the object store is down": {
+			current: 3, peers: true, want: 4,
+			change: func(s *store, _ []string) { s.plan["fetch"] = []fault{down} },
+		},
+		"starts with the text of a peer when the object store is down": {
+			trust: []string{"juhan"}, peers: true, want: 4,
+			change: func(s *store, _ []string) { s.plan["fetch"] = []fault{down} },
+		},
+		"asks a peer when the object is damaged": {
+			current: 3, peers: true, want: 4,
+			change: func(s *store, d []string) { s.objects[bergamotrollout.ObjectName(d[3])] = []byte("[bundle]") },
+		},
+		"rejects a damaged object": {
+			current: 3, err: "does not match digest",
+			change: func(s *store, d []string) { s.objects[bergamotrollout.ObjectName(d[3])] = []byte("[bundle]") },
+		},
+		"rejects an older head": {
+			current: 4, err: "version 4 with digest",
+			change: func(s *store, d []string) { forge(s, 3, d[2], d[1], "juhan") },
+		},
+		"rejects another bundle of its version": {
+			current: 4, err: "version 4 with digest",
+			change: func(s *store, d []string) {
+				forge(s, 4, put(s, bundleText(4, d[2], "x", 1, "juhan")), d[2], "juhan")
+			},
+		},
+		"rejects a head without approval": {
+			current: 4, err: "not approved",
+			change: func(s *store, d []string) { forge(s, 5, put(s, bundleText(5, d[3], "x", 1, "eve")), d[3], "eve") },
+		},
+		"rejects a signature by another key in the name of an operator": {
+			current: 4, err: "not approved",
+			change: func(s *store, d []string) {
+				five := put(s, bundleText(5, d[3], "x", 1, "eve"))
+				value, _ := bergamotrollout.NewHead(5, five, d[3], "juhan",
+					bergamotrollout.Sign("juhan", five, seedKey("eve"))).Encode()
+				s.row = bergamotstore.NewRow("head", s.row.Revision()+1, value)
+			},
+		},
+		"rejects an operator who was removed": {
+			current: 4, err: "not approved",
+			change: func(s *store, d []string) {
+				forge(s, 5, put(s, bundleText(5, d[3], "x", 1, "mari")), d[3], "mari")
+			},
+		},
+		"rejects a chain of versions that nobody approved": {
+			current: 4, err: "not approved",
+			change: func(s *store, d []string) {
+				five := put(s, bundleText(5, d[3], "x", 1, "eve"))
+				forge(s, 6, put(s, bundleText(6, five, "x", 1, "eve")), five, "eve")
+			},
+		},
+		"rejects a head whose version is not that of the text": {
+			current: 4, err: "another parent",
+			change: func(s *store, d []string) { forge(s, 9, put(s, bundleText(5, d[3], "x", 1, "juhan")), d[3], "juhan") },
+		},
+	}, func(c sourceCase) {
+		s := newStore()
+		digests := chain(s)
+		var peer *store
+		if c.peers {
+			peer = s.restore()
+		}
+		c.apply(s, digests, peer)
+	})
+
+	// Guards against a new parse of a rejected bundle at each read, which would load every entry and the store.
+	ginkgo.It("fetches the text of a rejected head once", func(ctx context.Context) {
+		s := newStore()
+		digests := chain(s)
+		four := bundleOf(s, digests[3])
+		forge(s, 5, put(s, bundleText(5, digests[3], "x", 1, "eve")), digests[3], "eve")
+		clear(s.calls)
+		source := &bergamotrollout.Source{Table: s, Objects: s}
+		for range 3 {
+			_, err := source.Head(ctx, four)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		}
+		gomega.Expect(s.calls["fetch"]).To(gomega.Equal(1))
+	})
+
+	// Guards against more reads than one row and one object for an ordinary new version.
+	ginkgo.It("reads one row and one object for a new version", func(ctx context.Context) {
+		s := newStore()
+		digests := chain(s)
+		three := bundleOf(s, digests[2])
+		clear(s.calls)
+		_, err := (&bergamotrollout.Source{Table: s, Objects: s}).Head(ctx, three)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.calls).To(gomega.Equal(map[string]int{"read": 1, "fetch": 1}))
+	})
+})
+
+func bundleOf(s *store, digest string) *bergamotbundle.Bundle {
+	b, err := newRollout(s.restore()).Bundle(context.Background(), digest)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return b
+}
+
+func (c sourceCase) apply(s *store, digests []string, peer *store) {
+	var current *bergamotbundle.Bundle
+	if c.current > 0 {
+		current = bundleOf(s, digests[c.current-1])
+	}
+	if c.change != nil {
+		c.change(s, digests)
+	}
+	source := &bergamotrollout.Source{Table: s, Objects: s, Trust: trust(1, c.trust...)}
+	if peer != nil {
+		source.Peers = peer
+	}
+	b, err := source.Head(context.Background(), current)
+	if c.err != "" {
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.err)))
+		gomega.Expect(b).To(gomega.BeNil())
+		return
+	}
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	if c.want == 0 {
+		gomega.Expect(b).To(gomega.BeNil())
+		return
+	}
+	gomega.Expect(b.Version()).To(gomega.Equal(c.want))
+}
--- /dev/null
+++ b/core/bergamotrollout/suite_test.go
@@ -0,0 +1,80 @@
+package bergamotrollout_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/core/bergamottest"
+)
+
+func TestRollout(t *testing.T) { bergamottest.Run(t, "rollout") }
+
+func seedKey(name string) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, name)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+func operator(name string) bergamotbundle.Operator {
+	return bergamotbundle.NewOperator(name, seedKey(name).Public().(ed25519.PublicKey))
+}
+
+// bundleText returns a bundle that names operators; tag makes two bundles of one version differ.
+func bundleText(version int64, parent, tag string, needed int, operators ...string) []byte {
+	text := fmt.Sprintf("[bundle]\nversion = %d\nparent = %s\nneeded = %d\n[model m]\nlayers = 2\nversion = %s\n",
+		version, parent, needed, tag)
+	for _, name := range operators {
+		text += fmt.Sprintf("[operator %s]\nkey = %s\n", name, base64.StdEncoding.EncodeToString(operator(name).Key()))
+	}
+	return []byte(text)
+}
+
+func trust(needed int, names ...string) bergamotbundle.Authority {
+	var out []bergamotbundle.Operator
+	for _, name := range names {
+		out = append(out, operator(name))
+	}
+	return bergamotbundle.NewAuthority(needed, out...)
+}
+
+func newRollout(s *store) *bergamotrollout.Rollout {
+	return &bergamotrollout.Rollout{Table: s, Objects: s, Clock: instant{}, Trust: trust(1, "mari")}
+}
+
+// propose stores a bundle with approvals and returns its digest.
+func propose(s *store, text []byte, approvers ...string) string {
+	r := newRollout(s)
+	ctx := context.Background()
+	b, err := r.Propose(ctx, "test", text)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, name := range approvers {
+		_, err = r.Approve(ctx, b.Digest(), name, seedKey(name))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	return b.Digest()
+}
+
+// inForce rolls a first version with operators mari and juhan, of whom needed must approve the next, and
+// returns its digest.
+func inForce(s *store, needed int) string {
+	digest := propose(s, bundleText(1, "", "a", needed, "mari", "juhan"), "mari")
+	_, err := newRollout(s).Roll(context.Background(), digest, "mari")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	clear(s.calls)
+	return digest
+}
+
+func headOf(s *store) bergamotrollout.Head {
+	h, _, err := newRollout(s.restore()).Head(context.Background())
+	if err != nil {
+		panic(err) // The copy of the store has no faults.
+	}
+	return h
+}
