Test and correct the edge cases of the front end

Cause: include_usage was ignored, a body over 8 MiB got 400, a known path with another method got 404, a reply of a service without a status panicked in net/http, a role could carry a line end into the prompt, a stream without tokens had no role, and an answer cut at the limit of its pipeline ended with "stop".

Ruled out: rejecting unknown fields. Client libraries send many that change nothing here; only those that would change the form of the answer are rejected. A default Retry-After for requests that may have run was ruled out too, since a retry could run them twice.

Change: reasons "size" (413) and "route" (404, 405), messages that name the field, a usage event, Retry-After on each 429 and 503 that did not run.

--- a/core/bergamotrequest/reason.go
+++ b/core/bergamotrequest/reason.go
@@ -6,6 +6,8 @@
 // Reasons of refusals and retries.
 const (
 	ReasonBody     Reason = "body"     // the request is malformed
+	ReasonSize     Reason = "size"     // the body is too large
+	ReasonRoute    Reason = "route"    // no such path or method
 	ReasonKey      Reason = "key"      // the bearer key is missing or unknown
 	ReasonAccess   Reason = "access"   // the workspace may not use the pipeline or service
 	ReasonModel    Reason = "model"    // no pipeline or adapter has that name
@@ -35,7 +37,7 @@
 // Reasons returns every reason in a fixed order.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonBody, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdem, ReasonBundle,
+		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdem, ReasonBundle,
 		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonSuspect, ReasonDigest,
 		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall,
 		ReasonProof, ReasonBudget, ReasonCancel, ReasonInternal,
--- a/io/bergamotfront/answer.go
+++ b/io/bergamotfront/answer.go
@@ -49,7 +49,21 @@
 		object = "chat.completion"
 	}
 	b := s.body(object, c)
-	b.Usage = &usageBody{Completion: s.count, Total: s.count}
+	b.Usage = s.spent()
+	return b
+}
+
+func (s *sink) spent() *usageBody { return &usageBody{Completion: s.count, Total: s.count} }
+
+// usageChunk returns the event before [DONE] that clients ask for with include_usage; it has no choice.
+func (s *sink) usageChunk() answerBody {
+	object := "text_completion"
+	if s.isChat() {
+		object = "chat.completion.chunk"
+	}
+	b := s.body(object, choiceBody{})
+	b.Choices = []choiceBody{}
+	b.Usage = s.spent()
 	return b
 }
 
--- a/io/bergamotfront/call.go
+++ b/io/bergamotfront/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -13,6 +12,10 @@
 
 // call answers a request for a plain service.
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost && r.Method != http.MethodGet {
+		writeMethod(w, r, "GET, POST")
+		return
+	}
 	req, err := s.serviceRequest(w, r)
 	if err != nil {
 		writeRefusal(w, bergamotrequest.AsRefusal(err))
@@ -24,6 +27,12 @@
 		writeRefusal(w, bergamotrequest.AsRefusal(err))
 		return
 	}
+	if out.reply.Status() < http.StatusOK || out.reply.Status() > 999 {
+		// net/http panics on such a status or takes it for an interim reply.
+		writeRefusal(w, bergamotrequest.Refuse(bergamotrequest.ReasonTarget, "service %s gave no usable reply", req.Service()).
+			Ran(bergamotrequest.RunUnknown))
+		return
+	}
 	w.Header().Set("Content-Type", out.reply.Kind())
 	w.Header().Set(HeaderPath, strings.Join(x.Path(), ","))
 	if out.reply.Replay() {
@@ -35,16 +44,13 @@
 }
 
 func (s *Server) serviceRequest(w http.ResponseWriter, r *http.Request) (req *bergamotrequest.Request, err error) {
-	if r.Method != http.MethodPost && r.Method != http.MethodGet {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "services take GET and POST")
-	}
 	spec, err := s.spec(r, bergamotrequest.KindService)
 	if err != nil {
 		return nil, err
 	}
 	spec.Service, spec.Call = r.PathValue("service"), r.PathValue("call")
-	if spec.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest)); err != nil {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "the body could not be read: %s", err)
+	if spec.Body, err = readBody(w, r); err != nil {
+		return nil, err
 	}
 	if req, err = bergamotrequest.New(spec); err != nil {
 		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "%s", err)
--- a/io/bergamotfront/complete.go
+++ b/io/bergamotfront/complete.go
@@ -1,8 +1,6 @@
 package bergamotfront
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
 
 	"bergamotspur/core/bergamotchain"
@@ -16,36 +14,34 @@
 const chatLimit = 1 << 20
 
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, kind bergamotrequest.Kind) {
-	req, err := s.completion(w, r, kind)
+	req, usage, err := s.completion(w, r, kind)
 	if err != nil {
 		writeRefusal(w, bergamotrequest.AsRefusal(err))
 		return
 	}
 	out := newSink(w, req, s.Clock.Now())
+	out.usage = usage
 	x := bergamotchain.NewExchange(req, s.Views.View(), out)
 	if err = s.Chain.Handle(r.Context(), x); err != nil {
 		out.fail(bergamotrequest.AsRefusal(err))
 		return
 	}
-	out.finish(x.Path())
+	out.finish(x)
 }
 
-// completion decodes the request of a completion call.
-func (s *Server) completion(w http.ResponseWriter, r *http.Request, kind bergamotrequest.Kind) (req *bergamotrequest.Request, err error) {
+// completion decodes the request of a completion call; usage tells whether a stream ends with the usage.
+func (s *Server) completion(w http.ResponseWriter, r *http.Request, kind bergamotrequest.Kind) (req *bergamotrequest.Request, usage bool, err error) {
 	spec, err := s.spec(r, kind)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	data, err := readBody(w, r)
 	if err != nil {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "the body could not be read: %s", err)
+		return nil, false, err
 	}
-	var b completionBody
-	if err = json.Unmarshal(data, &b); err != nil {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "the body is not valid JSON for this call: %s", err)
-	}
-	if err = b.unsupported(); err != nil {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "%s", err)
+	b, err := decodeBody(data)
+	if err != nil {
+		return nil, false, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "%s", err)
 	}
 	spec.Model, spec.Stream, spec.Limit = b.Model, b.Stream, b.limit(defaultLimit)
 	prompt := b.textPrompt
@@ -53,13 +49,13 @@
 		prompt, spec.Limit = b.chatPrompt, b.limit(chatLimit)
 	}
 	if spec.Prompt, err = prompt(); err != nil {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "%s", err)
+		return nil, false, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "%s", err)
 	}
 	if b.Seed != nil {
 		spec.Seed = *b.Seed
 	}
 	if req, err = bergamotrequest.New(spec); err != nil {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "%s", err)
+		return nil, false, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "%s", err)
 	}
-	return req, nil
+	return req, b.usage(), nil
 }
--- a/io/bergamotfront/errors.go
+++ b/io/bergamotfront/errors.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"bergamotspur/core/bergamotrequest"
 )
@@ -27,11 +28,13 @@
 	switch r {
 	case bergamotrequest.ReasonBody, bergamotrequest.ReasonIdem:
 		return http.StatusBadRequest
+	case bergamotrequest.ReasonSize:
+		return http.StatusRequestEntityTooLarge
 	case bergamotrequest.ReasonKey:
 		return http.StatusUnauthorized
 	case bergamotrequest.ReasonAccess:
 		return http.StatusForbidden
-	case bergamotrequest.ReasonModel, bergamotrequest.ReasonService:
+	case bergamotrequest.ReasonModel, bergamotrequest.ReasonService, bergamotrequest.ReasonRoute:
 		return http.StatusNotFound
 	case bergamotrequest.ReasonProgress:
 		return http.StatusConflict
@@ -78,12 +81,25 @@
 func writeError(w http.ResponseWriter, code int, f *bergamotrequest.Refusal) {
 	w.Header().Set(HeaderRun, f.Run().String())
 	w.Header().Set(HeaderReason, string(f.Reason()))
-	if f.After() > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(f.After().Seconds()))))
+	if after := retryAfter(code, f); after > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	}
 	writeJSON(w, code, errorBody(f))
 }
 
+// defaultRetry is what a caller waits when the filter that rejected the request names no time.
+const defaultRetry = time.Second
+
+// retryAfter returns the time that a caller should wait, zero when a retry makes no sense. Without a time of its
+// own only a rejection that passes and did not run is worth a retry.
+func retryAfter(code int, f *bergamotrequest.Refusal) time.Duration {
+	temporary := code == http.StatusTooManyRequests || code == http.StatusServiceUnavailable
+	if f.After() == 0 && temporary && f.Run() == bergamotrequest.RunNo {
+		return defaultRetry
+	}
+	return f.After()
+}
+
 func writeJSON(w http.ResponseWriter, code int, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/io/bergamotfront/message.go
+++ b/io/bergamotfront/message.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"strings"
 )
 
-// completionBody is the body of both completion calls; unknown fields are ignored, as clients send many.
+// completionBody is the body of both completion calls. Unknown fields are ignored, as clients send many, but
+// those that would change the form of the answer are known and rejected.
 type completionBody struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
@@ -18,6 +21,21 @@
 	N                   *int            `json:"n"`
 	Stop                json.RawMessage `json:"stop"`
 	Tools               json.RawMessage `json:"tools"`
+	Functions           json.RawMessage `json:"functions"`
+	Suffix              json.RawMessage `json:"suffix"`
+	Echo                bool            `json:"echo"`
+	BestOf              *int            `json:"best_of"`
+	Logprobs            json.RawMessage `json:"logprobs"`
+	ResponseFormat      *formatBody     `json:"response_format"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+}
+
+type formatBody struct {
+	Type string `json:"type"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 type chatMessage struct {
@@ -37,12 +55,27 @@
 		return errors.New("n other than 1 is not supported")
 	case isSet(b.Stop):
 		return errors.New("stop is not supported")
-	case isSet(b.Tools):
+	case isSet(b.Tools) || isSet(b.Functions):
 		return errors.New("tools are not supported")
+	case isSet(b.Suffix):
+		return errors.New("suffix is not supported")
+	case b.Echo:
+		return errors.New("echo is not supported")
+	case b.BestOf != nil && *b.BestOf != 1:
+		return errors.New("best_of other than 1 is not supported")
+	case isSet(b.Logprobs):
+		return errors.New("logprobs is not supported")
+	case b.ResponseFormat != nil && b.ResponseFormat.Type != "text":
+		return errors.New("response_format other than text is not supported")
+	case b.StreamOptions != nil && !b.Stream:
+		return errors.New("stream_options needs stream")
 	}
 	return nil
 }
 
+// usage tells whether a stream ends with an event that has the usage.
+func (b *completionBody) usage() bool { return b.StreamOptions != nil && b.StreamOptions.IncludeUsage }
+
 // limit returns the most tokens that the caller wants, or def.
 func (b *completionBody) limit(def int) int {
 	switch {
@@ -54,16 +87,22 @@
 	return def
 }
 
+// roles are those a message can have; the text of the prompt is built from them, so that no other text may stand there.
+var roles = []string{"system", "developer", "user", "assistant"}
+
 // chatPrompt returns the messages as one text.
 func (b *completionBody) chatPrompt() (prompt string, err error) {
 	if len(b.Messages) == 0 {
 		return "", errors.New("messages is empty")
 	}
 	var out strings.Builder
-	for _, m := range b.Messages {
+	for n, m := range b.Messages {
+		if !slices.Contains(roles, m.Role) {
+			return "", fmt.Errorf("messages[%d].role must be one of %s", n, strings.Join(roles, ", "))
+		}
 		text, err := textOf(m.Content)
 		if err != nil {
-			return "", err
+			return "", fmt.Errorf("messages[%d].%w", n, err)
 		}
 		out.WriteString(m.Role + ": " + text + "\n")
 	}
@@ -101,5 +140,5 @@
 
 func isSet(m json.RawMessage) bool {
 	s := strings.TrimSpace(string(m))
-	return s != "" && s != "null" && s != "[]"
+	return s != "" && s != "null" && s != "[]" && s != "false" && s != `""`
 }
--- a/io/bergamotfront/server.go
+++ b/io/bergamotfront/server.go
@@ -22,8 +22,10 @@
 	HeaderIdem     = "Idempotency-Key"
 )
 
-// maxRequest is the largest body of a request in bytes.
-const maxRequest = 8 << 20
+const (
+	maxRequest = 8 << 20 // largest body of a request in bytes
+	maxIdem    = 255     // longest idempotency key in bytes, since it is part of the key of a row
+)
 
 // Views gives the current control state.
 type Views interface {
@@ -53,10 +55,16 @@
 		s.complete(w, r, bergamotrequest.KindChat)
 	})
 	mux.HandleFunc("GET /v1/models", s.models)
-	mux.HandleFunc("GET /v1/models/{model}", s.model)
+	// Names of models may contain slashes.
+	mux.HandleFunc("GET /v1/models/{model...}", s.model)
 	mux.HandleFunc("/v1/services/{service}/{call}", s.call)
+	for path, allow := range map[string]string{
+		"/v1/completions": "POST", "/v1/chat/completions": "POST", "/v1/models": "GET, HEAD", "/v1/models/{model...}": "GET, HEAD",
+	} {
+		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) { writeMethod(w, r, allow) })
+	}
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		writeError(w, http.StatusNotFound, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "no such path: %s %s", r.Method, r.URL.Path))
+		writeRefusal(w, bergamotrequest.Refuse(bergamotrequest.ReasonRoute, "no such path: %s", r.URL.Path))
 	})
 	return mux
 }
@@ -66,9 +74,13 @@
 	spec = bergamotrequest.Spec{
 		ID: s.Entry + "-" + rand.Text(), Kind: kind, Arrival: s.Clock.Now(), Idem: r.Header.Get(HeaderIdem),
 	}
-	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+	// The scheme is written in any case.
+	if scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " "); ok && strings.EqualFold(scheme, "Bearer") {
 		spec.Key = strings.TrimSpace(key)
 	}
+	if len(spec.Idem) > maxIdem {
+		return spec, bergamotrequest.Refuse(bergamotrequest.ReasonIdem, "%s must have at most %d bytes", HeaderIdem, maxIdem)
+	}
 	if v := r.Header.Get(HeaderDeadline); v != "" {
 		ms, parseErr := strconv.Atoi(v)
 		if parseErr != nil || ms <= 0 || ms > int(24*time.Hour/time.Millisecond) {
--- a/io/bergamotfront/sink.go
+++ b/io/bergamotfront/sink.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotrequest"
 )
 
@@ -20,6 +21,7 @@
 	count   int
 	last    bool
 	begun   bool
+	usage   bool // the stream ends with an event that has the usage
 }
 
 func newSink(w http.ResponseWriter, r *bergamotrequest.Request, created time.Time) *sink {
@@ -71,19 +73,24 @@
 }
 
 // finish ends a complete answer.
-func (s *sink) finish(path []string) {
+func (s *sink) finish(x *bergamotchain.Exchange) {
 	reason := "stop"
-	if s.count >= s.request.Limit() {
+	// The pipeline may allow fewer tokens than the caller asks for.
+	if s.count >= s.request.Limit() || s.count > 0 && s.count >= x.Pipeline().Limit() && x.Pipeline().Limit() > 0 {
 		reason = "length"
 	}
 	if !s.request.Stream() {
-		s.w.Header().Set(HeaderPath, strings.Join(path, ","))
+		s.w.Header().Set(HeaderPath, strings.Join(x.Path(), ","))
 		writeJSON(s.w, http.StatusOK, s.whole(reason))
 		return
 	}
+	first := !s.begun
 	s.begin()
 	// The caller may have gone away; there is nobody left to tell.
-	_ = s.event(s.chunk("", false, &reason))
+	_ = s.event(s.chunk("", first, &reason))
+	if s.usage {
+		_ = s.event(s.usageChunk())
+	}
 	_ = s.raw("[DONE]")
 }
 
