--- /dev/null
+++ b/io/bergamotentry/bundle_test.go
@@ -0,0 +1,164 @@
+package bergamotentry_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/core/bergamotsetting"
+	"bergamotspur/io/bergamotentry"
+	"bergamotspur/io/bergamotfake"
+	"bergamotspur/io/bergamotobject"
+	"bergamotspur/io/bergamottable"
+)
+
+// shop is a fake platform with one operator.
+type shop struct {
+	platform *bergamotfake.Platform
+	rollout  *bergamotrollout.Rollout
+	key      ed25519.PrivateKey
+	public   string
+}
+
+func newShop() *shop {
+	s := &shop{platform: bergamotfake.NewPlatform(), key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))}
+	gomega.Expect(s.platform.Start("127.0.0.1:0")).To(gomega.Succeed())
+	public := s.key.Public().(ed25519.PublicKey)
+	s.public = base64.StdEncoding.EncodeToString(public)
+	table, objects := bergamottable.NewClient(s.platform.Address()), bergamotobject.NewClient(s.platform.Address())
+	s.rollout = &bergamotrollout.Rollout{
+		Table: table, Objects: objects, Clock: bergamotclock.Real{},
+		Trust: bergamotbundle.NewAuthority(1, bergamotbundle.NewOperator("mari", public)),
+	}
+	ginkgo.DeferCleanup(func() {
+		table.Close()
+		objects.Close()
+		s.platform.Kill()
+	})
+	return s
+}
+
+func (s *shop) roll(ctx context.Context, version int64) {
+	h, _, err := s.rollout.Head(ctx)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b, err := s.rollout.Propose(ctx, "test", fmt.Appendf(nil,
+		"[bundle]\nversion = %d\nparent = %s\n[operator mari]\nkey = %s\n", version, h.Digest(), s.public))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = s.rollout.Approve(ctx, b.Digest(), "mari", s.key)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = s.rollout.Roll(ctx, b.Digest(), "mari")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// run starts an entry, which stops when the spec ends.
+func (s *shop) run() *bergamotentry.Entry {
+	setting, err := bergamotsetting.Parse("test", fmt.Appendf(nil, `[entry]
+name = entry1
+centre = tallinn
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+[platform]
+table = %[1]s
+objects = %[1]s
+weights = %[1]s
+list = %[1]s
+[timing]
+head = 20ms
+poll = 1m
+drain = 1s
+[trust]
+operators = mari:%[2]s
+`, s.platform.Address(), s.public))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	e := &bergamotentry.Entry{Setting: setting, Log: ginkgo.GinkgoWriter}
+	gomega.Expect(e.Init()).To(gomega.Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	ginkgo.DeferCleanup(func() {
+		cancel()
+		gomega.Expect(<-done).To(gomega.Succeed())
+	})
+	return e
+}
+
+func version(e *bergamotentry.Entry) int64 {
+	if b := e.View().Bundle(); b != nil {
+		return b.Version()
+	}
+	return 0
+}
+
+func ready(e *bergamotentry.Entry) int {
+	resp, err := http.Get("http://" + e.Operators() + "/readyz")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// eventually waits long, since a busy machine must not fail the test.
+func eventually(f any, a ...any) gomega.AsyncAssertion {
+	return gomega.Eventually(f).WithArguments(a...).WithTimeout(30 * time.Second)
+}
+
+// awaitFailedReads returns after the entry has failed to read the head n more times.
+func awaitFailedReads(e *bergamotentry.Entry, n int64) {
+	const name = "control.heads.errors"
+	from := e.Metrics().Value(name)
+	eventually(e.Metrics().Value, name).Should(gomega.BeNumerically(">=", from+n))
+}
+
+var _ = ginkgo.Describe("an entry", func() {
+	// Guards against an entry that serves callers before it knows that its bundle is current, or that an outage
+	// of the table later takes out of service.
+	ginkgo.It("is ready only after the table confirmed its bundle, and stays ready without the table", func(ctx context.Context) {
+		s := newShop()
+		s.roll(ctx, 1)
+		s.platform.Table.Faults.SetDown(true)
+		e := s.run()
+		awaitFailedReads(e, 3)
+		gomega.Expect(ready(e)).To(gomega.Equal(http.StatusServiceUnavailable))
+		s.platform.Objects.Faults.SetDown(true)
+		s.platform.Table.Faults.SetDown(false)
+		awaitFailedReads(e, 3)
+		gomega.Expect(ready(e)).To(gomega.Equal(http.StatusServiceUnavailable))
+		s.platform.Objects.Faults.SetDown(false)
+		eventually(ready, e).Should(gomega.Equal(http.StatusOK))
+		s.platform.Table.Faults.SetDown(true)
+		awaitFailedReads(e, 3)
+		gomega.Expect(ready(e)).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(version(e)).To(gomega.Equal(int64(1)))
+	})
+
+	// Guards against a version that a silent connection keeps from coming into force.
+	ginkgo.It("takes a new version after the table was silent", func(ctx context.Context) {
+		s := newShop()
+		s.roll(ctx, 1)
+		e := s.run()
+		eventually(version, e).Should(gomega.Equal(int64(1)))
+		view := e.View()
+		s.roll(ctx, 2)
+		eventually(version, e).Should(gomega.Equal(int64(2)))
+		gomega.Expect(view.Bundle().Version()).To(gomega.Equal(int64(1)), "a request in flight keeps its version")
+		s.platform.Table.Faults.SetSilent(true)
+		awaitFailedReads(e, 1)
+		s.platform.Table.Faults.SetSilent(false)
+		s.roll(ctx, 3)
+		eventually(version, e).Should(gomega.Equal(int64(3)))
+		eventually(ready, e).Should(gomega.Equal(http.StatusOK))
+	})
+})
--- a/io/bergamotfake/platform.go
+++ b/io/bergamotfake/platform.go
@@ -35,5 +35,20 @@
 // Kill ends the platform at once.
 func (p *Platform) Kill() { p.server.Kill() }
 
+// Stored returns the content of every row and object.
+func (p *Platform) Stored() (out [][]byte) {
+	p.Table.mu.Lock()
+	defer p.Table.mu.Unlock()
+	for _, row := range p.Table.rows {
+		out = append(out, row.Value)
+	}
+	p.Objects.mu.Lock()
+	defer p.Objects.mu.Unlock()
+	for _, data := range p.Objects.data {
+		out = append(out, data)
+	}
+	return out
+}
+
 // Run serves until ctx ends.
 func (p *Platform) Run(ctx context.Context) error { return p.server.Run(ctx) }
