Compress stored bundles, list earlier versions, share a bundle with peers

Operators had no way to find the digest to roll back to.

Ruled out: differences between versions as objects of their own (an entry that missed one needs several, and the digest still covers the whole text).

Change: texts are stored with gzip, bounded to 16 MiB when read; the digest covers the text. Share gives a peer the text in force.

--- a/cmd/bergamotcommand/bundle_test.go
+++ b/cmd/bergamotcommand/bundle_test.go
@@ -190,6 +190,7 @@
 		d.approve(back, "juhan")
 		d.succeed("roll", back, "--by", "mari")
 		gomega.Expect(d.succeed("status")).To(gomega.MatchRegexp(`head \(by mari\) +3 +` + back))
+		gomega.Expect(d.succeed("status", "--history", "5")).To(gomega.MatchRegexp(`(?s)earlier +2 .*earlier +1 +` + first))
 		gomega.Expect(d.succeed("diff", first, back)).To(gomega.ContainSubstring("~ [bundle] version: 1 -> 3"))
 	})
 })
--- a/cmd/bergamotcommand/bundlestatus.go
+++ b/cmd/bergamotcommand/bundlestatus.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"text/tabwriter"
 
 	"bergamotspur/core/bergamotrollout"
@@ -11,6 +12,7 @@
 
 type bundleStatusCommand struct {
 	platformFlags
+	History int      `help:"Also list as many earlier versions."`
 	Entries []string `arg:"" optional:"" help:"Operators' addresses of entries, as IP:PORT."`
 }
 
@@ -20,8 +22,13 @@
 		head, _, headErr := r.Head(ctx)
 		w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
 		_, _ = fmt.Fprintln(w, "WHERE\tVERSION\tDIGEST\tREADY\tCONFIRMED")
-		if headErr == nil {
+		switch {
+		case headErr != nil:
+		case head.Version() == 0:
+			_, _ = fmt.Fprintln(w, "head\tnone\t\t\t")
+		default:
 			_, _ = fmt.Fprintf(w, "head (by %s)\t%d\t%s\t\t\n", head.By(), head.Version(), head.Digest())
+			c.history(ctx, r, w, head)
 		}
 		behind := c.entries(ctx, w, head)
 		if err := w.Flush(); err != nil {
@@ -38,6 +45,20 @@
 	})
 }
 
+// history lists versions from the newest on, as far as the object store tells.
+func (c *bundleStatusCommand) history(ctx context.Context, r *bergamotrollout.Rollout, w io.Writer, head bergamotrollout.Head) {
+	version, digest := head.Version()-1, head.Parent()
+	for n := 0; n < c.History && digest != ""; n++ {
+		_, _ = fmt.Fprintf(w, "earlier\t%d\t%s\t\t\n", version, digest)
+		b, err := r.Bundle(ctx, digest)
+		if err != nil {
+			_, _ = fmt.Fprintf(w, "earlier\tnot known: %s\t\t\t\n", err)
+			return
+		}
+		version, digest = b.Version()-1, b.Parent()
+	}
+}
+
 func (c *bundleStatusCommand) entries(ctx context.Context, w *tabwriter.Writer, head bergamotrollout.Head) (behind int) {
 	wire := bergamotwire.NewClient()
 	defer wire.Close()
--- /dev/null
+++ b/core/bergamotrollout/change_bench_test.go
@@ -0,0 +1,45 @@
+package bergamotrollout_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotrollout"
+)
+
+// BenchmarkChange measures what a change of bundle costs an entry from the read of the head on, without the
+// network, and what it fetches.
+func BenchmarkChange(b *testing.B) {
+	for _, workspaces := range []int{10, 1000, 11000} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			var extra strings.Builder
+			for n := range workspaces {
+				fmt.Fprintf(&extra, "[workspace w%d]\nkeys = %s\nrate = 10\ntokens = 1000\nweight = 2\n", n, bergamotbundle.HashKey(fmt.Sprint(n)))
+			}
+			s := newStore()
+			r := newRollout(s)
+			ctx := context.Background()
+			one, err := bergamotbundle.Parse("one", bundleText(1, "", "a", 1, "mari"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			two, err := r.Propose(ctx, "two", append(bundleText(2, one.Digest(), "b", 1, "mari"), extra.String()...))
+			if err != nil {
+				b.Fatal(err)
+			}
+			forge(s, 2, two.Digest(), one.Digest(), "mari")
+			b.ReportAllocs()
+			for b.Loop() {
+				source := &bergamotrollout.Source{Table: s, Objects: s}
+				if next, err := source.Head(ctx, one); err != nil || next.Version() != 2 {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(s.objects[bergamotrollout.ObjectName(two.Digest())])), "fetched-B")
+			b.ReportMetric(float64(len(two.Text())), "text-B")
+		})
+	}
+}
--- a/core/bergamotrollout/rollback.go
+++ b/core/bergamotrollout/rollback.go
@@ -17,7 +17,7 @@
 		return nil, err
 	}
 	if head.version == 0 || head.digest == digest {
-		return nil, fail(nil, "name the digest of an earlier version, as shown by \"bundle status\"", "there is nothing to roll back to %s", digest)
+		return nil, fail(nil, "name the digest of an earlier version, as shown by \"bundle status --history 10\"", "there is nothing to roll back to %s", digest)
 	}
 	old, err := r.Bundle(ctx, digest)
 	if err != nil {
--- a/core/bergamotrollout/rollout.go
+++ b/core/bergamotrollout/rollout.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"bergamotspur/core/bergamotbundle"
@@ -46,7 +47,11 @@
 	if b, err = bergamotbundle.Parse(name, text); err != nil {
 		return nil, err
 	}
-	if err = r.put(ctx, ObjectName(b.Digest()), text); err != nil {
+	data, err := pack(text)
+	if err != nil {
+		return nil, err
+	}
+	if err = r.put(ctx, ObjectName(b.Digest()), data); err != nil {
 		return nil, fail(err, "nothing is in force yet; run the same command again once the object store answers",
 			"the object store did not confirm that it stored the bundle")
 	}
@@ -61,7 +66,7 @@
 		if err = r.Objects.Put(ctx, name, data); err == nil {
 			return nil
 		}
-		if stored, readErr := r.Objects.Fetch(ctx, name); readErr == nil && bytes.Equal(stored, data) {
+		if stored, readErr := r.Objects.Fetch(ctx, name); readErr == nil && sameObject(name, stored, data) {
 			return nil
 		}
 		if n == tries || !r.pause(ctx, &wait) {
@@ -70,6 +75,12 @@
 	}
 }
 
+// sameObject tells whether two objects of one name store the same, since two versions of the compressor may
+// give different bytes for one bundle text.
+func sameObject(name string, a, b []byte) bool {
+	return bytes.Equal(a, b) || strings.HasPrefix(name, ObjectName("")) && validObject(name, a)
+}
+
 // pause waits and tells whether to go on.
 func (r *Rollout) pause(ctx context.Context, wait *time.Duration) bool {
 	select {
--- a/core/bergamotrollout/share.go
+++ b/core/bergamotrollout/share.go
@@ -12,5 +12,5 @@
 	if b == nil || name != ObjectName(b.Digest()) {
 		return nil, bergamotstore.ErrNotFound
 	}
-	return b.Text(), nil
+	return pack(b.Text())
 }
--- /dev/null
+++ b/core/bergamotrollout/share_test.go
@@ -0,0 +1,39 @@
+package bergamotrollout_test
+
+import (
+	"context"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/core/bergamotstore"
+)
+
+// sharing is a peer that has a bundle in force.
+type sharing struct{ bundle *bergamotbundle.Bundle }
+
+func (p sharing) Fetch(_ context.Context, name string) ([]byte, error) {
+	return bergamotrollout.Share(p.bundle, name)
+}
+
+var _ = ginkgo.Describe("a peer that shares its bundle", func() {
+	// Guards against an outage of the object store that keeps a new entry out of service although a peer has
+	// the text, and against a peer whose word counts for more than the head in the table.
+	ginkgo.It("gives the text in force and nothing else", func(ctx context.Context) {
+		s := newStore()
+		digests := chain(s)
+		four, three := bundleOf(s, digests[3]), bundleOf(s, digests[2])
+		clear(s.objects)
+		source := &bergamotrollout.Source{Table: s, Objects: s, Trust: trust(1, "juhan"), Peers: sharing{four}}
+		b, err := source.Head(ctx, nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(b.Digest()).To(gomega.Equal(digests[3]))
+		for _, peer := range []*bergamotbundle.Bundle{three, nil} {
+			source = &bergamotrollout.Source{Table: s, Objects: s, Trust: trust(1, "juhan"), Peers: sharing{peer}}
+			_, err = source.Head(ctx, nil)
+			gomega.Expect(err).To(gomega.MatchError(bergamotstore.ErrNotFound))
+		}
+	})
+})
--- a/core/bergamotrollout/verify.go
+++ b/core/bergamotrollout/verify.go
@@ -64,11 +64,15 @@
 
 // fetchBundle returns the bundle of a digest and verifies that its text has that digest.
 func fetchBundle(ctx context.Context, f Fetcher, digest string) (*bergamotbundle.Bundle, error) {
-	text, err := f.Fetch(ctx, ObjectName(digest))
+	data, err := f.Fetch(ctx, ObjectName(digest))
 	if err != nil {
 		return nil, err
 	}
-	if !validObject(ObjectName(digest), text) {
+	text, err := unpack(data)
+	if err != nil {
+		return nil, err
+	}
+	if bergamotbundle.Digest(text) != digest {
 		return nil, oops.Errorf("object does not match digest %s", digest)
 	}
 	return bergamotbundle.Parse(ObjectName(digest), text)
@@ -77,7 +81,11 @@
 // validObject tells whether data can be what is stored under name, as far as the name tells.
 func validObject(name string, data []byte) bool {
 	digest, ok := strings.CutPrefix(name, ObjectName(""))
-	return !ok || bergamotbundle.Digest(data) == digest
+	if !ok {
+		return true
+	}
+	text, err := unpack(data)
+	return err == nil && bergamotbundle.Digest(text) == digest
 }
 
 // fetchApprovals returns the stored approvals of a digest by the operators of a. A missing or malformed one is
