Bound the read of the table apart from the fetch of a text

Cause: one limit of 2 s covered the read of the head and the fetch of a text. A link below 213 KB/s would never have got a text of 426 KB, since each fetch begins anew; a longer limit would have let a silent connection to the table use up the 7 s. After a restart of the loop the controller waited up to twice the limit for the result of a read that was lost.

Ruled out: resuming a fetch where it stopped; the object store offers put and fetch only.

Change: 2 s for the table, 10 s for all of a read. The controller notices a restart by its new state. Eight operators race over HTTP with lost replies in a test. Source may be used by two goroutines after a panic of the loop.

--- a/core/bergamotcontrol/heads.go
+++ b/core/bergamotcontrol/heads.go
@@ -17,13 +17,14 @@
 type Heads struct {
 	Source  HeadSource
 	Period  time.Duration  // mean time between two reads
-	Timeout time.Duration  // time after which a read has failed
+	Timeout time.Duration  // time after which a read, with the fetch of a new text, has failed
 	Random  func() float64 // from 0 to 1, for the jitter
 	Report  func(err error)
 
 	next  time.Time
 	begun time.Time
 	busy  bool
+	state *State
 }
 
 // Hints from peers start a read at once, but never sooner than this part of the period after the last one:
@@ -36,9 +37,12 @@
 // Reconcile reads the head when the period has passed or a peer knows of a newer one.
 func (c *Heads) Reconcile(s *State) []Task {
 	now := s.Now()
-	// A hint that comes during a read is kept for the next one, since that read may have been too early. The
-	// event that ends a read is lost when the loop restarts, hence the limit on the time.
-	if c.busy && now.Before(c.begun.Add(2*c.Timeout)) {
+	// The event that ends a read is lost when the loop restarts, which begins with another state.
+	if c.state != s {
+		c.state, c.busy = s, false
+	}
+	// A hint that comes during a read is kept for the next one, since that read may have been too early.
+	if c.busy {
 		return nil
 	}
 	hinted := s.hinted && !now.Before(c.begun.Add(c.Period/hintGap))
--- a/core/bergamotcontrol/heads_test.go
+++ b/core/bergamotcontrol/heads_test.go
@@ -93,13 +93,14 @@
 		gomega.Expect(s.view().Confirmed().IsZero()).To(gomega.Equal(!c.confirmed))
 	})
 
-	// Guards against a read that was paused and ends after a later one, which must not bring its version back.
+	// Guards against a read that was paused, over a restart of the loop, and ends after a later one: it must not
+	// bring its version back.
 	ginkgo.It("ignores the result of a read that was paused", func(ctx context.Context) {
 		source := &headAnswer{bundle: testBundle(2)}
 		c, s := newHeads(source), stateAt(0, 1)
 		paused := c.Reconcile(s)[0].run(ctx)
 		source.bundle = testBundle(3)
-		s.now = s.now.Add(3 * time.Second)
+		s = stateAt(3*time.Second, 1)
 		c.Reconcile(s)[0].run(ctx).Apply(s)
 		at := s.confirmed
 		paused.Apply(s)
@@ -138,8 +139,7 @@
 	ginkgo.It("reads again after the result of a read was lost", func() {
 		c, s := newHeads(&headAnswer{}), stateAt(0, 2)
 		gomega.Expect(c.Reconcile(s)).To(gomega.HaveLen(1))
-		s.now = s.now.Add(3 * time.Second)
-		gomega.Expect(c.Reconcile(s)).To(gomega.HaveLen(1))
+		gomega.Expect(c.Reconcile(stateAt(3*time.Second, 2))).To(gomega.HaveLen(1))
 	})
 
 	// Guards against more than the table's 2,000 reads/s by 840 entries, also when each gets a hint at every
--- a/core/bergamotrollout/source.go
+++ b/core/bergamotrollout/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -21,13 +22,17 @@
 	Fetch(ctx context.Context, name string) ([]byte, error)
 }
 
-// Source reads the bundle in force for an entry. It is used by one goroutine at a time.
+// Source reads the bundle in force for an entry.
 type Source struct {
 	Table   RowReader
 	Objects Fetcher
 	Peers   Fetcher                  // other entries, asked when the object store fails; may be nil
 	Trust   bergamotbundle.Authority // where an entry starts that has no bundle
+	// Timeout bounds the read of the table, which is short: a silent connection must not take the time that a
+	// text needs on a slow link. 0 stands for the time of the caller.
+	Timeout time.Duration
 
+	mu   sync.Mutex
 	last *bergamotbundle.Bundle // last bundle fetched, so that a rejected head is not fetched and parsed at each read
 }
 
@@ -36,7 +41,9 @@
 // are verified. It returns an error for a head that is older than current or not approved.
 func (s *Source) Head(ctx context.Context, current *bergamotbundle.Bundle) (b *bergamotbundle.Bundle, err error) {
 	defer func() { err = oops.In("rollout").Wrapf(err, "read head") }()
-	row, err := s.Table.Read(ctx, HeadKey)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, err := s.row(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -63,6 +70,15 @@
 	return b, nil
 }
 
+func (s *Source) row(ctx context.Context) (bergamotstore.Row, error) {
+	if s.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.Timeout)
+		defer cancel()
+	}
+	return s.Table.Read(ctx, HeadKey)
+}
+
 func (s *Source) candidate(ctx context.Context, head Head) (b *bergamotbundle.Bundle, err error) {
 	if b = s.last; b == nil || b.Digest() != head.digest {
 		if b, err = fetchBundle(ctx, s.fetchers(), head.digest); err != nil {
--- a/core/bergamotrollout/source_test.go
+++ b/core/bergamotrollout/source_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -156,6 +157,12 @@
 		gomega.Expect(s.calls["fetch"]).To(gomega.Equal(1))
 	})
 
+	// Guards against a silent connection to the table that takes the time in which another would answer.
+	ginkgo.It("ends a read of the table that gets no answer", func(ctx context.Context) {
+		_, err := (&bergamotrollout.Source{Table: silent{}, Objects: newStore(), Timeout: time.Millisecond}).Head(ctx, nil)
+		gomega.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+	})
+
 	// Guards against more reads than one row and one object for an ordinary new version.
 	ginkgo.It("reads one row and one object for a new version", func(ctx context.Context) {
 		s := newStore()
@@ -168,6 +175,14 @@
 	})
 })
 
+// silent is a table that never answers.
+type silent struct{}
+
+func (silent) Read(ctx context.Context, _ string) (bergamotstore.Row, error) {
+	<-ctx.Done()
+	return bergamotstore.Row{}, ctx.Err()
+}
+
 func bundleOf(s *store, digest string) *bergamotbundle.Bundle {
 	b, err := newRollout(s.restore()).Bundle(context.Background(), digest)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -24,6 +24,8 @@
 	probeMisses = 3
 	// A silent connection must not use up the 7 s in which a bundle has to be in force.
 	headTimeout = 2 * time.Second
+	// A fetch starts from the beginning each time, so that a text must fit into it also on a slow link.
+	textTimeout = 10 * time.Second
 )
 
 // adapters are the clients of one entry to targets and platform.
@@ -61,8 +63,8 @@
 			&bergamotcontrol.Probes{Source: e.adapters.engines, Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses},
 			&bergamotcontrol.Heads{
 				// A membership component sets Peers to fetch the bundle text from other entries.
-				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects, Trust: s.Trust()},
-				Period: s.Head(), Timeout: headTimeout, Random: rand.Float64, Report: e.report("heads"),
+				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects, Trust: s.Trust(), Timeout: headTimeout},
+				Period: s.Head(), Timeout: textTimeout, Random: rand.Float64, Report: e.report("heads"),
 			},
 		},
 	}
--- a/io/bergamotentry/bundle_test.go
+++ b/io/bergamotentry/bundle_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -144,6 +145,47 @@
 		gomega.Expect(version(e)).To(gomega.Equal(int64(1)))
 	})
 
+	// Guards against two winners, or none, when operators race and replies get lost.
+	ginkgo.It("takes the version of the one operator who won a race", func(ctx context.Context) {
+		s := newShop()
+		s.roll(ctx, 1)
+		e := s.run()
+		h, _, err := s.rollout.Head(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		var digests []string
+		for n := range 8 {
+			b, err := s.rollout.Propose(ctx, "test", fmt.Appendf(nil,
+				"[bundle]\nversion = 2\nparent = %s\n[operator mari]\nkey = %s\n[model m]\nlayers = %d\n", h.Digest(), s.public, n+1))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = s.rollout.Approve(ctx, b.Digest(), "mari", s.key)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			digests = append(digests, b.Digest())
+		}
+		s.platform.Table.Faults.LoseReplies("/table/swap", 4)
+		results := make(chan error, len(digests))
+		for _, digest := range digests {
+			go func() {
+				_, err := s.rollout.Roll(ctx, digest, "mari")
+				results <- err
+			}()
+		}
+		won := 0
+		for range digests {
+			err := <-results
+			var conflict *bergamotrollout.Conflict
+			if err == nil {
+				won++
+				continue
+			}
+			gomega.Expect(errors.As(err, &conflict)).To(gomega.BeTrue(), "%s", err)
+		}
+		gomega.Expect(won).To(gomega.Equal(1))
+		eventually(version, e).Should(gomega.Equal(int64(2)))
+		h, _, err = s.rollout.Head(ctx)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(e.View().Bundle().Digest()).To(gomega.Equal(h.Digest()))
+	})
+
 	// Guards against a version that a silent connection keeps from coming into force.
 	ginkgo.It("takes a new version after the table was silent", func(ctx context.Context) {
 		s := newShop()
