--- a/cmd/bergamotcommand/bundle.go
+++ b/cmd/bergamotcommand/bundle.go
@@ -26,7 +26,7 @@
 
 // platformFlags name the platform's services and the trusted operators by the settings of any entry.
 type platformFlags struct {
-	Settings string        `required:"" type:"existingfile" help:"Settings file of any entry; its [platform] and [trust] are used."`
+	Settings string        `required:"" help:"Settings file of any entry; its [platform] and [trust] are used."`
 	Timeout  time.Duration `default:"30s" help:"Longest time that the command may take."`
 }
 
--- a/cmd/bergamotcommand/bundleapprove.go
+++ b/cmd/bergamotcommand/bundleapprove.go
@@ -10,7 +10,7 @@
 	platformFlags
 	Digest string `arg:"" help:"Digest of the bundle."`
 	By     string `required:"" help:"Name of the operator who approves."`
-	Key    string `required:"" type:"existingfile" help:"Private key file of the operator."`
+	Key    string `required:"" help:"Private key file of the operator."`
 }
 
 // Run signs the digest and stores the signature; the key stays in its file.
--- a/cmd/bergamotcommand/bundlecheck.go
+++ b/cmd/bergamotcommand/bundlecheck.go
@@ -7,7 +7,7 @@
 )
 
 type bundleCheckCommand struct {
-	File string `arg:"" type:"existingfile" help:"Bundle in INI format."`
+	File string `arg:"" help:"Bundle in INI format."`
 }
 
 // Run prints every fault of the bundle, or its version and digest.
--- a/cmd/bergamotcommand/bundlekeygen.go
+++ b/cmd/bergamotcommand/bundlekeygen.go
@@ -11,7 +11,7 @@
 
 type bundleKeygenCommand struct {
 	Name string `arg:"" help:"Name of the operator."`
-	File string `arg:"" type:"path" help:"File for the private key; it must not exist yet."`
+	File string `arg:"" help:"File for the private key; it must not exist yet."`
 }
 
 // Run writes the private key to a file that only its owner can read and prints the public key.
--- a/cmd/bergamotcommand/bundlepropose.go
+++ b/cmd/bergamotcommand/bundlepropose.go
@@ -11,7 +11,7 @@
 
 type bundleProposeCommand struct {
 	platformFlags
-	File string `arg:"" type:"existingfile" help:"Bundle in INI format."`
+	File string `arg:"" help:"Bundle in INI format."`
 }
 
 // Run checks and stores the bundle and prints its digest.
