Hold few sections in the form of the INI library while parsing

Change: the scanner notes the range of each section, and only 64 sections at a time are held in the library's form. Keys are interned.

Switched off and failed: joining of a section that appears twice.

--- a/core/bergamotbundle/bundle_test.go
+++ b/core/bergamotbundle/bundle_test.go
@@ -109,6 +109,20 @@
 		gomega.Expect(got).To(gomega.ConsistOf(c.want))
 	})
 
+	// Guards against faults that depend on how many sections stand between the two parts of one that appears twice.
+	ginkgo.It("joins a section that appears twice, however far apart", func() {
+		var text strings.Builder
+		text.WriteString(valid)
+		for n := range 200 {
+			fmt.Fprintf(&text, "[kind k%d]\n", n)
+		}
+		text.WriteString("[model care]\nlayers = 3\nwidth = 0\n")
+		_, err := bergamotbundle.Parse("f", []byte(text.String()))
+		gomega.Expect(err).To(gomega.MatchError("f:218: [model care] section appears twice, first on line 3\n" +
+			"f:219: [model care] layers: key appears twice, first on line 4\n" +
+			`f:220: [model care] width: "0" is not a whole number from 1 to 1048576`))
+	})
+
 	// Guards against a change that approvers do not see.
 	ginkgo.It("shows each difference from another one", func() {
 		a, err := bergamotbundle.Parse("a", []byte(valid))
--- a/core/bergamotini/scan.go
+++ b/core/bergamotini/scan.go
@@ -16,14 +16,16 @@
 	doc     *Document
 	out     bytes.Buffer
 	section string
+	stub    int // index of the section, -1 before the first and in one without a name
 	line    int
+	words   map[string]string // keys, so that a key does not hold the text of its line in memory
 }
 
 var brackets = strings.NewReplacer("[", "", "]", "")
 
-// scan returns the lines that are correct and records a fault for each that is not.
-func (d *Document) scan(text []byte) []byte {
-	s := &scanner{doc: d}
+// scan keeps the lines that are correct and records a fault for each that is not.
+func (d *Document) scan(text []byte) {
+	s := &scanner{doc: d, stub: -1, words: map[string]string{}}
 	s.out.Grow(len(text))
 	for raw := range bytes.Lines(bytes.TrimPrefix(text, []byte("\ufeff"))) {
 		s.line++
@@ -38,10 +40,12 @@
 			s.pair(line)
 		}
 	}
-	return s.out.Bytes()
+	s.end()
+	d.clean = s.out.Bytes()
 }
 
 func (s *scanner) header(line string) {
+	s.end()
 	name, closed := strings.CutSuffix(line[1:], "]")
 	// Spaces are made uniform, since "[model  care]" and "[model care]" name the same section.
 	s.section = strings.Join(strings.Fields(name), " ")
@@ -50,14 +54,37 @@
 		s.fault("", "section header must be [name] alone on its line")
 	case s.section == "" || s.section == ini.DefaultSection:
 		s.fault("", "unknown section")
-	default:
-		s.note(place{section: s.section}, "", "section appears twice")
 	}
 	s.section = brackets.Replace(s.section)
-	if s.section == "" {
-		s.section = ini.DefaultSection
+	if s.section == "" || s.section == ini.DefaultSection {
+		// The name stands for its keys in faults only.
+		s.section, s.stub = ini.DefaultSection, -1
+		return
+	}
+	s.begin()
+}
+
+// begin starts the section with the current name, or goes on with it when it has appeared before.
+func (s *scanner) begin() {
+	at := place{section: s.section}
+	if first, ok := s.doc.places[at]; ok {
+		s.fault("", fmt.Sprintf("section appears twice, first on line %d", first.line))
+		s.stub = first.stub
+	} else {
+		s.stub = len(s.doc.stubs)
+		s.doc.places[at] = position{line: s.line, stub: s.stub}
+		s.doc.stubs = append(s.doc.stubs, stub{name: s.section})
+	}
+	r := &s.doc.stubs[s.stub].ranges
+	*r = append(*r, [2]int{s.out.Len(), s.out.Len()})
+}
+
+// end notes where the lines of the current section end.
+func (s *scanner) end() {
+	if s.stub >= 0 {
+		r := s.doc.stubs[s.stub].ranges
+		r[len(r)-1][1] = s.out.Len()
 	}
-	s.out.WriteString("[" + s.section + "]\n")
 }
 
 func (s *scanner) pair(line string) {
@@ -72,18 +99,24 @@
 		s.fault(key, "key stands before the first section")
 	case value != "" && strings.ContainsRune("\"'`", rune(value[0])):
 		s.fault(key, "value is written without quotes")
-	case s.note(place{section: s.section, key: key}, key, "key appears twice"):
+	case s.first(key) && s.stub >= 0:
 		s.out.WriteString(key + " = " + value + "\n")
 	}
 }
 
-// note keeps the line of a section or key and tells whether it is the first of its name.
-func (s *scanner) note(at place, key, text string) bool {
-	if first, ok := s.doc.lines[at]; ok {
-		s.fault(key, fmt.Sprintf("%s, first on line %d", text, first))
+// first notes the line of a key and tells whether it is the first of its name.
+func (s *scanner) first(key string) bool {
+	word, ok := s.words[key]
+	if !ok {
+		word = strings.Clone(key)
+		s.words[word] = word
+	}
+	at := place{section: s.section, key: word}
+	if first, ok := s.doc.places[at]; ok {
+		s.fault(key, fmt.Sprintf("key appears twice, first on line %d", first.line))
 		return false
 	}
-	s.doc.lines[at] = s.line
+	s.doc.places[at] = position{line: s.line}
 	return true
 }
 
--- a/core/bergamotini/section.go
+++ b/core/bergamotini/section.go
@@ -7,63 +7,62 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"gopkg.in/ini.v1"
 )
 
 // Section is one section of a document; reading a key marks it as known.
 type Section struct {
-	doc     *Document
-	section *ini.Section
-	used    []string
+	doc   *Document
+	index int
+	title string
+	used  []string
 }
 
 // Kind returns the first word of the section's name.
 func (s *Section) Kind() string {
-	kind, _, _ := strings.Cut(s.section.Name(), " ")
+	kind, _, _ := strings.Cut(s.title, " ")
 	return kind
 }
 
 // Name returns what follows the first word of the section's name.
 func (s *Section) Name() string {
-	_, name, _ := strings.Cut(s.section.Name(), " ")
+	_, name, _ := strings.Cut(s.title, " ")
 	return strings.TrimSpace(name)
 }
 
 // Values returns the value of each key.
 func (s *Section) Values() (out map[string]string) {
 	out = map[string]string{}
-	for _, k := range s.section.Keys() {
+	for _, k := range s.doc.load(s.index).Keys() {
 		out[k.Name()] = strings.TrimSpace(k.Value())
 	}
 	return out
 }
 
 // Title returns the whole name of the section.
-func (s *Section) Title() string { return s.section.Name() }
+func (s *Section) Title() string { return s.title }
 
 // Fault records a fault of key, or of the section when key is empty.
 func (s *Section) Fault(key, format string, a ...any) {
-	at := place{section: s.section.Name()}
-	if key != "" && s.section.HasKey(key) {
-		at.key = key
+	at, ok := s.doc.places[place{section: s.title, key: key}]
+	if !ok {
+		at = s.doc.places[place{section: s.title}]
 	}
-	s.doc.add(s.doc.lines[at], s.section.Name(), key, fmt.Sprintf(format, a...))
+	s.doc.add(at.line, s.title, key, fmt.Sprintf(format, a...))
 }
 
 // Has tells whether the key is set.
-func (s *Section) Has(key string) bool { return s.section.HasKey(key) }
+func (s *Section) Has(key string) bool { return s.doc.load(s.index).HasKey(key) }
 
 // Text returns the value of key, or def when it is not set.
 func (s *Section) Text(key, def string) string {
 	if !slices.Contains(s.used, key) {
 		s.used = append(s.used, key)
 	}
-	if !s.section.HasKey(key) {
+	if !s.doc.load(s.index).HasKey(key) {
 		return def
 	}
 	// String would expand "%(name)s" to the value of another key.
-	return strings.TrimSpace(s.section.Key(key).Value())
+	return strings.TrimSpace(s.doc.load(s.index).Key(key).Value())
 }
 
 // Need returns the value of key and records a fault when it is empty.
@@ -129,7 +128,7 @@
 
 // Done records a fault for each key that was not read.
 func (s *Section) Done() {
-	for _, k := range s.section.Keys() {
+	for _, k := range s.doc.load(s.index).Keys() {
 		if !slices.Contains(s.used, k.Name()) {
 			s.Fault(k.Name(), "unknown key")
 		}
