Show changes before an approval, test a region that is cut off

Cause: an operator signed without seeing the changes; /readyz did not say why an entry is not ready; no test had one entry cut off while others go on.

Ruled out: asking for confirmation; the commands are used in scripts.

Change: "bundle approve" prints the changes against the parent first. A second address of the fake platform with faults of its own stands for another region: the entry there goes on with version 1 and stays ready, a fresh one does not become ready, both take version 3 afterwards.

--- a/cmd/bergamotcommand/bundleapprove.go
+++ b/cmd/bergamotcommand/bundleapprove.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotrollout"
 )
 
@@ -13,13 +14,16 @@
 	Key    string `required:"" help:"Private key file of the operator."`
 }
 
-// Run signs the digest and stores the signature; the key stays in its file.
+// Run prints what changes, signs the digest and stores the signature; the key stays in its file.
 func (c *bundleApproveCommand) Run(s *streams) error {
 	key, err := readKey(c.Key)
 	if err != nil {
 		return err
 	}
 	return c.use(s, func(ctx context.Context, r *bergamotrollout.Rollout) error {
+		if err := c.changes(ctx, s, r); err != nil {
+			return err
+		}
 		b, err := r.Approve(ctx, c.Digest, c.By, key)
 		if err != nil {
 			return err
@@ -28,3 +32,19 @@
 		return nil
 	})
 }
+
+func (c *bundleApproveCommand) changes(ctx context.Context, s *streams, r *bergamotrollout.Rollout) error {
+	b, err := r.Bundle(ctx, c.Digest)
+	if err != nil || b.Parent() == "" {
+		return err
+	}
+	before, err := r.Bundle(ctx, b.Parent())
+	if err != nil {
+		return err
+	}
+	s.printf("changes against version %d:\n", before.Version())
+	for _, line := range bergamotbundle.Diff(before, b) {
+		s.printf("  %s\n", line)
+	}
+	return nil
+}
--- a/io/bergamotentry/bundle_test.go
+++ b/io/bergamotentry/bundle_test.go
@@ -62,7 +62,22 @@
 }
 
 // run starts an entry, which stops when the spec ends.
-func (s *shop) run() *bergamotentry.Entry {
+func (s *shop) run() *bergamotentry.Entry { return s.runAt(s.platform.Address()) }
+
+// region returns another address of the same platform, with faults of its own, as a partition between regions has.
+func (s *shop) region() (address string, faults *bergamotfake.Faults) {
+	faults = &bergamotfake.Faults{}
+	mux := http.NewServeMux()
+	mux.Handle("/table/", s.platform.Table.Handler())
+	mux.Handle("/objects/", s.platform.Objects.Handler())
+	mux.Handle("/instances", s.platform.Instances.Handler())
+	server, err := bergamotfake.Listen("127.0.0.1:0", faults.Wrap(mux))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(server.Kill)
+	return server.Address(), faults
+}
+
+func (s *shop) runAt(platform string) *bergamotentry.Entry {
 	setting, err := bergamotsetting.Parse("test", fmt.Appendf(nil, `[entry]
 name = entry1
 centre = tallinn
@@ -80,7 +95,7 @@
 drain = 1s
 [trust]
 operators = mari:%[2]s
-`, s.platform.Address(), s.public))
+`, platform, s.public))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	e := &bergamotentry.Entry{Setting: setting, Log: ginkgo.GinkgoWriter}
 	gomega.Expect(e.Init()).To(gomega.Succeed())
@@ -186,6 +201,30 @@
 		gomega.Expect(e.View().Bundle().Digest()).To(gomega.Equal(h.Digest()))
 	})
 
+	// Guards against a region that a partition takes out of service, that serves a new entry with an old bundle,
+	// or that stays behind when the partition ends.
+	ginkgo.It("goes on with its version while its region is cut off and catches up afterwards", func(ctx context.Context) {
+		s := newShop()
+		s.roll(ctx, 1)
+		address, faults := s.region()
+		near, far := s.run(), s.runAt(address)
+		eventually(version, far).Should(gomega.Equal(int64(1)))
+		faults.SetDown(true)
+		s.roll(ctx, 2)
+		s.roll(ctx, 3)
+		eventually(version, near).Should(gomega.Equal(int64(3)))
+		fresh := s.runAt(address)
+		awaitFailedReads(far, 3)
+		awaitFailedReads(fresh, 3)
+		gomega.Expect([]int64{version(far), version(fresh)}).To(gomega.Equal([]int64{1, 0}))
+		gomega.Expect([]int{ready(far), ready(fresh)}).To(gomega.Equal([]int{http.StatusOK, http.StatusServiceUnavailable}))
+		faults.SetDown(false)
+		for _, e := range []*bergamotentry.Entry{far, fresh} {
+			eventually(version, e).Should(gomega.Equal(int64(3)))
+			eventually(ready, e).Should(gomega.Equal(http.StatusOK))
+		}
+	})
+
 	// Guards against a version that a silent connection keeps from coming into force.
 	ginkgo.It("takes a new version after the table was silent", func(ctx context.Context) {
 		s := newShop()
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -112,7 +112,11 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.ready() {
-			writeText(w, http.StatusServiceUnavailable, "not ready")
+			reason := "not ready: no bundle that the table confirmed"
+			if e.drain.Draining() {
+				reason = "not ready: shutting down"
+			}
+			writeText(w, http.StatusServiceUnavailable, reason)
 			return
 		}
 		writeText(w, http.StatusOK, "ready")
