Let callers name an adapter as the model

Cause: a request whose model is an adapter was rejected with reason 'model', although names of adapters are promised. Change: an adapter section defines a pipeline of its name with the defaults; a pipeline section of that name takes precedence. Ruled out: a second look-up in the resolve filter, which would leave GET /v1/models and access lists without the names. Result: 'go test ./core/bergamotbundle' failed on the new case before the change and passes.

--- a/core/bergamotbundle/bundle_test.go
+++ b/core/bergamotbundle/bundle_test.go
@@ -169,3 +169,24 @@
 	}
 	return []byte(t.String())
 }
+
+type nameCase struct {
+	extra   string
+	adapter string
+	limit   int
+}
+
+var _ = ginkgo.Describe("the name of an adapter", func() {
+	// Guards against callers who name an adapter as model and are told that it does not exist.
+	bergamottest.Entries(map[string]nameCase{
+		"is a pipeline with the defaults":              {adapter: "quotes", limit: 512},
+		"gives way to a pipeline section of that name": {extra: "[pipeline quotes]\nmodel = care\nlimit = 9\n", limit: 9},
+	}, func(c nameCase) {
+		b, err := bergamotbundle.Parse("f", []byte(valid+c.extra))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		p, ok := b.Pipeline("quotes")
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(p.Adapter()).To(gomega.Equal(c.adapter))
+		gomega.Expect(p.Limit()).To(gomega.Equal(c.limit))
+	})
+})
--- a/core/bergamotbundle/parse.go
+++ b/core/bergamotbundle/parse.go
@@ -19,6 +19,12 @@
 	maxOperators = 100
 )
 
+// Defaults of a pipeline.
+const (
+	defaultLimit    = 512 // tokens
+	defaultDeadline = time.Minute
+)
+
 // Parse returns the bundle in text, or bergamotini.Faults with everything that is wrong in it.
 func Parse(name string, text []byte) (b *Bundle, err error) {
 	doc := bergamotini.Parse(name, text)
@@ -134,13 +140,18 @@
 		s.Fault("model", "no model %q", a.model)
 	}
 	p.bundle.adapters[a.name] = a
+	// Callers may name an adapter as they name a pipeline; a pipeline section of that name takes precedence.
+	p.bundle.pipelines[a.name] = Pipeline{
+		name: a.name, model: p.bundle.models[a.model], adapter: a.name,
+		replicas: 1, limit: defaultLimit, deadline: defaultDeadline,
+	}
 }
 
 func (p *parser) pipeline(s *bergamotini.Section) {
 	l := Pipeline{
 		name: s.Name(), adapter: s.Text("adapter", ""), priority: s.Int("priority", 0, -10, 10),
-		replicas: s.Int("replicas", 1, 1, maxReplicas), limit: s.Int("limit", 512, 1, maxLimit),
-		deadline: s.Duration("deadline", time.Minute, time.Millisecond, maxDeadline),
+		replicas: s.Int("replicas", 1, 1, maxReplicas), limit: s.Int("limit", defaultLimit, 1, maxLimit),
+		deadline: s.Duration("deadline", defaultDeadline, time.Millisecond, maxDeadline),
 	}
 	name := s.Need("model")
 	m, ok := p.bundle.models[name]
