Run calls that may not be repeated at most once

Cause: a repeated booking ran twice ('go run . demo' at: "the pickup service ran 2 call(s)"). Ruled out: freeing the claim of another entry when the service says that the call did not run, since a paused entry or a request still on its way can run it afterwards (the generated test finds the double run). A third write before dispatch narrows this gap without closing it and costs half as many writes again. Leases on claims, since services check no fencing number. Change: core/bergamotclaim (row, claim, conclusion, queue of conclusions that could not be written) , settlements by operators, and the claim filter; the call handler uses core/bergamotretry, begins with another instance for each request and reads the clock before each send. The service adapter names a call by workspace and key, since two workspaces may choose the same key, reports ErrNotSent whenever there was no connection, and no longer takes a redirect for an answer. The table adapter lists rows in pages. Result: 'go run . demo' prints "replayed: true" for the second booking and "the pickup service ran 1 call(s)".

Seen failing with one mechanism switched off at a time: - generated test: "ran twice" when an entry frees the key on the word of the service, takes over a claim after a wait, takes an unclear write for a claim, or releases a call with an unknown outcome; "one call made 3 writes" with a write more; a wrong answer when the workspace is not part of the call's name. At rapid's default of 100 checks the first of these was missed, so that the suite now runs 1,000 cases of 60 steps.

--- a/core/bergamotchain/exchange.go
+++ b/core/bergamotchain/exchange.go
@@ -41,6 +41,9 @@
 // Sink returns where the answer goes.
 func (x *Exchange) Sink() Sink { return x.sink }
 
+// SetSink replaces where the answer goes.
+func (x *Exchange) SetSink(s Sink) { x.sink = s }
+
 // Workspace returns the workspace of the caller.
 func (x *Exchange) Workspace() bergamotbundle.Workspace { return x.workspace }
 
--- /dev/null
+++ b/core/bergamotclaim/suite_test.go
@@ -0,0 +1,25 @@
+package bergamotclaim_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"bergamotspur/core/bergamottest"
+)
+
+// TestMain fixes the seed of generated tests and raises their size unless flags are given, so that a failure in CI
+// belongs to the change. The default size of 100 checks missed most faults that were put in on purpose.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.steps": "60"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestClaim(t *testing.T) { bergamottest.Run(t, "claim") }
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -85,13 +85,14 @@
 				Engine: e.adapters.engines, Router: bergamotroute.NewRouter(), Counter: e.metrics,
 				Stall: e.Setting.Stall(), Attempts: e.Setting.Attempts(),
 			},
-			Services: &bergamotfilter.Call{Caller: e.adapters.services, Counter: e.metrics},
+			Services: &bergamotfilter.Call{Caller: e.adapters.services, Counter: e.metrics, Clock: e.clock, Retries: e.retries},
 		},
 		&bergamotfilter.Recover{Counter: e.metrics, Report: func(id string, v any) { e.log.Error("panic in request %s: %v", id, v) }},
 		e.drain,
 		bergamotfilter.Identify{},
 		bergamotfilter.Resolve{},
 		&bergamotfilter.Deadline{Clock: e.clock},
+		&bergamotfilter.Claim{Claims: e.claims, Asker: e.adapters.services, Clock: e.clock},
 	)
 }
 
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -11,9 +11,11 @@
 	"github.com/samber/oops"
 	"github.com/thejerf/suture/v4"
 
+	"bergamotspur/core/bergamotclaim"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotretry"
 	"bergamotspur/core/bergamotsetting"
 	"bergamotspur/io/bergamotfront"
 	"bergamotspur/io/bergamotlog"
@@ -31,6 +33,8 @@
 	loop      *bergamotcontrol.Loop
 	drain     *bergamotfilter.Drain
 	adapters  *adapters
+	retries   *bergamotretry.Retries
+	claims    *bergamotclaim.Claims
 	callers   net.Listener
 	operators net.Listener
 }
@@ -41,6 +45,8 @@
 	e.log = bergamotlog.New(e.Log, e.Setting.Name(), "entry")
 	e.metrics = bergamotmetric.NewRegistry(counterNames()...)
 	e.adapters = newAdapters(e.Setting)
+	e.retries = e.newRetries()
+	e.claims = e.newClaims()
 	e.loop = e.newLoop()
 	e.loop.Init()
 	e.drain = bergamotfilter.NewDrain()
@@ -72,6 +78,7 @@
 	front := &bergamotfront.Server{Chain: e.newChain(), Views: e.loop, Clock: e.clock, Entry: e.Setting.Name()}
 	root := suture.New(e.Setting.Name(), suture.Spec{EventHook: e.hook, Timeout: 5 * time.Second})
 	root.Add(&service{name: "control", run: e.loop.Run})
+	root.Add(&service{name: "claims", run: e.claims.Run})
 	root.Add(newHTTPService("callers", e.callers, front.Handler()))
 	root.Add(newHTTPService("operators", e.operators, e.operatorHandler()))
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -87,15 +94,21 @@
 	return err
 }
 
-// awaitIdle refuses new requests and waits for those in flight, at most for the drain time.
+// awaitIdle refuses new requests and waits for those in flight and for outcomes of calls that are not yet stored, at
+// most for the drain time.
 func (e *Entry) awaitIdle() {
 	e.log.Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), e.Setting.Drain())
+	defer cancel()
 	select {
 	case <-e.drain.Start():
 		e.log.Info("drained")
-	case <-e.clock.After(e.Setting.Drain()):
+	case <-ctx.Done():
 		e.log.Warn("requests still in flight after %s", e.Setting.Drain())
 	}
+	if err := e.claims.Flush(ctx); err != nil {
+		e.log.Error("outcomes of %d calls could not be stored", e.claims.Waiting())
+	}
 }
 
 func (e *Entry) hook(event suture.Event) { e.log.Warn("%s", event) }
--- a/io/bergamotfake/table.go
+++ b/io/bergamotfake/table.go
@@ -38,6 +38,7 @@
 
 type scanMessage struct {
 	Prefix string `json:"prefix"`
+	After  string `json:"after"`
 	Limit  int    `json:"limit"`
 }
 
@@ -78,7 +79,7 @@
 	defer t.mu.Unlock()
 	out := []bergamottable.RowMessage{}
 	for _, row := range t.rows {
-		if strings.HasPrefix(row.Key, m.Prefix) {
+		if strings.HasPrefix(row.Key, m.Prefix) && row.Key > m.After {
 			out = append(out, row)
 		}
 	}
--- a/io/bergamotservice/client.go
+++ b/io/bergamotservice/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 
 	"github.com/samber/oops"
 
@@ -14,6 +16,10 @@
 	"bergamotspur/io/bergamotwire"
 )
 
+// headerCall carries the name of a call that may not be repeated. It differs from Idempotency-Key, which makes net/http
+// repeat a request by itself.
+const headerCall = "Bergamot-Call"
+
 // Client is the HTTP adapter to plain services.
 type Client struct{ wire *bergamotwire.Client }
 
@@ -24,21 +30,43 @@
 func (c *Client) Close() { c.wire.Close() }
 
 // Call sends the call once. bergamotfilter.ErrNotSent is in the error's chain when no connection was made.
-// A status below 500 is the service's answer, not an error.
-func (c *Client) Call(ctx context.Context, address string, r *bergamotrequest.Request) (reply bergamotrequest.Reply, err error) {
+// A status of 2xx or 4xx is the service's answer; after any other status it is not known whether the call ran.
+func (c *Client) Call(ctx context.Context, address, name string, r *bergamotrequest.Request) (reply bergamotrequest.Reply, err error) {
 	defer func() { err = oops.In("service").Wrapf(err, "call %s/%s at %s", r.Service(), r.Call(), address) }()
-	// The name of the header differs from Idempotency-Key, which makes net/http repeat a request by itself.
-	header := http.Header{"Bergamot-Call": {r.Idem()}, "Content-Type": {"application/json"}}
-	body, h, err := c.wire.Do(ctx, http.MethodPost, address, "/"+url.PathEscape(r.Call()), header, r.Body())
+	header := http.Header{"Content-Type": {"application/json"}}
+	if name != "" {
+		header.Set(headerCall, name)
+	}
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	body, h, err := c.wire.Do(traced, http.MethodPost, address, "/"+url.PathEscape(r.Call()), header, r.Body())
 	var status *bergamotwire.StatusError
-	var dial *net.OpError
 	switch {
-	case errors.As(err, &status) && status.Status() < http.StatusInternalServerError:
+	case errors.As(err, &status) && status.Status()/100 == 4:
 		return bergamotrequest.NewReply(status.Status(), "application/json", status.Body()), nil
-	case errors.As(err, &dial) && dial.Op == "dial":
+	case err != nil && !connected.Load():
 		return reply, errors.Join(err, bergamotfilter.ErrNotSent)
 	case err != nil:
 		return reply, err
 	}
 	return bergamotrequest.NewReply(http.StatusOK, h.Get("Content-Type"), body), nil
 }
+
+// Ask tells whether the call of that name ran, by the service's own call for this.
+func (c *Client) Ask(ctx context.Context, address, call, name string) (ran bool, err error) {
+	defer func() { err = oops.In("service").Wrapf(err, "ask %s at %s", call, address) }()
+	data, _, err := c.wire.Do(ctx, http.MethodPost, address, "/"+url.PathEscape(call), nil, []byte(name))
+	if err != nil {
+		return false, err
+	}
+	var m struct {
+		Ran *bool `json:"ran"`
+	}
+	if err = json.Unmarshal(data, &m); err != nil {
+		return false, err
+	}
+	if m.Ran == nil {
+		return false, errors.New("reply without the field ran")
+	}
+	return *m.Ran, nil
+}
--- a/io/bergamottable/client.go
+++ b/io/bergamottable/client.go
@@ -58,6 +58,16 @@
 	return rows, err
 }
 
+// Page returns the rows whose keys begin with prefix and come after a key, in order, at most limit.
+func (c *Client) Page(ctx context.Context, prefix, after string, limit int) (rows []bergamotstore.Row, err error) {
+	var m []RowMessage
+	err = c.wire.Post(ctx, c.address, "/table/scan", map[string]any{"prefix": prefix, "after": after, "limit": limit}, &m)
+	for _, r := range m {
+		rows = append(rows, r.Row())
+	}
+	return rows, err
+}
+
 // CompareAndSet writes value when the row still has the given revision; ok is false, with the current row,
 // when it has not. An error other than bergamotstore.ErrRejected leaves open whether the write took effect.
 func (c *Client) CompareAndSet(ctx context.Context, key string, revision int64, value []byte) (row bergamotstore.Row, ok bool, err error) {
--- a/io/bergamotwire/client.go
+++ b/io/bergamotwire/client.go
@@ -83,10 +83,14 @@
 		return nil, nil, err
 	}
 	defer func() { err = errors.Join(err, resp.Body.Close()) }()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil {
 		return nil, nil, err
 	}
+	if len(body) > maxBody {
+		// A part of an answer must not be taken for the whole.
+		return nil, nil, fmt.Errorf("reply is larger than %d bytes", maxBody)
+	}
 	if resp.StatusCode/100 != 2 {
 		return nil, nil, &StatusError{status: resp.StatusCode, body: body}
 	}
