Add the commands 'claims list' and 'claims settle'

Cause: a call whose outcome nobody recorded stays unknown until an operator looks into it. Ruled out: settling by key alone, since the operator may have looked into an earlier attempt; settling a claimed call as not run without a statement that its process has ended, since that process may still dispatch it.

--- a/cmd/bergamotcommand/command.go
+++ b/cmd/bergamotcommand/command.go
@@ -16,6 +16,7 @@
 	Bundle  bundleCommand  `cmd:"" help:"Take a bundle from a text to the one in force."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file or a bundle and print every fault."`
 	Status  statusCommand  `cmd:"" help:"Show the state of entries."`
+	Claims  claimsCommand  `cmd:"" help:"List and settle calls that may not be repeated."`
 	Demo    demoCommand    `cmd:"" help:"Run fakes and two entries on loopback and send sample requests."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 	Fake    fakeCommand    `cmd:"" hidden:"" help:"Run one fake of the platform or a target."`
