--- /dev/null
+++ b/core/bergamotclaim/claims_bench_test.go
@@ -0,0 +1,40 @@
+package bergamotclaim_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotclaim"
+)
+
+// BenchmarkCall measures what a claimed call costs beside its dispatch: processor time, and requests to the table.
+func BenchmarkCall(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	for name, repeats := range map[string]int{"first": 0, "with a repeat": 1} {
+		b.Run(name, func(b *testing.B) {
+			w := newWorld()
+			w.table.hook = func(context.Context, string) fate { return fateOK }
+			reply := answer("B1")
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				call := bergamotclaim.NewCall("kitchen", newRequest("r", fmt.Sprint(n), "slot"), w.clock.Now().Add(granted))
+				claim, _, err := w.a.Begin(ctx, call, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				claim.Done(ctx, reply)
+				for range repeats {
+					if _, _, err = w.b.Begin(ctx, call, nil); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			b.ReportMetric(float64(w.table.effect)/float64(b.N), "writes/op")
+			b.ReportMetric(float64(w.table.swaps-w.table.effect)/float64(b.N), "conflicts/op")
+		})
+	}
+}
