--- /dev/null
+++ b/core/bergamotlease/record.go
@@ -0,0 +1,18 @@
+package bergamotlease
+
+import "encoding/json"
+
+// record is the content of the lease's row.
+type record struct {
+	Holder string `json:"holder"` // empty when released
+	Number int64  `json:"number"`
+	Stamp  string `json:"stamp"` // unique for each write, so that a write with a lost reply is recognised
+}
+
+func decode(value []byte) (r record, err error) {
+	if len(value) == 0 {
+		return record{}, nil
+	}
+	err = json.Unmarshal(value, &r)
+	return r, err
+}
