--- /dev/null
+++ b/core/bergamotmember/cluster_test.go
@@ -0,0 +1,109 @@
+package bergamotmember_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"time"
+
+	"bergamotspur/core/bergamotmember"
+	"bergamotspur/io/bergamotpeer"
+)
+
+// envelope is the bytes that a message costs beside its base64 text: 60 of JSON-RPC, 4 of frame length, 22 of TLS,
+// 52 of TCP and IP and 52 of acknowledgement, with reserve.
+const envelope = 230
+
+// cluster runs the real core of many members in virtual time; a lost message costs its sender a failed heartbeat.
+type cluster struct {
+	rng     *rand.Rand
+	now     time.Time
+	peers   []bergamotmember.Peer
+	nodes   map[string]*bergamotmember.Node
+	linked  func(from, to string) bool
+	measure bool
+	bytes   int64
+}
+
+func newCluster(seed uint64, count int) *cluster {
+	c := &cluster{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), nodes: map[string]*bergamotmember.Node{},
+		linked: func(string, string) bool { return true },
+	}
+	for n := range count {
+		c.peers = append(c.peers, bergamotmember.NewPeer(fmt.Sprintf("entry-%03d", n), fmt.Sprintf("10.0.%d.%d:7", n/250, n%250)))
+	}
+	for _, p := range c.peers {
+		c.start(p, 1)
+	}
+	return c
+}
+
+func (c *cluster) start(p bergamotmember.Peer, incarnation uint64) *bergamotmember.Node {
+	n := bergamotmember.NewNode(p, incarnation, rand.New(rand.NewPCG(c.rng.Uint64(), 2)))
+	n.SetPeers(c.peers)
+	c.nodes[p.Name()] = n
+	return n
+}
+
+func (c *cluster) name(n int) string                { return c.peers[n].Name() }
+func (c *cluster) node(n int) *bergamotmember.Node  { return c.nodes[c.name(n)] }
+func (c *cluster) region(name string, low int) bool { return name < c.name(low) }
+
+// step advances the time by 0.1 s and exchanges the heartbeats that are due, in random order.
+func (c *cluster) step() {
+	c.now = c.now.Add(100 * time.Millisecond)
+	for _, k := range c.rng.Perm(len(c.peers)) {
+		// A member that starts later than others ticks in another phase.
+		if n, ok := c.nodes[c.name(k)]; ok && (n.Wait(c.now) == 0) && c.rng.IntN(2) == 0 {
+			for _, s := range n.Tick(c.now) {
+				c.exchange(c.name(k), n, s)
+			}
+		}
+	}
+}
+
+func (c *cluster) exchange(from string, n *bergamotmember.Node, s bergamotmember.Send) {
+	c.count(s.Message())
+	to, ok := c.nodes[s.To().Name()]
+	if !ok || !c.linked(from, s.To().Name()) {
+		n.Failed(c.now, s.To().Name())
+		return
+	}
+	reply, err := to.Receive(c.now, from, s.Message())
+	if err != nil {
+		n.Failed(c.now, s.To().Name())
+		return
+	}
+	c.count(reply)
+	if err = n.Answered(c.now, s.Message(), reply, s.To().Name()); err != nil {
+		panic(err)
+	}
+}
+
+func (c *cluster) count(m bergamotmember.Message) {
+	if c.measure {
+		c.bytes += int64((len(bergamotpeer.Encode(m))+2)/3*4 + envelope)
+	}
+}
+
+// run advances the time by d and returns the bytes that a member sent and received in a second.
+func (c *cluster) run(d time.Duration) float64 {
+	c.bytes = 0
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.step()
+	}
+	return 2 * float64(c.bytes) / float64(len(c.peers)) / d.Seconds()
+}
+
+// until returns how long it takes until done holds at every running member, at most most.
+func (c *cluster) until(most time.Duration, done func(n *bergamotmember.Node) bool) (time.Duration, bool) {
+	waiting := maps.Clone(c.nodes)
+	for begin := c.now; c.now.Sub(begin) < most; c.step() {
+		maps.DeleteFunc(waiting, func(_ string, n *bergamotmember.Node) bool { return done(n) })
+		if len(waiting) == 0 {
+			return c.now.Sub(begin), true
+		}
+	}
+	return most, false
+}
