Exchange membership messages by jsonrpc2 over mutual TLS 1.3

Cause: entries need a link that names the peer by its certificate, notices a dead connection and stays within bounds under a flood. Change: binary messages with bounded counts, frames of at most 6 KB, one connection for each peer, at most 16 out and 64 in, 4 handshakes at a time and 20 a second, 5 heartbeats a second on a connection with a burst of 20, deadlines on each read and write; requests of a connection are answered one after another. Ruled out: JSON records, which take about twice the bytes of the binary form; keep-alive alone, which does not notice a middlebox that acknowledges.

--- /dev/null
+++ b/io/bergamotpeer/decode_test.go
@@ -0,0 +1,78 @@
+package bergamotpeer_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotmember"
+	"bergamotspur/io/bergamotpeer"
+)
+
+func sample() bergamotmember.Message {
+	var records []bergamotmember.Record
+	for _, s := range []bergamotmember.RecordSpec{
+		{Kind: bergamotmember.KindMember, Key: "entry-1", Version: 3, State: bergamotmember.Suspected},
+		{Kind: bergamotmember.KindTarget, Key: "runner", Version: 1, State: bergamotmember.Dead, Left: time.Second},
+		{Kind: bergamotmember.KindCrash, Key: strings.Repeat("ab", 32), Version: 1, Left: time.Hour, Data: []byte("x")},
+		{
+			Kind: bergamotmember.KindDemand, Key: "entry-1", Version: 9, Left: time.Minute,
+			Demand: []bergamotmember.Demand{bergamotmember.NewDemand(bergamotmember.WorkspaceID("kitchen"), 70)},
+		},
+	} {
+		r, ok := bergamotmember.NewRecord(s)
+		if !ok {
+			panic("invalid sample")
+		}
+		records = append(records, r)
+	}
+	m, ok := bergamotmember.NewMessage(bergamotmember.MessageSpec{
+		From: "entry-2", Incarnation: 4, Head: bergamotmember.NewHead(5, strings.Repeat("0f", 32)), Records: records, Fresh: 5,
+		Buckets: make([]uint32, bergamotmember.MaxBuckets), Listed: 6,
+		Lines: []bergamotmember.Line{bergamotmember.NewLine(1, 2)}, Wants: []uint32{7},
+	})
+	if !ok {
+		panic("invalid sample")
+	}
+	return m
+}
+
+var _ = ginkgo.Describe("Decode", func() {
+	ginkgo.It("returns what was encoded", func() {
+		m, err := bergamotpeer.Decode(bergamotpeer.Encode(sample()))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(m).To(gomega.Equal(sample()))
+	})
+
+	// Guards against a truncated or extended message that is taken for a shorter one.
+	ginkgo.It("rejects every other length", func() {
+		data := bergamotpeer.Encode(sample())
+		for n := range data {
+			_, err := bergamotpeer.Decode(data[:n])
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		}
+		_, err := bergamotpeer.Decode(append(data, 0))
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+})
+
+// FuzzDecode guards against a message that crashes the entry or is accepted beyond the bounds.
+func FuzzDecode(f *testing.F) {
+	f.Add(bergamotpeer.Encode(sample()))
+	f.Add([]byte{1, 1, 'a', 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := bergamotpeer.Decode(data)
+		if err != nil {
+			return
+		}
+		out := bergamotpeer.Encode(m)
+		again, err := bergamotpeer.Decode(out)
+		if err != nil || !bytes.Equal(bergamotpeer.Encode(again), out) {
+			t.Fatalf("decoded message does not survive encoding: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/io/bergamotpeer/peer_test.go
@@ -0,0 +1,227 @@
+package bergamotpeer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotmember"
+	"bergamotspur/io/bergamotpeer"
+)
+
+// authority signs certificates of peers.
+type authority struct {
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func must[T any](v T, err error) T {
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return v
+}
+
+func writePEM(path, kind string, data []byte) string {
+	gomega.Expect(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)).To(gomega.Succeed())
+	return path
+}
+
+func newAuthority() *authority {
+	a := &authority{dir: ginkgo.GinkgoT().TempDir(), key: must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der := must(x509.CreateCertificate(rand.Reader, t, t, &a.key.PublicKey, a.key))
+	a.cert = must(x509.ParseCertificate(der))
+	writePEM(filepath.Join(a.dir, "ca"), "CERTIFICATE", der)
+	return a
+}
+
+// config returns the configuration of a peer with keys from files.
+func (a *authority) config(name string) *tls.Config {
+	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(2), DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der := must(x509.CreateCertificate(rand.Reader, t, a.cert, &key.PublicKey, a.key))
+	base := filepath.Join(a.dir, name)
+	return must(bergamotpeer.Keys{
+		Cert: writePEM(base+".cert", "CERTIFICATE", der),
+		Key:  writePEM(base+".key", "PRIVATE KEY", must(x509.MarshalPKCS8PrivateKey(key))),
+		CA:   filepath.Join(a.dir, "ca"),
+	}.Load())
+}
+
+// inbox answers each heartbeat as member "b" and counts events.
+type inbox struct {
+	mu     sync.Mutex
+	peers  []string
+	counts map[string]int
+}
+
+func (i *inbox) Heartbeat(_ context.Context, peer string, _ bergamotmember.Message) (bergamotmember.Message, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.peers = append(i.peers, peer)
+	return message("b"), nil
+}
+
+func (i *inbox) Count(name string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counts[name]++
+}
+
+func (i *inbox) count(name string) func() int {
+	return func() int {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		return i.counts[name]
+	}
+}
+
+func message(from string) bergamotmember.Message {
+	m, _ := bergamotmember.NewMessage(bergamotmember.MessageSpec{From: from, Incarnation: 1})
+	return m
+}
+
+// relay passes bytes between a client and a server until it is told to swallow those of the connections it has.
+type relay struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*swallower
+}
+
+type swallower struct {
+	net.Conn
+	mu   sync.Mutex
+	deaf bool
+}
+
+func (s *swallower) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deaf {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+func (r *relay) run(target string) {
+	for {
+		in, err := r.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", target)
+		if err != nil {
+			return
+		}
+		a, b := &swallower{Conn: in}, &swallower{Conn: out}
+		r.mu.Lock()
+		r.conns = append(r.conns, a, b)
+		r.mu.Unlock()
+		go func() { _, _ = io.Copy(a, out); _ = in.Close() }()
+		go func() { _, _ = io.Copy(b, in); _ = out.Close() }()
+	}
+}
+
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		c.mu.Lock()
+		c.deaf = true
+		c.mu.Unlock()
+	}
+}
+
+var _ = ginkgo.Describe("peers", func() {
+	var (
+		ctx     context.Context
+		ca      *authority
+		in      *inbox
+		address string
+	)
+	ginkgo.BeforeEach(func() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.Background())
+		ca, in = newAuthority(), &inbox{counts: map[string]int{}}
+		l := must(net.Listen("tcp", "127.0.0.1:0"))
+		address = l.Addr().String()
+		s := &bergamotpeer.Server{Listener: l, TLS: ca.config("b"), Inbox: in, Counter: in}
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx) }()
+		ginkgo.DeferCleanup(func() {
+			cancel()
+			gomega.Expect(<-done).To(gomega.Succeed())
+		})
+	})
+	dial := func(cfg *tls.Config, timeout time.Duration) *bergamotpeer.Client {
+		c := &bergamotpeer.Client{TLS: cfg, Timeout: timeout}
+		ginkgo.DeferCleanup(c.Close)
+		return c
+	}
+
+	ginkgo.It("names the peer by its certificate", func() {
+		reply := must(dial(ca.config("a"), time.Minute).Send(ctx, bergamotmember.NewPeer("b", address), message("forged")))
+		gomega.Expect(reply.From()).To(gomega.Equal("b"))
+		gomega.Expect(in.peers).To(gomega.Equal([]string{"a"}))
+	})
+
+	// Guards against a peer without a certificate of the right authority, and against a server of another name.
+	ginkgo.It("refuses strangers on both sides", func() {
+		_, err := dial(newAuthority().config("a"), time.Minute).Send(ctx, bergamotmember.NewPeer("b", address), message("a"))
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		_, err = dial(ca.config("a"), time.Minute).Send(ctx, bergamotmember.NewPeer("c", address), message("a"))
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		bare := ca.config("a")
+		bare.Certificates = nil
+		_, err = dial(bare, time.Minute).Send(ctx, bergamotmember.NewPeer("b", address), message("a"))
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(in.peers).To(gomega.BeEmpty())
+	})
+
+	// Guards against a middlebox that lost a connection's state, so that heartbeats vanish for ever.
+	ginkgo.It("replaces a connection that went silent", func() {
+		r := &relay{Listener: must(net.Listen("tcp", "127.0.0.1:0"))}
+		go r.run(address)
+		ginkgo.DeferCleanup(r.Close)
+		c, to := dial(ca.config("a"), 2*time.Second), bergamotmember.NewPeer("b", r.Addr().String())
+		must(c.Send(ctx, to, message("a")))
+		r.silence()
+		_, err := c.Send(ctx, to, message("a"))
+		gomega.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+		must(c.Send(ctx, to, message("a")))
+	})
+
+	// Guards against a peer whose messages take the time of this entry.
+	ginkgo.It("cuts a peer off that floods it", func() {
+		c, to := dial(ca.config("a"), time.Minute), bergamotmember.NewPeer("b", address)
+		failed := 0
+		for range 100 {
+			if _, err := c.Send(ctx, to, message("a")); err != nil {
+				failed++
+			}
+		}
+		gomega.Expect(failed).To(gomega.BeNumerically(">", 0))
+		gomega.Eventually(in.count("peer.flood")).Should(gomega.BeNumerically(">", 0))
+	})
+})
--- /dev/null
+++ b/io/bergamotpeer/server.go
@@ -0,0 +1,184 @@
+package bergamotpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/time/rate"
+
+	"bergamotspur/core/bergamotmember"
+)
+
+// Bounds of what peers can ask of this entry. About 5 peers have this one as a partner, each with one heartbeat in 2 s.
+const (
+	maxIn         = 64 // connections
+	maxHandshakes = 4  // handshakes at the same time
+	callRate      = 5  // heartbeats a second on one connection
+	callBurst     = 20
+	acceptRate    = 20 // handshakes a second; one takes about 1 ms of a core
+	acceptBurst   = 64
+)
+
+// Inbox takes the heartbeats of authenticated peers.
+type Inbox interface {
+	Heartbeat(ctx context.Context, peer string, m bergamotmember.Message) (bergamotmember.Message, error)
+}
+
+// Counter counts events by name.
+type Counter interface{ Count(name string) }
+
+// Server receives heartbeats.
+type Server struct {
+	Listener net.Listener
+	TLS      *tls.Config
+	Inbox    Inbox
+	Counter  Counter // counts "peer." followed by "full", "handshake", "flood", "message" or "refused"
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+// Run serves until ctx ends and returns when all connections are closed.
+func (s *Server) Run(ctx context.Context) (err error) {
+	defer func() { err = oops.In("peer").Wrapf(err, "serve") }()
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = s.Listener.Close() })
+	defer stop()
+	slots, shaking := make(chan struct{}, maxIn), make(chan struct{}, maxHandshakes)
+	accepts := rate.NewLimiter(acceptRate, acceptBurst)
+	for {
+		raw, err := s.Listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		if err = accepts.Wait(ctx); err != nil {
+			_ = raw.Close()
+			return nil
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			s.Counter.Count("peer.full")
+			_ = raw.Close()
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			s.serve(ctx, raw, shaking)
+		})
+	}
+}
+
+func (s *Server) serve(ctx context.Context, raw net.Conn, shaking chan struct{}) {
+	defer func() { _ = raw.Close() }() // it may be closed already
+	secure := tls.Server(raw, s.TLS)
+	if !s.shake(ctx, secure, shaking) {
+		s.Counter.Count("peer.handshake")
+		return
+	}
+	names := secure.ConnectionState().PeerCertificates[0].DNSNames
+	if len(names) == 0 {
+		s.Counter.Count("peer.handshake")
+		return
+	}
+	h := &handler{server: s, peer: names[0], limit: rate.NewLimiter(callRate, callBurst)}
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(limited{secure}, frames{}), h, quiet)
+	s.replace(names[0], conn)
+	select {
+	case <-ctx.Done():
+		_ = conn.Close()
+		<-conn.DisconnectNotify()
+	case <-conn.DisconnectNotify():
+	}
+	s.remove(names[0], conn)
+}
+
+func (s *Server) shake(ctx context.Context, secure *tls.Conn, shaking chan struct{}) bool {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	select {
+	case shaking <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-shaking }()
+	return secure.HandshakeContext(ctx) == nil
+}
+
+// replace keeps one connection for each peer, so that no peer takes the room of others.
+func (s *Server) replace(peer string, conn *jsonrpc2.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = map[string]*jsonrpc2.Conn{}
+	}
+	if old, ok := s.conns[peer]; ok {
+		_ = old.Close() // it may be closed already
+	}
+	s.conns[peer] = conn
+}
+
+func (s *Server) remove(peer string, conn *jsonrpc2.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns[peer] == conn {
+		delete(s.conns, peer)
+	}
+}
+
+// handler answers the requests of one connection one after another, so that a peer cannot make work pile up.
+type handler struct {
+	server *Server
+	peer   string
+	limit  *rate.Limiter
+}
+
+// Handle answers one request; a peer that sends too many or an invalid one loses its connection.
+func (h *handler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, reason, err := h.answer(ctx, req)
+	if err == nil {
+		err = conn.Reply(ctx, req.ID, heartbeat{Data: Encode(reply)})
+	}
+	if err != nil {
+		if reason != "" {
+			h.server.Counter.Count("peer." + reason)
+		}
+		_ = conn.Close() // it may be closed already
+	}
+}
+
+var errFlood = errors.New("too many requests")
+
+func (h *handler) answer(ctx context.Context, req *jsonrpc2.Request) (reply bergamotmember.Message, reason string, err error) {
+	if !h.limit.AllowN(time.Now(), 1) {
+		return reply, "flood", errFlood
+	}
+	var in heartbeat
+	if req.Method != methodHeartbeat || req.Notif || req.Params == nil {
+		return reply, "message", oops.Errorf("unexpected request %q", req.Method)
+	}
+	if err = json.Unmarshal(*req.Params, &in); err != nil {
+		return reply, "message", err
+	}
+	m, err := Decode(in.Data)
+	if err != nil {
+		return reply, "message", err
+	}
+	reply, err = h.server.Inbox.Heartbeat(ctx, h.peer, m)
+	return reply, "refused", err
+}
