Decide which runner holds which layers

Cause: the bundle declares replicas for each layer, and runners of mixed memory join, leave and change versions. Change: a pass keeps what runners hold, closes gaps one replica of every model at a time, and widens ranges when no runner is free; orders never take away the last version that serves a pipeline; a new version reaches one complete chain after another, or loads beside the old one where memory allows. Serving tells which version new requests should use. Ruled out: a new assignment from scratch in each pass, which moves runners that nothing happened to.

--- /dev/null
+++ b/core/bergamotplacement/placement_test.go
@@ -0,0 +1,258 @@
+package bergamotplacement_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotplacement"
+)
+
+// bundle returns a bundle with models of the given layers, each with a pipeline of that many replicas; the first
+// also has one with an adapter.
+func bundle(version string, replicas int, layers ...int) *bergamotbundle.Bundle {
+	var text strings.Builder
+	text.WriteString("[bundle]\nversion = 1\n[operator o]\nkey = " + strings.Repeat("A", 43) + "=\n")
+	for n, l := range layers {
+		fmt.Fprintf(&text, "[model m%d]\nversion = %s\nlayers = %d\n", n, version, l)
+		fmt.Fprintf(&text, "[pipeline p%d]\nmodel = m%d\nreplicas = %d\n", n, n, replicas)
+	}
+	text.WriteString("[adapter a]\nmodel = m0\n[pipeline pa]\nmodel = m0\nadapter = a\n")
+	b, err := bergamotbundle.Parse("test", []byte(text.String()))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func runner(name string, memory int, h ...bergamotfleet.Holding) bergamotfleet.Instance {
+	return bergamotfleet.NewInstance(bergamotfleet.Spec{
+		Name: name, Address: name, Role: bergamotfleet.RoleRunner, Memory: memory, Holdings: h,
+	})
+}
+
+// fleet is what the runners really hold; orders apply when finish is called.
+type fleet struct {
+	runners map[string]bergamotfleet.Instance
+	loading map[string][]bergamotfleet.Holding
+}
+
+func newFleet(runners ...bergamotfleet.Instance) *fleet {
+	f := &fleet{runners: map[string]bergamotfleet.Instance{}, loading: map[string][]bergamotfleet.Holding{}}
+	for _, i := range runners {
+		f.runners[i.Name()] = i
+	}
+	return f
+}
+
+func (f *fleet) view() *bergamotfleet.Fleet {
+	var list []bergamotfleet.Instance
+	for _, i := range f.runners {
+		list = append(list, i)
+	}
+	return bergamotfleet.NewFleet(list)
+}
+
+func (f *fleet) hold(name string, h []bergamotfleet.Holding) {
+	s := f.runners[name].Spec()
+	s.Holdings = h
+	f.runners[name] = bergamotfleet.NewInstance(s)
+}
+
+// pass gives the orders of one pass; a runner drops at once what was not ordered, and loads the rest.
+func (f *fleet) pass(b *bergamotbundle.Bundle, count int) (layers int) {
+	busy := map[string]bool{}
+	for name := range f.loading {
+		busy[name] = true
+	}
+	v := f.view()
+	for _, o := range bergamotplacement.Orders(b, v, bergamotplacement.NewPlan(b, v), busy, count-len(busy)) {
+		var kept []bergamotfleet.Holding
+		for _, h := range f.runners[o.Runner()].Holdings() {
+			for _, x := range o.Holdings() {
+				if h.Model() == x.Model() && h.Version() == x.Version() && h.From() == x.From() && h.To() == x.To() &&
+					strings.Join(h.Adapters(), ",") == strings.Join(x.Adapters(), ",") {
+					kept = append(kept, h)
+				}
+			}
+		}
+		f.hold(o.Runner(), kept)
+		f.loading[o.Runner()] = o.Holdings()
+		layers += o.Layers()
+	}
+	return layers
+}
+
+func (f *fleet) finish() {
+	for name, h := range f.loading {
+		f.hold(name, h)
+	}
+	f.loading = map[string][]bergamotfleet.Holding{}
+}
+
+// reconcile runs passes until nothing is ordered and returns the layers loaded.
+func (f *fleet) reconcile(b *bergamotbundle.Bundle, check func()) (layers int) {
+	for range 1000 {
+		n := f.pass(b, 4)
+		check()
+		if n == 0 && len(f.loading) == 0 {
+			return layers
+		}
+		layers += n
+		f.finish()
+		check()
+	}
+	panic("orders do not end")
+}
+
+func (f *fleet) served(b *bergamotbundle.Bundle) (out []string) {
+	for _, name := range b.Pipelines() {
+		p, _ := b.Pipeline(name)
+		if v, ok := bergamotplacement.Serving(b, p, f.view()); ok {
+			out = append(out, name+"@"+v)
+		}
+	}
+	return out
+}
+
+func nothing() {}
+
+var _ = ginkgo.Describe("placement", func() {
+	ginkgo.It("fills every model from empty runners and then rests", func() {
+		b := bundle("1", 2, 12, 8)
+		f := newFleet()
+		for n := range 12 {
+			f.runners[fmt.Sprint("r", n)] = runner(fmt.Sprint("r", n), 4+n%3*2)
+		}
+		f.reconcile(b, nothing)
+		gomega.Expect(f.served(b)).To(gomega.Equal([]string{"p0@1", "p1@1", "pa@1"}))
+		gomega.Expect(f.pass(b, 100)).To(gomega.BeZero())
+	})
+
+	// Guards against a lost or new runner that makes others load again.
+	ginkgo.It("replaces only what a leaving runner held", func() {
+		b := bundle("1", 2, 12)
+		f := newFleet(runner("a", 12), runner("b", 6), runner("c", 6), runner("d", 6))
+		f.reconcile(b, nothing)
+		s := f.runners["b"].Spec()
+		s.Leaving = true
+		f.runners["b"] = bergamotfleet.NewInstance(s)
+		gomega.Expect(f.reconcile(b, nothing)).To(gomega.Equal(6))
+		f.runners["e"] = runner("e", 6)
+		gomega.Expect(f.reconcile(b, nothing)).To(gomega.BeZero())
+	})
+
+	// Guards against one model that takes all runners while another has none.
+	ginkgo.It("gives each model one replica before any gets two", func() {
+		b := bundle("1", 3, 8, 8)
+		f := newFleet(runner("a", 8), runner("b", 8), runner("c", 8))
+		f.reconcile(b, nothing)
+		gomega.Expect(f.served(b)).To(gomega.HaveLen(3))
+		gomega.Expect(bergamotplacement.NewPlan(b, f.view()).Short()).To(gomega.Equal([]string{"m0", "m1"}))
+	})
+
+	// Ranges overlap so that only some orders keep both versions complete.
+	ginkgo.It("rolls a version without a gap over overlapping ranges", func() {
+		f := newFleet()
+		for name, r := range map[string][2]int{"a": {0, 4}, "b": {6, 12}, "c": {0, 6}, "d": {4, 12}} {
+			f.runners[name] = runner(name, 12, bergamotfleet.NewHolding("m0", "1", r[0], r[1], "a"))
+			s := f.runners[name].Spec()
+			s.Memory = r[1] - r[0]
+			f.runners[name] = bergamotfleet.NewInstance(s)
+		}
+		b := bundle("2", 2, 12)
+		f.reconcile(b, func() { gomega.Expect(f.served(b)).To(gomega.HaveLen(2)) })
+		gomega.Expect(f.served(b)).To(gomega.Equal([]string{"p0@2", "pa@2"}))
+	})
+
+	ginkgo.It("loads a version beside the old one where there is no second replica", func() {
+		f := newFleet(runner("a", 24, bergamotfleet.NewHolding("m0", "1", 0, 12, "a")))
+		b := bundle("2", 1, 12)
+		f.reconcile(b, func() { gomega.Expect(f.served(b)).To(gomega.HaveLen(2)) })
+		gomega.Expect(f.served(b)).To(gomega.Equal([]string{"p0@2", "pa@2"}))
+		gomega.Expect(f.runners["a"].Holdings()).To(gomega.HaveLen(1))
+	})
+
+	// Guards against a last replica that is given up for a new version.
+	ginkgo.It("keeps the old version when a change would leave a gap", func() {
+		f := newFleet(runner("a", 12, bergamotfleet.NewHolding("m0", "1", 0, 12, "a")))
+		b := bundle("2", 1, 12)
+		gomega.Expect(f.pass(b, 100)).To(gomega.BeZero())
+		gomega.Expect(f.served(b)).To(gomega.Equal([]string{"p0@1", "pa@1"}))
+	})
+
+	// A late command of an earlier holder makes a runner that ignores fencing hold something else.
+	ginkgo.It("repairs what a late command changed", func() {
+		b := bundle("1", 2, 12)
+		f := newFleet(runner("a", 12), runner("b", 12))
+		f.reconcile(b, nothing)
+		f.hold("a", []bergamotfleet.Holding{bergamotfleet.NewHolding("m0", "0", 3, 5)})
+		f.reconcile(b, nothing)
+		for _, i := range f.runners {
+			gomega.Expect(i.Holdings()).To(gomega.Equal([]bergamotfleet.Holding{bergamotfleet.NewHolding("m0", "1", 0, 12, "a")}))
+		}
+	})
+
+	// Random fleets and rolls: no order takes away the last version that serves a pipeline.
+	ginkgo.It("never leaves a served pipeline unserved", func() {
+		rapid.Check(ginkgo.GinkgoTB(), func(t *rapid.T) {
+			layers := []int{rapid.IntRange(1, 16).Draw(t, "l0"), rapid.IntRange(1, 16).Draw(t, "l1")}
+			f := newFleet()
+			for n := range rapid.IntRange(1, 14).Draw(t, "runners") {
+				name := fmt.Sprint("r", n)
+				f.runners[name] = runner(name, rapid.IntRange(1, 20).Draw(t, "memory"))
+			}
+			f.reconcile(bundle("1", rapid.IntRange(1, 3).Draw(t, "replicas"), layers...), nothing)
+			b := bundle("2", rapid.IntRange(1, 3).Draw(t, "later"), layers...)
+			before := len(f.served(b))
+			f.reconcile(b, func() {
+				if len(f.served(b)) < before {
+					t.Fatalf("%d of %d pipelines served", len(f.served(b)), before)
+				}
+				before = len(f.served(b))
+			})
+		})
+	})
+})
+
+// BenchmarkPlan measures one pass over a settled fleet and one that places everything.
+func BenchmarkPlan(b *testing.B) {
+	layers := make([]int, 34)
+	for n := range layers {
+		layers[n] = 24 + n
+	}
+	for _, count := range []int{40, 400, 3100} {
+		used := layers[:min(34, max(2, count/12))]
+		total := 0
+		for _, l := range used {
+			total += l
+		}
+		bun := bundle("1", max(1, count*9*8/10/total), used...)
+		empty := newFleet()
+		for n := range count {
+			name := fmt.Sprintf("r%04d", n)
+			empty.runners[name] = runner(name, 6+n%7)
+		}
+		settled := newFleet()
+		plan := bergamotplacement.NewPlan(bun, empty.view())
+		for name, i := range empty.runners {
+			settled.runners[name] = i
+			if h, ok := plan.Holding(name); ok {
+				settled.hold(name, []bergamotfleet.Holding{h})
+			}
+		}
+		for name, f := range map[string]*bergamotfleet.Fleet{"empty": empty.view(), "settled": settled.view()} {
+			b.Run(fmt.Sprintf("%s-%d", name, count), func(b *testing.B) {
+				for b.Loop() {
+					bergamotplacement.Orders(bun, f, bergamotplacement.NewPlan(bun, f), nil, 32)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/core/bergamotplacement/serving.go
@@ -0,0 +1,19 @@
+package bergamotplacement
+
+import (
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotfleet"
+)
+
+// Serving returns the version of a pipeline's model that new requests should use: the declared one when usable runners
+// hold all its layers with the adapter, otherwise another that they hold completely. Without it a new version would
+// leave the pipeline unserved until the first runners have loaded it.
+func Serving(b *bergamotbundle.Bundle, p bergamotbundle.Pipeline, f *bergamotfleet.Fleet) (version string, ok bool) {
+	c := newCoverage(b)
+	for _, i := range f.Role(bergamotfleet.RoleRunner) {
+		if i.Usable() {
+			c.add(i.Holdings(), 1)
+		}
+	}
+	return c.version(p)
+}
