--- /dev/null
+++ b/core/bergamotcontrol/members_test.go
@@ -0,0 +1,96 @@
+package bergamotcontrol_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotmember"
+)
+
+// silent is a link to peers that never answer.
+type silent struct{}
+
+func (silent) Send(ctx context.Context, _ bergamotmember.Peer, _ bergamotmember.Message) (bergamotmember.Message, error) {
+	return bergamotmember.Message{}, context.DeadlineExceeded
+}
+
+var _ = ginkgo.Describe("Members", func() {
+	var (
+		s *bergamotcontrol.State
+		c *bergamotcontrol.Members
+	)
+	base := time.Unix(1000, 0)
+	ginkgo.BeforeEach(func() {
+		s = bergamotcontrol.NewState()
+		c = &bergamotcontrol.Members{
+			Node:   bergamotmember.NewNode(bergamotmember.NewPeer("a", ""), 1, rand.New(rand.NewPCG(1, 1))),
+			Sender: silent{}, Seeds: []bergamotmember.Peer{bergamotmember.NewPeer("b", "")}, Count: func(string) {},
+			Post: func(e bergamotcontrol.Event) bool { e.Apply(s); return true },
+		}
+		s.SetNow(base)
+		s.PutInstance(bergamotfleet.NewInstance(bergamotfleet.Spec{Name: "t", Role: bergamotfleet.RoleRunner}))
+		c.Reconcile(s)
+	})
+	hear := func(state bergamotmember.State) {
+		r, _ := bergamotmember.NewRecord(bergamotmember.RecordSpec{
+			Kind: bergamotmember.KindTarget, Key: "t", Version: 1, State: state, Left: 30 * time.Second,
+		})
+		m, _ := bergamotmember.NewMessage(bergamotmember.MessageSpec{From: "b", Incarnation: 1, Records: []bergamotmember.Record{r}})
+		_, err := c.Heartbeat(context.Background(), "b", m)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	usable := func(after time.Duration) bool {
+		s.SetNow(base.Add(after))
+		c.Reconcile(s)
+		i, _ := s.Instance("t")
+		return i.Usable()
+	}
+	probe := func(after time.Duration) {
+		i, _ := s.Instance("t")
+		spec := i.Spec()
+		spec.Load = bergamotfleet.NewLoad(0, 0, base.Add(after))
+		s.PutInstance(bergamotfleet.NewInstance(spec))
+	}
+
+	// Guards against new work on a target that another entry saw leave, and against a mark that never ends.
+	ginkgo.It("stops new work on a hint until it expires", func() {
+		hear(bergamotmember.Leaving)
+		gomega.Expect(usable(time.Second)).To(gomega.BeFalse())
+		probe(2 * time.Second)
+		gomega.Expect(usable(29 * time.Second)).To(gomega.BeFalse())
+		gomega.Expect(usable(32 * time.Second)).To(gomega.BeTrue())
+	})
+
+	// Guards against a peer behind a broken link that takes a healthy target from everyone.
+	ginkgo.It("lets the own probe correct that a target is dead", func() {
+		hear(bergamotmember.Dead)
+		gomega.Expect(usable(time.Second)).To(gomega.BeFalse())
+		probe(2 * time.Second)
+		gomega.Expect(usable(3 * time.Second)).To(gomega.BeTrue())
+	})
+
+	// Guards against hints that entries report back to each other for ever.
+	ginkgo.It("does not report a hint as its own observation", func() {
+		hear(bergamotmember.Dead)
+		gomega.Expect(usable(25 * time.Second)).To(gomega.BeFalse())
+		gomega.Expect(usable(31 * time.Second)).To(gomega.BeTrue())
+		gomega.Expect(usable(60 * time.Second)).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("reports what it saw itself", func() {
+		i, _ := s.Instance("t")
+		spec := i.Spec()
+		spec.Failed = true
+		s.PutInstance(bergamotfleet.NewInstance(spec))
+		usable(time.Second)
+		t, ok := c.Node.Picture(s.Now().Add(time.Second)).Target("t")
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(t.State()).To(gomega.Equal(bergamotmember.Dead))
+	})
+})
--- a/core/bergamotcontrol/state.go
+++ b/core/bergamotcontrol/state.go
@@ -7,6 +7,7 @@
 
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotmember"
 )
 
 // State is the control state of one entry; only the control goroutine touches it.
@@ -17,6 +18,7 @@
 	hinted    bool
 	instances map[string]bergamotfleet.Instance
 	fleet     *bergamotfleet.Fleet
+	members   *bergamotmember.Picture
 }
 
 // NewState returns an empty state.
@@ -58,12 +60,23 @@
 	s.fleet = nil
 }
 
-// view returns a read-only copy, which reuses the fleet when no instance has changed.
-func (s *State) view() *View {
+// Members returns the hints of other entries, nil when there are no peers.
+func (s *State) Members() *bergamotmember.Picture { return s.members }
+
+// SetMembers replaces the hints of other entries.
+func (s *State) SetMembers(p *bergamotmember.Picture) { s.members = p }
+
+// Fleet returns the instances; it reuses the last fleet when no instance has changed.
+func (s *State) Fleet() *bergamotfleet.Fleet {
 	if s.fleet == nil {
 		s.fleet = bergamotfleet.NewFleet(slices.Collect(maps.Values(s.instances)))
 	}
-	v := NewView(s.now, s.bundle, s.fleet)
+	return s.fleet
+}
+
+// view returns a read-only copy.
+func (s *State) view() *View {
+	v := NewView(s.now, s.bundle, s.Fleet()).WithMembers(s.members)
 	v.confirmed = s.confirmed
 	return v
 }
--- a/core/bergamotcontrol/view.go
+++ b/core/bergamotcontrol/view.go
@@ -5,6 +5,7 @@
 
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotmember"
 )
 
 // View is a read-only copy of the control state for traffic.
@@ -14,6 +15,7 @@
 	fleet  *bergamotfleet.Fleet
 
 	confirmed time.Time
+	members   *bergamotmember.Picture
 }
 
 // NewView returns a view of a bundle, which may be nil, and a fleet.
@@ -21,6 +23,32 @@
 	return &View{at: at, bundle: b, fleet: f}
 }
 
+// WithMembers returns a copy with the hints of other entries.
+func (v *View) WithMembers(p *bergamotmember.Picture) *View {
+	c := *v
+	c.members = p
+	return &c
+}
+
+// Members returns the hints of other entries, nil when there are no peers.
+func (v *View) Members() *bergamotmember.Picture { return v.members }
+
+// Entries returns how many entries count as live, this one included.
+func (v *View) Entries() int {
+	if v.members == nil {
+		return 1
+	}
+	return max(v.members.Live(), 1)
+}
+
+// Demand returns the demand for a workspace at this entry and at all; ok is false when none was announced.
+func (v *View) Demand(workspace string) (s bergamotmember.Share, ok bool) {
+	if v.members == nil {
+		return s, false
+	}
+	return v.members.Share(workspace)
+}
+
 // At returns when the view was taken.
 func (v *View) At() time.Time { return v.at }
 
--- a/core/bergamotfleet/instance.go
+++ b/core/bergamotfleet/instance.go
@@ -5,6 +5,9 @@
 // RoleRunner is the role of an instance that runs models; any other role is the name of a plain service.
 const RoleRunner = "runner"
 
+// RoleEntry is the role under which the instance list names the entries themselves.
+const RoleEntry = "entry"
+
 // Spec holds the fields from which NewInstance builds an instance.
 type Spec struct {
 	Name     string
@@ -16,6 +19,7 @@
 	Fenced   bool   // the instance rejects commands with an old fencing number
 	Leaving  bool   // the instance must get no new work
 	Failed   bool   // the instance does not answer
+	Hinted   bool   // another entry saw the instance leave or fail
 	Joined   time.Time
 	Load     Load
 	Holdings []Holding
@@ -52,7 +56,7 @@
 func (i Instance) Fenced() bool { return i.spec.Fenced }
 
 // Usable tells whether the instance may get new work.
-func (i Instance) Usable() bool { return !i.spec.Leaving && !i.spec.Failed }
+func (i Instance) Usable() bool { return !i.spec.Leaving && !i.spec.Failed && !i.spec.Hinted }
 
 // Leaving tells whether the instance is leaving.
 func (i Instance) Leaving() bool { return i.spec.Leaving }
@@ -60,6 +64,9 @@
 // Failed tells whether the instance does not answer.
 func (i Instance) Failed() bool { return i.spec.Failed }
 
+// Hinted tells whether another entry saw the instance leave or fail.
+func (i Instance) Hinted() bool { return i.spec.Hinted }
+
 // Joined returns when the entry first saw the instance.
 func (i Instance) Joined() time.Time { return i.spec.Joined }
 
--- a/core/bergamotmember/exchange.go
+++ b/core/bergamotmember/exchange.go
@@ -18,12 +18,15 @@
 			owed = append(owed, i)
 		}
 	}
-	s.Records = n.store.pick(now, peer, owed, n.rng)
+	s.Records = n.store.pick(now, peer, owed)
 	for _, r := range s.Records {
 		// No reply follows a reply, so that every send counts as one that was no news.
 		n.store.sent(r.id())
 	}
 	for _, bucket := range n.differing(m.spec.Buckets) {
+		if len(s.Lines) > MaxLines*3/4 {
+			break
+		}
 		if lines := n.store.lines(now, bucket); len(s.Lines)+len(lines) <= MaxLines {
 			s.Listed |= 1 << bucket
 			s.Lines = append(s.Lines, lines...)
--- a/core/bergamotmember/picture.go
+++ b/core/bergamotmember/picture.go
@@ -119,6 +119,9 @@
 	return t, ok
 }
 
+// Targets returns the hints about targets; the caller must not change the map.
+func (p *Picture) Targets() map[string]Target { return p.targets }
+
 // Crashes returns the requests that were confirmed to crash targets; the caller must not change the slice.
 func (p *Picture) Crashes() []Record { return p.crashes }
 
--- a/core/bergamotmember/record.go
+++ b/core/bergamotmember/record.go
@@ -13,11 +13,12 @@
 // Kind says what a record is about.
 type Kind uint8
 
-// Kinds in the order in which they get room in a message.
+// Kinds in the order in which they get room in a message. Few and urgent ones come first: with members first, a dead
+// target waited 25 s behind the 840 records of a cold start.
 const (
-	KindMember Kind = iota + 1 // key: name of the member
-	KindTarget                 // key: name of the target
+	KindTarget Kind = iota + 1 // key: name of the target
 	KindCrash                  // key: digest of the request
+	KindMember                 // key: name of the member
 	KindDemand                 // key: name of the member
 )
 
--- a/core/bergamotmember/store.go
+++ b/core/bergamotmember/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -10,6 +9,8 @@
 // hotSends is how often a record is passed on to members that already have it. With 3 for all kinds a dead target
 // took over 12 s to reach 40 members, since gossip missed some and only digests repaired them. Demand gets fewer
 // sends, as it is most of the traffic.
+const maxHot = 10
+
 var hotSends = map[Kind]int{KindMember: 8, KindTarget: 10, KindCrash: 10, KindDemand: 7}
 
 // capacities bound the records of each kind, so that a flood of hints cannot grow the memory.
@@ -43,14 +44,14 @@
 type store struct {
 	all     map[id]*held
 	byHash  map[uint32]id
-	hot     map[id]*held
+	hot     [KindDemand + 1][maxHot + 1][]*held // by kind and sends left; one whose count has changed is skipped
 	counts  map[Kind]int
 	buckets [MaxBuckets]uint32
 	members [MaxBuckets]map[id]*held
 }
 
 func newStore() *store {
-	s := &store{all: map[id]*held{}, byHash: map[uint32]id{}, hot: map[id]*held{}, counts: map[Kind]int{}}
+	s := &store{all: map[id]*held{}, byHash: map[uint32]id{}, counts: map[Kind]int{}}
 	for n := range s.members {
 		s.members[n] = map[id]*held{}
 	}
@@ -72,11 +73,12 @@
 	if ok {
 		s.remove(i)
 	}
-	h := &held{record: r, at: now, from: from, hot: hotSends[r.kind]}
+	h := &held{record: r, at: now, from: from}
 	if r.kind != KindMember {
 		h.expires = now.Add(r.left)
 	}
-	s.all[i], s.hot[i], s.byHash[i.hash()] = h, h, i
+	s.all[i], s.byHash[i.hash()] = h, i
+	s.heat(h, hotSends[r.kind])
 	s.counts[r.kind]++
 	s.buckets[bucketOf(i)] ^= r.sum()
 	s.members[bucketOf(i)][i] = h
@@ -103,7 +105,6 @@
 	h.gone = true
 	s.buckets[bucketOf(i)] ^= h.record.sum()
 	delete(s.members[bucketOf(i)], i)
-	delete(s.hot, i)
 }
 
 // sweep hides expired records and, after another lifetime, forgets them.
@@ -128,7 +129,7 @@
 }
 
 // pick fills a message for a member: first the records owed to it, then hot ones by kind, the least sent first.
-func (s *store) pick(now time.Time, to string, owed []id, rng *rand.Rand) (out []Record) {
+func (s *store) pick(now time.Time, to string, owed []id) (out []Record) {
 	room, taken := maxBytes, map[id]bool{}
 	add := func(i id, h *held) bool {
 		if taken[i] || !h.live(now) || h.record.Size() > room || len(out) == MaxRecords {
@@ -144,38 +145,53 @@
 			add(i, h)
 		}
 	}
-	type candidate struct {
-		i    id
-		h    *held
-		rank uint32
-	}
-	list, salt := make([]candidate, 0, len(s.hot)), rng.Uint32()
-	for i, h := range s.hot {
-		if h.from != to {
-			list = append(list, candidate{i, h, (i.hash() ^ salt) * 2654435761})
+	for kind := range s.hot {
+		for level := maxHot; level > 0 && room >= minRecord && len(out) < MaxRecords; level-- {
+			s.scan(kind, level, func(h *held) bool {
+				if h.from != to {
+					add(h.record.id(), h)
+				}
+				return room >= minRecord && len(out) < MaxRecords
+			})
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.i.kind, b.i.kind), cmp.Compare(b.h.hot, a.h.hot),
-			cmp.Compare(a.rank, b.rank), cmp.Compare(a.i.key, b.i.key))
-	})
-	for _, c := range list {
-		if room < 20 || len(out) == MaxRecords {
-			break
+	return out
+}
+
+// minRecord is the size of the smallest record.
+const minRecord = 16
+
+// scan visits the records of one kind with the same sends left until visit returns false, and drops those that
+// are no longer such.
+func (s *store) scan(kind, level int, visit func(h *held) bool) {
+	list := s.hot[kind][level]
+	kept, n := 0, 0
+	for more := true; n < len(list) && more; n++ {
+		if h := list[n]; h.hot == level && !h.gone {
+			list[kept] = h
+			kept++
+			more = visit(h)
 		}
-		add(c.i, c.h)
 	}
-	return out
+	s.hot[kind][level] = append(list[:kept], list[n:]...)
 }
 
-// sent counts one send of a record that was no news to its receiver.
-func (s *store) sent(i id) {
-	h, ok := s.hot[i]
-	if !ok {
+// heat sets the sends left of a record.
+func (s *store) heat(h *held, level int) {
+	kind := int(h.record.kind)
+	if h.hot = level; level <= 0 {
 		return
 	}
-	if h.hot--; h.hot <= 0 {
-		delete(s.hot, i)
+	if len(s.hot[kind][level]) >= 2*capacities[h.record.kind] {
+		s.scan(kind, level, func(*held) bool { return true })
+	}
+	s.hot[kind][level] = append(s.hot[kind][level], h)
+}
+
+// sent counts one send of a record that was no news to its receiver.
+func (s *store) sent(i id) {
+	if h, ok := s.all[i]; ok && h.hot > 0 && !h.gone {
+		s.heat(h, h.hot-1)
 	}
 }
 
--- a/core/bergamotmember/tick.go
+++ b/core/bergamotmember/tick.go
@@ -55,7 +55,7 @@
 		// The peer can object only to what it knows of.
 		n.owe(to, id{KindMember, to})
 	}
-	s.Records = n.store.pick(now, to, n.take(to), n.rng)
+	s.Records = n.store.pick(now, to, n.take(to))
 	return Send{to: n.known[to], message: n.message(s)}
 }
 
@@ -107,7 +107,7 @@
 		r.state = Dead
 		n.keep(now, r, "")
 		// All members reach this conclusion at about the same time, so that one send is enough.
-		n.store.all[r.id()].hot = 1
+		n.store.heat(n.store.all[r.id()], 1)
 	}
 	for name := range n.known {
 		h, ok := n.store.all[id{KindMember, name}]
