Let fake engines take orders, check adapters and fence

Cause: the controllers need engines that reject an old fencing number and engines that ignore it, and an engine must refuse a span with an adapter that it does not hold. Change: order on the engine adapter and the fake, load time by layer, adapter check in open, weight store adapter and fake with a rate.

--- a/core/bergamotcontrol/probes.go
+++ b/core/bergamotcontrol/probes.go
@@ -20,6 +20,9 @@
 	return Report{running: running, queued: queued, leaving: leaving, holdings: holdings}
 }
 
+// Holdings returns the ranges of layers that the instance holds.
+func (r Report) Holdings() []bergamotfleet.Holding { return r.holdings }
+
 // Prober asks an instance for its report.
 type Prober interface {
 	Probe(ctx context.Context, address string) (Report, error)
--- a/io/bergamotengine/client.go
+++ b/io/bergamotengine/client.go
@@ -60,6 +60,17 @@
 	return c.wire.Post(ctx, address, "/span/cancel", NewSpanMessage(s), nil)
 }
 
+// Order tells an engine all that it should hold; the engine may ignore the fencing number.
+func (c *Client) Order(ctx context.Context, address string, number int64, holdings []bergamotfleet.Holding) error {
+	m := OrderMessage{Number: number, Holdings: []HoldingMessage{}}
+	for _, h := range holdings {
+		m.Holdings = append(m.Holdings, HoldingMessage{
+			Model: h.Model(), Version: h.Version(), From: h.From(), To: h.To(), Adapters: h.Adapters(),
+		})
+	}
+	return c.wire.Post(ctx, address, "/order", m, nil)
+}
+
 // Probe returns an engine's report about itself.
 func (c *Client) Probe(ctx context.Context, address string) (r bergamotcontrol.Report, err error) {
 	var m LoadMessage
--- a/io/bergamotengine/message.go
+++ b/io/bergamotengine/message.go
@@ -85,6 +85,12 @@
 	Adapters []string `json:"adapters,omitempty"`
 }
 
+// OrderMessage is the JSON form of a command that tells an engine all that it should hold.
+type OrderMessage struct {
+	Number   int64            `json:"number"`
+	Holdings []HoldingMessage `json:"holdings"`
+}
+
 // LoadMessage is the JSON form of an engine's report.
 type LoadMessage struct {
 	Running  int              `json:"running"`
--- a/io/bergamotfake/engine.go
+++ b/io/bergamotfake/engine.go
@@ -17,10 +17,14 @@
 	StepTime time.Duration // time of one batch
 	SlotTime time.Duration // time that each further sequence adds to a batch
 	Beat     time.Duration // time between two heartbeats on an idle stream
+	Fenced   bool          // rejects orders with an old fencing number; otherwise the number is ignored
+	LoadTime time.Duration // time to load one layer
 
 	mu       sync.Mutex
 	holdings []bergamotengine.HoldingMessage
 	leaving  bool
+	number   int64 // highest fencing number of an order
+	orders   int   // orders carried out
 	spans    map[key]*span
 	queue    []StepMessage
 	busy     bool
--- a/io/bergamotfake/engine_http.go
+++ b/io/bergamotfake/engine_http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,6 +28,7 @@
 	}))
 	mux.HandleFunc("POST /span/cancel", handle(e.cancel))
 	mux.HandleFunc("GET /span/stream", e.stream)
+	mux.HandleFunc("POST /order", handle(e.order))
 	mux.HandleFunc("GET /load", e.load)
 	return mux
 }
@@ -43,7 +45,7 @@
 	}
 }
 
-// open refuses a span of layers that the engine does not hold.
+// open refuses a span of layers, a version or an adapter that the engine does not hold.
 func (e *Engine) open(m bergamotengine.SpanMessage) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -51,7 +53,8 @@
 		return http.StatusConflict
 	}
 	for _, h := range e.holdings {
-		if h.Model == m.Model && h.Version == m.Version && h.From <= m.From && h.To >= m.To {
+		if h.Model == m.Model && h.Version == m.Version && h.From <= m.From && h.To >= m.To &&
+			(m.Adapter == "" || slices.Contains(h.Adapters, m.Adapter)) {
 			e.spans[key{m.Session, m.Attempt}] = newSpan(m)
 			return http.StatusOK
 		}
--- a/io/bergamotfake/platform.go
+++ b/io/bergamotfake/platform.go
@@ -10,13 +10,14 @@
 	Table     *Table
 	Objects   *Objects
 	Instances *Instances
+	Weights   *Weights
 
 	server *Server
 }
 
 // NewPlatform returns a platform that keeps nothing yet.
 func NewPlatform() *Platform {
-	return &Platform{Table: NewTable(), Objects: NewObjects(), Instances: NewInstances()}
+	return &Platform{Table: NewTable(), Objects: NewObjects(), Instances: NewInstances(), Weights: NewWeights()}
 }
 
 // Start serves the platform on address.
@@ -25,6 +26,7 @@
 	mux.Handle("/table/", p.Table.Handler())
 	mux.Handle("/objects/", p.Objects.Handler())
 	mux.Handle("/instances", p.Instances.Handler())
+	mux.Handle("/weights/", p.Weights.Handler())
 	p.server, err = Listen(address, mux)
 	return err
 }
--- /dev/null
+++ b/io/bergamotweight/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotweight reserves loading rate at the platform's weight store.
+package bergamotweight
