--- a/core/bergamotcontrol/members_test.go
+++ b/core/bergamotcontrol/members_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotmember"
@@ -16,10 +18,17 @@
 // silent is a link to peers that never answer.
 type silent struct{}
 
-func (silent) Send(ctx context.Context, _ bergamotmember.Peer, _ bergamotmember.Message) (bergamotmember.Message, error) {
+func (silent) Send(_ context.Context, _ bergamotmember.Peer, _ bergamotmember.Message) (bergamotmember.Message, error) {
 	return bergamotmember.Message{}, context.DeadlineExceeded
 }
 
+// heads is a source without a bundle.
+type heads struct{}
+
+func (*heads) Head(context.Context, *bergamotbundle.Bundle) (*bergamotbundle.Bundle, error) {
+	return nil, nil
+}
+
 var _ = ginkgo.Describe("Members", func() {
 	var (
 		s *bergamotcontrol.State
@@ -83,6 +92,36 @@
 		gomega.Expect(usable(60 * time.Second)).To(gomega.BeTrue())
 	})
 
+	// Guards against a head that takes a whole period of reads at each entry although a peer already knows it.
+	ginkgo.It("reads the head sooner when a peer knows a newer one, and not more often than that", func() {
+		reads := &heads{}
+		h := &bergamotcontrol.Heads{
+			Source: reads, Period: 4 * time.Second, Timeout: time.Minute, Random: func() float64 { return 0.5 }, Report: func(error) {},
+		}
+		b, err := bergamotbundle.Parse("test", []byte("[bundle]\nversion = 1\n[operator o]\nkey = "+strings.Repeat("A", 43)+"=\n"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		s.SetBundle(b)
+		due := func(after time.Duration) int {
+			s.SetNow(base.Add(after))
+			c.Reconcile(s)
+			tasks := h.Reconcile(s)
+			for _, t := range tasks {
+				t.Run(context.Background()).Apply(s)
+			}
+			return len(tasks)
+		}
+		gomega.Expect(due(0)).To(gomega.Equal(1))
+		gomega.Expect(due(2 * time.Second)).To(gomega.Equal(0))
+		m, _ := bergamotmember.NewMessage(bergamotmember.MessageSpec{
+			From: "b", Incarnation: 1, Head: bergamotmember.NewHead(2, "d"),
+		})
+		_, err = c.Heartbeat(context.Background(), "b", m)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(due(2300 * time.Millisecond)).To(gomega.Equal(1))
+		gomega.Expect(due(2800 * time.Millisecond)).To(gomega.Equal(0))
+		gomega.Expect(due(3400 * time.Millisecond)).To(gomega.Equal(1))
+	})
+
 	ginkgo.It("reports what it saw itself", func() {
 		i, _ := s.Instance("t")
 		spec := i.Spec()
