--- a/core/bergamotcontrol/members.go
+++ b/core/bergamotcontrol/members.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// ReportCrash spreads a request, named by its digest, that was confirmed to crash targets. It tells whether the control
+// loop had room.
+func (c *Members) ReportCrash(digest string, data []byte, lifetime time.Duration) bool {
+	return c.Post(EventFunc(func(s *State) { c.Node.ReportCrash(s.Now(), digest, data, lifetime) }))
+}
+
 func (c *Members) task(send bergamotmember.Send) Task {
 	to := send.To()
 	return NewTask(c.Name()+" "+to.Name(), func(ctx context.Context) Event {
--- a/core/bergamotmember/cluster_test.go
+++ b/core/bergamotmember/cluster_test.go
@@ -22,6 +22,7 @@
 	nodes   map[string]*bergamotmember.Node
 	linked  func(from, to string) bool
 	measure bool
+	churn   bool // every member but the first changes its demand once in 4 minutes, as often as it is announced unchanged
 	bytes   int64
 }
 
@@ -53,6 +54,9 @@
 // step advances the time by 0.1 s and exchanges the heartbeats that are due, in random order.
 func (c *cluster) step() {
 	c.now = c.now.Add(100 * time.Millisecond)
+	if c.churn && c.rng.IntN(2400) < len(c.peers) {
+		c.demand(1+c.rng.IntN(len(c.peers)-1), 1+uint32(c.rng.IntN(100)))
+	}
 	for _, k := range c.rng.Perm(len(c.peers)) {
 		// A member that starts later than others ticks in another phase.
 		if n, ok := c.nodes[c.name(k)]; ok && (n.Wait(c.now) == 0) && c.rng.IntN(2) == 0 {
--- a/core/bergamotmember/tick.go
+++ b/core/bergamotmember/tick.go
@@ -18,7 +18,8 @@
 // Message returns the heartbeat.
 func (s Send) Message() Message { return s.message }
 
-// Tick runs what is due and returns the heartbeats to send; each must end in Answered or Failed.
+// Tick runs what is due and returns the heartbeats to send; one that ends in neither Answered nor Failed
+// counts as not sent.
 func (n *Node) Tick(now time.Time) (out []Send) {
 	if !now.Before(n.nextSweep) {
 		n.nextSweep = now.Add(sweeping)
