Wire membership and placement into the entry

Cause: membership, lease and placement were built but no entry ran them. Change: with a [peers] section an entry listens for other entries and exchanges heartbeats; every entry takes part in the placement lease and the holder orders the runners; a shutdown releases the lease after the control loop has ended. Seeds are NAME@IP:PORT, since a peer is known by the name in its certificate. Ruled out: seeds without names, which the authentication could not check. No end-to-end test of two wired entries yet.

--- a/core/bergamotsetting/peers.go
+++ b/core/bergamotsetting/peers.go
@@ -1,11 +1,15 @@
 package bergamotsetting
 
-import "bergamotspur/core/bergamotini"
+import (
+	"strings"
+
+	"bergamotspur/core/bergamotini"
+)
 
 // peers is the section [peers]; without it an entry talks to no other entry.
 type peers struct {
 	peerAddress string
-	seeds       []string
+	seeds       []Seed
 	cert        string
 	key         string
 	ca          string
@@ -17,11 +21,12 @@
 
 func (p *peers) read(c *bergamotini.Section) {
 	p.peerAddress = address(c, "listen")
-	p.seeds = c.List("seeds")
-	for _, seed := range p.seeds {
-		if !isAddress(seed) {
-			c.Fault("seeds", "%q is not an IP address with a port", seed)
+	for _, v := range c.List("seeds") {
+		name, at, ok := strings.Cut(v, "@")
+		if !ok || name == "" || !isAddress(at) {
+			c.Fault("seeds", "%q is not a name, an @ and an IP address with a port", v)
 		}
+		p.seeds = append(p.seeds, Seed{name: name, address: at})
 	}
 	p.cert, p.key, p.ca = c.Need("cert"), c.Need("key"), c.Need("ca")
 }
@@ -32,8 +37,8 @@
 // Peers returns the address that other entries use, empty for no peers.
 func (p *peers) Peers() string { return p.peerAddress }
 
-// Seeds returns the addresses of entries to contact first, none by default.
-func (p *peers) Seeds() []string { return p.seeds }
+// Seeds returns the entries to contact before the instance list is known, none by default.
+func (p *peers) Seeds() []Seed { return p.seeds }
 
 // PeerCert returns the file of the certificate in PEM.
 func (p *peers) PeerCert() string { return p.cert }
--- /dev/null
+++ b/core/bergamotsetting/seed.go
@@ -0,0 +1,13 @@
+package bergamotsetting
+
+// Seed is another entry that the settings name. Its name is the first DNS name of its certificate.
+type Seed struct {
+	name    string
+	address string
+}
+
+// Name returns the unique name of the entry.
+func (s Seed) Name() string { return s.name }
+
+// Address returns host and port for peers.
+func (s Seed) Address() string { return s.address }
--- a/core/bergamotsetting/setting_test.go
+++ b/core/bergamotsetting/setting_test.go
@@ -44,7 +44,7 @@
 	// Guards against a fault that is missed, that hides another one, or that points to the wrong place.
 	bergamottest.Entries(map[string]faultCase{
 		"accept valid text": {},
-		"accept peers": {old: "[trust]", new: "[peers]\nlisten = 10.0.0.1:7000\nseeds = 10.0.0.2:7000, [::1]:7000\n" +
+		"accept peers": {old: "[trust]", new: "[peers]\nlisten = 10.0.0.1:7000\nseeds = e2@10.0.0.2:7000, e3@[::1]:7000\n" +
 			"cert = a\nkey = b\nca = c\n[trust]"},
 		"report an unknown key":     {old: "name = entry1", new: "name = entry1\nnames = x", want: []string{`f:3: [entry] names: unknown key`}},
 		"report an unknown section": {old: "[trust]", new: "[extra]\na = 1\n[trust]", want: []string{`f:12: [extra] unknown section`}},
@@ -98,7 +98,7 @@
 		},
 		"report peers without keys": {old: "[trust]", new: "[peers]\nlisten = 10.0.0.1:7000\nseeds = x\n[trust]", want: []string{
 			`f:12: [peers] cert: is required`, `f:12: [peers] key: is required`, `f:12: [peers] ca: is required`,
-			`f:14: [peers] seeds: "x" is not an IP address with a port`,
+			`f:14: [peers] seeds: "x" is not a name, an @ and an IP address with a port`,
 		}},
 		"report everything at once": {
 			old: "[trust]", new: "[timing]\nhead = soon\nstal = 1s\nattempts = 0\n[nothing]\n[trust]",
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -7,6 +7,7 @@
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotmember"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/core/bergamotroute"
@@ -17,6 +18,7 @@
 	"bergamotspur/io/bergamotobject"
 	"bergamotspur/io/bergamotservice"
 	"bergamotspur/io/bergamottable"
+	"bergamotspur/io/bergamotweight"
 )
 
 const (
@@ -35,13 +37,14 @@
 	table    *bergamottable.Client
 	objects  *bergamotobject.Client
 	list     *bergamotlist.Client
+	weights  *bergamotweight.Client
 }
 
 func newAdapters(s *bergamotsetting.Setting) *adapters {
 	return &adapters{
 		engines: bergamotengine.NewClient(), services: bergamotservice.NewClient(),
 		table: bergamottable.NewClient(s.Table()), objects: bergamotobject.NewClient(s.Objects()),
-		list: bergamotlist.NewClient(s.List()),
+		list: bergamotlist.NewClient(s.List()), weights: bergamotweight.NewClient(s.Weights()),
 	}
 }
 
@@ -51,22 +54,29 @@
 	a.table.Close()
 	a.objects.Close()
 	a.list.Close()
+	a.weights.Close()
 }
 
 // newLoop returns the control loop with its controllers.
 func (e *Entry) newLoop() *bergamotcontrol.Loop {
 	s := e.Setting
+	controllers := []bergamotcontrol.Controller{
+		&bergamotcontrol.Instances{Source: e.adapters.list, Period: s.Poll(), Report: e.report("instances")},
+	}
+	if e.peers != nil {
+		controllers = append(controllers, e.peers.controller)
+	}
+	// Probes come last, since those of a large fleet can fill the room for tasks.
 	return &bergamotcontrol.Loop{
 		Clock: e.clock, Period: loopPeriod, Drops: func() { e.metrics.Count("control.drops") },
-		Controllers: []bergamotcontrol.Controller{
-			&bergamotcontrol.Instances{Source: e.adapters.list, Period: s.Poll(), Report: e.report("instances")},
-			&bergamotcontrol.Probes{Source: e.adapters.engines, Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses},
+		Controllers: append(controllers,
+			e.newPlacement(),
 			&bergamotcontrol.Heads{
-				// A membership component sets Peers to fetch the bundle text from other entries.
 				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects, Trust: s.Trust(), Timeout: headTimeout},
 				Period: s.Head(), Timeout: textTimeout, Random: rand.Float64, Report: e.report("heads"),
 			},
-		},
+			&bergamotcontrol.Probes{Source: e.adapters.engines, Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses},
+		),
 	}
 }
 
@@ -77,6 +87,14 @@
 	}
 }
 
+// seeds returns the entries that the settings name.
+func seeds(s *bergamotsetting.Setting) (out []bergamotmember.Peer) {
+	for _, seed := range s.Seeds() {
+		out = append(out, bergamotmember.NewPeer(seed.Name(), seed.Address()))
+	}
+	return out
+}
+
 // newChain returns the filter chain in the order in which a request passes it.
 func (e *Entry) newChain() bergamotchain.Handler {
 	return bergamotchain.NewChain(
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -15,6 +15,7 @@
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotlease"
 	"bergamotspur/core/bergamotretry"
 	"bergamotspur/core/bergamotsetting"
 	"bergamotspur/io/bergamotfront"
@@ -33,6 +34,8 @@
 	loop      *bergamotcontrol.Loop
 	drain     *bergamotfilter.Drain
 	adapters  *adapters
+	peers     *peers
+	lease     *bergamotlease.Lease
 	retries   *bergamotretry.Retries
 	claims    *bergamotclaim.Claims
 	callers   net.Listener
@@ -47,14 +50,17 @@
 	e.adapters = newAdapters(e.Setting)
 	e.retries = e.newRetries()
 	e.claims = e.newClaims()
+	if e.peers, err = e.newPeers(); err != nil {
+		return err
+	}
 	e.loop = e.newLoop()
 	e.loop.Init()
 	e.drain = bergamotfilter.NewDrain()
 	if e.callers, err = net.Listen("tcp", e.Setting.Callers()); err != nil {
-		return err
+		return e.peers.abandon(err)
 	}
 	if e.operators, err = net.Listen("tcp", e.Setting.Operators()); err != nil {
-		return errors.Join(err, e.callers.Close())
+		return e.peers.abandon(errors.Join(err, e.callers.Close()))
 	}
 	return nil
 }
@@ -75,12 +81,14 @@
 func (e *Entry) Run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("entry").Wrapf(err, "run") }()
 	defer e.adapters.close()
+	defer e.peers.close()
 	front := &bergamotfront.Server{Chain: e.newChain(), Views: e.loop, Clock: e.clock, Entry: e.Setting.Name()}
 	root := suture.New(e.Setting.Name(), suture.Spec{EventHook: e.hook, Timeout: 5 * time.Second})
 	root.Add(&service{name: "control", run: e.loop.Run})
 	root.Add(&service{name: "claims", run: e.claims.Run})
 	root.Add(newHTTPService("callers", e.callers, front.Handler()))
 	root.Add(newHTTPService("operators", e.operators, e.operatorHandler()))
+	e.peers.serve(root)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := root.ServeBackground(serving)
@@ -88,7 +96,10 @@
 	<-ctx.Done()
 	e.awaitIdle()
 	stop()
-	if err = <-done; errors.Is(err, context.Canceled) {
+	err = <-done
+	// The control loop has ended, so that no command can follow the release.
+	e.releaseLease()
+	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/io/bergamotentry/placement.go
@@ -0,0 +1,46 @@
+package bergamotentry
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotlease"
+)
+
+// Times of the placement controller. The term bounds how long placement rests after the holder died; the margin
+// covers the drift between two monotonic clocks.
+const (
+	leaseKey      = "lease-placement"
+	leaseTerm     = 15 * time.Second
+	leaseMargin   = 3 * time.Second
+	leaseRenew    = 5 * time.Second
+	placementPass = 2 * time.Second
+	loadingTime   = 2 * time.Minute
+	loadsAtOnce   = 4
+	// Without a release the other entries wait for the term, so that a slow table must not delay the shutdown.
+	releaseTimeout = time.Second
+)
+
+// newPlacement returns the controller that brings the runners to the bundle while this entry holds the lease.
+func (e *Entry) newPlacement() *bergamotcontrol.Placement {
+	e.lease = &bergamotlease.Lease{
+		Table: e.adapters.table, Clock: e.clock, Key: leaseKey, Holder: e.Setting.Name(),
+		Term: leaseTerm, Margin: leaseMargin, Stamp: rand.Text,
+	}
+	return &bergamotcontrol.Placement{
+		Lease: e.lease, Engine: e.adapters.engines, Weights: e.adapters.weights, Clock: e.clock,
+		Renew: leaseRenew, Period: placementPass, Settle: 2 * e.Setting.Probe(), Loading: loadingTime, Loads: loadsAtOnce,
+		Report: e.report("placement"), Count: e.metrics.Count,
+	}
+}
+
+// releaseLease spares the other entries the wait for the end of the term.
+func (e *Entry) releaseLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := e.lease.Release(ctx); err != nil {
+		e.log.Warn("lease not released: %s", err)
+	}
+}
