Learn the step time of targets from observed token times

Cause: the router had no notion of how a target's step time grows with its work. Ruled out: learning from the rate at the last stage alone; a token's time is the sum over all stages and links, so that a slow first stage looked like a slow path.

--- /dev/null
+++ b/core/bergamotcurve/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotcurve learns how the step time of a target grows with the work that is assigned to it.
+package bergamotcurve
