Choose paths by expected time over an index of the view

Cause: the router scanned every runner at every layer, counted only its own work and knew no stage or link times. Ruled out: comparing all targets of a group, which makes entries with the same old report choose the same target, and entries' own counts alone, which do not see the other entries. Change: dynamic programming over layer bounds and data centres; targets alike in range, data centre and kind form a group of which three are compared; reports are discounted by age towards the mean of the fleet and never lower the entry's own count; the weight of throughput counts the time added to other sequences. The best bound is the maximum flow through the layers.

--- /dev/null
+++ b/core/bergamotroute/route_test.go
@@ -0,0 +1,210 @@
+package bergamotroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotcurve"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotroute"
+	"bergamotspur/core/bergamottest"
+)
+
+func TestRoute(t *testing.T) { bergamottest.Run(t, "route") }
+
+var start = time.Unix(1e9, 0)
+
+func bundle() *bergamotbundle.Bundle {
+	b, err := bergamotbundle.Parse("test", []byte("[bundle]\nversion=1\n[model m]\nlayers=12\n[pipeline p]\nmodel=m\n"+
+		"[kind fast]\nstep=100\nslope=20\n[kind slow]\nstep=400\nslope=80\n"+
+		"[operator mari]\nkey=11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return b
+}
+
+func runner(name, kind string, from, to int, l bergamotfleet.Load) bergamotfleet.Instance {
+	return bergamotfleet.NewInstance(bergamotfleet.Spec{
+		Name: name, Address: name, Centre: "tartu", Kind: kind, Role: bergamotfleet.RoleRunner, Load: l,
+		Holdings: []bergamotfleet.Holding{bergamotfleet.NewHolding("m", "1", from, to)},
+	})
+}
+
+func want(b *bergamotbundle.Bundle, instances ...bergamotfleet.Instance) bergamotroute.Want {
+	p, _ := b.Pipeline("p")
+	return bergamotroute.Want{Pipeline: p, Bundle: b, Fleet: bergamotfleet.NewFleet(instances)}
+}
+
+func newRouter() (*bergamotroute.Router, *bergamotclock.Virtual) {
+	c := bergamotclock.NewVirtual(start)
+	return bergamotroute.NewRouter(c, rand.New(rand.NewPCG(1, 1)), "tartu"), c
+}
+
+type pathCase struct {
+	runners []bergamotfleet.Instance
+	avoid   map[string]bool
+	want    []string // empty when no path exists
+}
+
+var _ = ginkgo.Describe("route", func() {
+	none := bergamotfleet.Load{}
+	// Guards against paths with gaps or overlaps and against ranges that are used only from their first layer.
+	bergamottest.Entries(map[string]pathCase{
+		"enters an overlapping range in its middle": {
+			runners: []bergamotfleet.Instance{runner("a", "fast", 0, 6, none), runner("b", "fast", 3, 12, none)}, want: []string{"a", "b"},
+		},
+		"prefers the faster kind": {
+			runners: []bergamotfleet.Instance{runner("a", "slow", 0, 12, none), runner("b", "fast", 0, 6, none), runner("c", "fast", 6, 12, none)},
+			want:    []string{"b", "c"},
+		},
+		"follows a current report of load": {
+			runners: []bergamotfleet.Instance{
+				runner("a", "fast", 0, 12, bergamotfleet.NewLoad(50, 0, start)), runner("b", "fast", 0, 12, bergamotfleet.NewLoad(1, 0, start)),
+			},
+			want: []string{"b"},
+		},
+		"leaves out avoided instances": {
+			runners: []bergamotfleet.Instance{runner("a", "fast", 0, 12, none), runner("b", "slow", 0, 12, none)},
+			avoid:   map[string]bool{"a": true}, want: []string{"b"},
+		},
+		"finds no path over a gap": {
+			runners: []bergamotfleet.Instance{runner("a", "fast", 0, 5, none), runner("b", "fast", 6, 12, none)},
+		},
+	}, func(c pathCase) {
+		r, _ := newRouter()
+		w := want(bundle(), c.runners...)
+		w.Avoid = c.avoid
+		p, ok := r.Route(w)
+		gomega.Expect(ok).To(gomega.Equal(len(c.want) > 0))
+		if ok {
+			gomega.Expect(p.Instances()).To(gomega.Equal(c.want))
+			gomega.Expect(p.Covers(12)).To(gomega.BeTrue())
+		}
+	})
+
+	// Guards against an idle report that hides the entry's own requests in flight.
+	ginkgo.It("counts its own work although the report says idle", func() {
+		r, _ := newRouter()
+		w := want(bundle(), runner("a", "fast", 0, 12, bergamotfleet.NewLoad(0, 0, start)), runner("b", "fast", 0, 12, bergamotfleet.NewLoad(0, 0, start)))
+		count := map[string]int{}
+		for range 20 {
+			p, _ := r.Route(w)
+			count[p.Instances()[0]]++
+		}
+		gomega.Expect(count).To(gomega.Equal(map[string]int{"a": 10, "b": 10}))
+	})
+
+	// Guards against an old report of high load that keeps an instance without work.
+	ginkgo.It("discounts a report by its age", func() {
+		r, c := newRouter()
+		w := want(bundle(), runner("a", "fast", 0, 12, bergamotfleet.NewLoad(6, 0, start)), runner("b", "fast", 0, 12, bergamotfleet.NewLoad(0, 0, start)))
+		cheap := func() (n int) {
+			var plans []bergamotroute.Plan
+			for range 6 {
+				p, _ := r.Route(w)
+				plans = append(plans, p)
+				if p.Instances()[0] == "a" {
+					n++
+				}
+			}
+			for _, p := range plans {
+				r.Finish(p)
+			}
+			return n
+		}
+		gomega.Expect(cheap()).To(gomega.BeNumerically("<=", 1))
+		c.Advance(20 * time.Second)
+		gomega.Expect(cheap()).To(gomega.Equal(3))
+	})
+
+	// Guards against a bound that counts only the whole range of a target or ignores the narrowest layers.
+	ginkgo.It("bounds the flow by the layers with the least rate", func() {
+		r, _ := newRouter()
+		unit := r.Bound(want(bundle(), runner("a", "fast", 0, 12, none)), 20*time.Millisecond).Rate()
+		two := want(bundle(), runner("a", "fast", 0, 6, none), runner("b", "fast", 6, 12, none))
+		gomega.Expect(r.Bound(two, 20*time.Millisecond).Rate()).To(gomega.BeNumerically("~", 2*unit, 0.01*unit))
+		three := want(bundle(), runner("a", "fast", 0, 6, none), runner("b", "fast", 6, 12, none), runner("c", "fast", 6, 12, none))
+		gomega.Expect(r.Bound(three, 20*time.Millisecond).Rate()).To(gomega.BeNumerically("~", 2*unit, 0.01*unit))
+		overlap := want(bundle(), runner("a", "fast", 0, 6, none), runner("b", "fast", 6, 12, none), runner("c", "fast", 0, 12, none))
+		gomega.Expect(r.Bound(overlap, 20*time.Millisecond).Rate()).To(gomega.BeNumerically("~", 3*unit, 0.01*unit))
+	})
+
+	// Guards against garbage for every choice; the bound is the plan itself.
+	ginkgo.It("allocates only the plan", func() {
+		r, _ := newRouter()
+		w := want(bundle(), fleet(3100)...)
+		allocations := testing.AllocsPerRun(100, func() {
+			p, _ := r.Route(w)
+			r.Finish(p)
+		})
+		gomega.Expect(allocations).To(gomega.BeNumerically("<=", 1))
+	})
+
+	// Guards against a learner that the router never feeds, or feeds with the wrong stage.
+	ginkgo.It("turns away from a stage that was observed to be slow", func() {
+		r, c := newRouter()
+		r.Curves.Start("fast", bergamotcurve.NewCurve(100, 20))
+		w := want(bundle(), runner("a", "fast", 0, 12, none), runner("b", "fast", 0, 12, none))
+		for range 100 {
+			p, _ := r.Route(w)
+			if p.Instances()[0] == "a" {
+				r.Observe(p, 12*time.Millisecond)
+			} else {
+				r.Observe(p, 1200*time.Microsecond)
+			}
+			r.Finish(p)
+			c.Advance(100 * time.Millisecond)
+		}
+		p, _ := r.Route(w)
+		gomega.Expect(p.Instances()).To(gomega.Equal([]string{"b"}))
+	})
+})
+
+// fleet returns n runners in five data centres and two kinds that hold overlapping ranges.
+func fleet(n int) (list []bergamotfleet.Instance) {
+	ranges := [][2]int{{0, 4}, {0, 6}, {4, 8}, {4, 12}, {6, 12}, {8, 12}}
+	for i := range n {
+		spec := runner(fmt.Sprint("r", i), []string{"fast", "slow"}[i%2], ranges[i%6][0], ranges[i%6][1], bergamotfleet.NewLoad(i%7, 0, start)).Spec()
+		spec.Centre = fmt.Sprint("centre", i%5)
+		list = append(list, bergamotfleet.NewInstance(spec))
+	}
+	return list
+}
+
+func BenchmarkRoute(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	text := bundle()
+	for _, n := range []int{40, 400, 3100} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			r, _ := newRouter()
+			w := want(text, fleet(n)...)
+			b.ReportAllocs()
+			for b.Loop() {
+				p, _ := r.Route(w)
+				r.Finish(p)
+			}
+		})
+	}
+}
+
+func BenchmarkIndex(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	text := bundle()
+	for _, n := range []int{40, 400, 3100} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			r, c := newRouter()
+			w := want(text, fleet(n)...)
+			for b.Loop() {
+				c.Advance(2 * time.Second)
+				p, _ := r.Route(w)
+				r.Finish(p)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/bergamotroute/search.go
@@ -0,0 +1,161 @@
+package bergamotroute
+
+import "math"
+
+const (
+	// sample is how many targets of a group are compared. Looking at all of them makes entries that see the same
+	// old report choose the same target.
+	sample = 3
+	// embed is the share of a token's time that a cached prefix may save at the first stage.
+	embed = 0.5
+)
+
+// search holds the buffers of one choice, so that they are reused.
+type search struct {
+	cost  []float64 // by bound and data centre
+	from  []step    // how that node is reached
+	best  []*target // of each group
+	layer []float64 // time of one layer on it
+	in    []float64 // by data centre, cheapest way to begin a stage there
+	prev  []int
+	path  []step
+}
+
+// step is a stage of a path under construction.
+type step struct {
+	target   *target
+	bound    int // index of the bound at which the stage begins
+	centre   int // data centre of the stage before
+	from, to int
+}
+
+// run finds the cheapest path over nodes of layer bound and data centre, and returns its time in microseconds.
+func (s *search) run(r *Router, x *index, c *chart, w Want) (us float64, ok bool) {
+	s.choose(r, x, c, w)
+	centres := len(x.centres)
+	s.cost = resize(s.cost, len(c.bounds)*centres, math.Inf(1))
+	s.from = resize(s.from, len(c.bounds)*centres, step{})
+	s.in, s.prev = resize(s.in, centres, 0), resize(s.prev, centres, 0)
+	s.cost[x.home] = 0
+	for n, bound := range c.bounds[:len(c.bounds)-1] {
+		if !s.enter(x, n) {
+			continue
+		}
+		for g, group := range c.groups {
+			if group.from > bound {
+				break
+			}
+			if group.to <= bound || s.best[g] == nil {
+				continue
+			}
+			cost := s.in[group.centre] + s.layer[g]*float64(group.to-bound)
+			if bound == 0 && r.Affinity != nil && w.Prompt != "" {
+				share := r.Affinity.Share(s.best[g].name, w.Pipeline.Model().Name(), w.Prompt)
+				cost -= embed * share * s.layer[g] * float64(group.to-bound)
+			}
+			to := indexOf(c.bounds, group.to)*centres + group.centre
+			if cost < s.cost[to] {
+				s.cost[to] = cost
+				s.from[to] = step{s.best[g], n, s.prev[group.centre], bound, group.to}
+			}
+		}
+	}
+	return s.finish(c, centres)
+}
+
+// enter finds the cheapest data centre from which to begin a stage in each data centre at a bound.
+func (s *search) enter(x *index, bound int) (reached bool) {
+	nodes := s.cost[bound*len(x.centres):][:len(x.centres)]
+	for to := range x.centres {
+		s.in[to] = math.Inf(1)
+		for from, cost := range nodes {
+			if c := cost + x.links[from][to]; c < s.in[to] {
+				s.in[to], s.prev[to], reached = c, from, true
+			}
+		}
+	}
+	return reached
+}
+
+func (s *search) finish(c *chart, centres int) (us float64, ok bool) {
+	last := (len(c.bounds) - 1) * centres
+	end := last
+	for n := last; n < last+centres; n++ {
+		if s.cost[n] < s.cost[end] {
+			end = n
+		}
+	}
+	us = s.cost[end]
+	if math.IsInf(us, 1) {
+		return 0, false
+	}
+	s.path = s.path[:0]
+	for node := end; ; {
+		st := s.from[node]
+		s.path = append(s.path, st)
+		if st.from == 0 {
+			return us, true
+		}
+		node = st.bound*centres + st.centre
+	}
+}
+
+// plan returns the path of the last run.
+func (s *search) plan() Plan {
+	stages := make([]Stage, 0, len(s.path))
+	for n := len(s.path) - 1; n >= 0; n-- {
+		st := s.path[n]
+		stages = append(stages, NewStage(st.target.name, st.target.address, st.from, st.to))
+	}
+	return Plan{stages: stages}
+}
+
+// choose picks a target of each group.
+func (s *search) choose(r *Router, x *index, c *chart, w Want) {
+	s.best, s.layer = resize(s.best, len(c.groups), nil), resize(s.layer, len(c.groups), 0)
+	for n, g := range c.groups {
+		if len(g.members) > sample {
+			for range sample {
+				s.offer(n, g.members[r.Random.IntN(len(g.members))], x, w)
+			}
+			if s.best[n] != nil {
+				continue
+			}
+		}
+		for _, t := range g.members {
+			s.offer(n, t, x, w)
+		}
+	}
+}
+
+func (s *search) offer(n int, t *target, x *index, w Want) {
+	if len(w.Avoid) > 0 && w.Avoid[t.name] {
+		return
+	}
+	if cost := t.cost(x.throughput); s.best[n] == nil || cost < s.layer[n] {
+		s.best[n], s.layer[n] = t, cost
+	}
+}
+
+func indexOf(bounds []int, layer int) int {
+	low, high := 0, len(bounds)-1
+	for low < high {
+		if mid := (low + high) / 2; bounds[mid] < layer {
+			low = mid + 1
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
+
+func resize[T any](s []T, n int, fill T) []T {
+	if cap(s) < n {
+		s = make([]T, n)
+	}
+	s = s[:n]
+	for i := range s {
+		s[i] = fill
+	}
+	return s
+}
--- a/core/bergamotsession/session.go
+++ b/core/bergamotsession/session.go
@@ -61,7 +61,10 @@
 func (s *Session) attempt(x *bergamotchain.Exchange, n int, tokens *[]int, avoid map[string]bool) (a *attempt, ok bool) {
 	r, p := x.Request(), x.Pipeline()
 	limit := min(r.Limit(), p.Limit())
-	want := bergamotroute.Want{Pipeline: p, Fleet: x.View().Fleet(), Avoid: avoid, Tokens: limit - len(*tokens)}
+	want := bergamotroute.Want{
+		Pipeline: p, Fleet: x.View().Fleet(), Bundle: x.View().Bundle(), Avoid: avoid,
+		Tokens: limit - len(*tokens), Prompt: r.Prompt(),
+	}
 	plan, ok := s.Router.Route(want)
 	if !ok {
 		return nil, false
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -100,7 +100,7 @@
 	return bergamotchain.NewChain(
 		&bergamotfilter.Dispatch{
 			Pipelines: &bergamotsession.Session{
-				Engine: e.adapters.engines, Router: bergamotroute.NewRouter(), Counter: e.metrics,
+				Engine: e.adapters.engines, Router: bergamotroute.NewRouter(e.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), e.Setting.DataCentre()), Counter: e.metrics,
 				Stall: e.Setting.Stall(), Attempts: e.Setting.Attempts(),
 			},
 			Services: &bergamotfilter.Call{Caller: e.adapters.services, Counter: e.metrics, Clock: e.clock, Retries: e.retries},
