Estimate prefix affinity from cache events

Cause: a choice ignored which targets had the beginning of a prompt in their caches. Holders of the longest beginning are offered to path selection with a small saving. Engines have an events call, which the fake engine serves.

--- a/core/bergamotroute/router.go
+++ b/core/bergamotroute/router.go
@@ -23,9 +23,10 @@
 	Weights(now time.Time, instances []bergamotfleet.Instance) []float64
 }
 
-// Affinity tells which share of a prompt's work an instance can skip, from 0 to 1.
+// Affinity tells which instances have the beginning of a prompt in their caches.
 type Affinity interface {
-	Share(instance, model, prompt string) float64
+	Blocks(buf []uint64, model, prompt string) []uint64
+	Holders(blocks []uint64, f func(instance string, share float64))
 }
 
 // Router chooses paths by expected time and counts the work that this entry has in flight on each instance.
--- a/core/bergamotroute/search.go
+++ b/core/bergamotroute/search.go
@@ -1,12 +1,16 @@
 package bergamotroute
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	// sample is how many targets of a group are compared. Looking at all of them makes entries that see the same
 	// old report choose the same target.
 	sample = 3
-	// embed is the share of a token's time that a cached prefix may save at the first stage.
+	// embed is the share of a token's base time that a whole cached prompt is worth. It is small, since a guess may be
+	// wrong and must not outweigh load.
 	embed = 0.5
 )
 
@@ -17,6 +21,10 @@
 	best  []*target // of each group
 	layer []float64 // time of one layer on it
 	in    []float64 // by data centre, cheapest way to begin a stage there
+	save  []float64 // time of one layer that a cached prefix saves on it at the first stage
+	share map[string]float64
+	block []uint64
+	note  func(instance string, share float64)
 	prev  []int
 	path  []step
 }
@@ -49,9 +57,8 @@
 				continue
 			}
 			cost := s.in[group.centre] + s.layer[g]*float64(group.to-bound)
-			if bound == 0 && r.Affinity != nil && w.Prompt != "" {
-				share := r.Affinity.Share(s.best[g].name, w.Pipeline.Model().Name(), w.Prompt)
-				cost -= embed * share * s.layer[g] * float64(group.to-bound)
+			if bound == 0 {
+				cost -= s.save[g] * float64(group.to)
 			}
 			to := indexOf(c.bounds, group.to)*centres + group.centre
 			if cost < s.cost[to] {
@@ -113,27 +120,60 @@
 // choose picks a target of each group.
 func (s *search) choose(r *Router, x *index, c *chart, w Want) {
 	s.best, s.layer = resize(s.best, len(c.groups), nil), resize(s.layer, len(c.groups), 0)
+	s.save = resize(s.save, len(c.groups), 0)
+	s.cached(r, w)
 	for n, g := range c.groups {
+		if g.from == 0 && len(s.share) > 0 {
+			s.prefer(n, g, x, w)
+		}
 		if len(g.members) > sample {
 			for range sample {
-				s.offer(n, g.members[r.Random.IntN(len(g.members))], x, w)
+				s.offer(n, g.members[r.Random.IntN(len(g.members))], g.from == 0, x, w)
 			}
 			if s.best[n] != nil {
 				continue
 			}
 		}
 		for _, t := range g.members {
-			s.offer(n, t, x, w)
+			s.offer(n, t, g.from == 0, x, w)
 		}
 	}
 }
 
-func (s *search) offer(n int, t *target, x *index, w Want) {
+func (s *search) offer(n int, t *target, first bool, x *index, w Want) {
 	if len(w.Avoid) > 0 && w.Avoid[t.name] {
 		return
 	}
-	if cost := t.cost(x.throughput); s.best[n] == nil || cost < s.layer[n] {
-		s.best[n], s.layer[n] = t, cost
+	cost := t.cost(x.throughput)
+	save := 0.0
+	if len(s.share) > 0 && first {
+		save = embed * s.share[t.name] * t.curve.Base()
+	}
+	if s.best[n] == nil || cost-save < s.layer[n]-s.save[n] {
+		s.best[n], s.layer[n], s.save[n] = t, cost, save
+	}
+}
+
+// cached finds the instances that have the beginning of the prompt.
+func (s *search) cached(r *Router, w Want) {
+	clear(s.share)
+	if r.Affinity == nil || w.Prompt == "" {
+		return
+	}
+	if s.share == nil {
+		s.share = map[string]float64{}
+		s.note = func(instance string, share float64) { s.share[instance] = share }
+	}
+	s.block = r.Affinity.Blocks(s.block[:0], w.Pipeline.Model().Name(), w.Prompt)
+	r.Affinity.Holders(s.block, s.note)
+}
+
+// prefer offers the members of a group that have the beginning of the prompt, which a sample would miss.
+func (s *search) prefer(n int, g *group, x *index, w Want) {
+	for name := range s.share {
+		if t := x.targets[name]; t != nil && slices.Contains(g.members, t) {
+			s.offer(n, t, true, x, w)
+		}
 	}
 }
 
--- a/io/bergamotfake/engine.go
+++ b/io/bergamotfake/engine.go
@@ -31,6 +31,7 @@
 	journal  []Entry
 	wire     *bergamotwire.Client
 	server   *Server
+	cache    cache
 }
 
 // Entry is one line of an engine's journal: layers that it ran for a position of a session.
@@ -178,6 +179,7 @@
 	s.seed, s.limit = m.Seed, m.Limit
 	position := s.message.Start
 	e.mu.Unlock()
+	e.cache.add(s.message.Model, m.Prompt)
 	step := StepMessage{
 		Session: m.Session, Attempt: m.Attempt, Position: position, Limit: m.Limit,
 		Digest: bergamotsession.FirstDigest(m.Session, m.Attempt, position),
--- a/io/bergamotfake/engine_http.go
+++ b/io/bergamotfake/engine_http.go
@@ -30,6 +30,7 @@
 	mux.HandleFunc("GET /span/stream", e.stream)
 	mux.HandleFunc("POST /order", handle(e.order))
 	mux.HandleFunc("GET /load", e.load)
+	mux.HandleFunc("GET /events", e.cache.serve)
 	return mux
 }
 
