--- /dev/null
+++ b/core/bergamotadmission/limiter_test.go
@@ -0,0 +1,102 @@
+package bergamotadmission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotadmission"
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamottest"
+)
+
+func TestAdmission(t *testing.T) { bergamottest.Run(t, "admission") }
+
+var start = time.Unix(1e9, 0)
+
+func workspace() bergamotbundle.Workspace {
+	b, err := bergamotbundle.Parse("test", []byte("[bundle]\nversion=1\n[operator mari]\nkey=11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n"+
+		"[workspace a]\nkeys="+bergamotbundle.HashKey("k")+"\nrate=20\ntokens=200\n"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	w, _ := b.Workspace("a")
+	return w
+}
+
+// entries is the hints that one of several entries has.
+type entries struct {
+	live     int
+	own, all float64
+}
+
+func (e entries) Live() int                        { return e.live }
+func (e entries) Demand(string) (own, all float64) { return e.own, e.all }
+
+// total sends 100 requests a second to each entry for 100 s and returns how many pass.
+func total(hints []entries, tokens float64) (admitted int) {
+	w := workspace()
+	for _, h := range hints {
+		l := bergamotadmission.NewLimiter()
+		l.Peers = h
+		for n := range 100 * 100 {
+			if reason, _ := l.Admit(start.Add(time.Duration(n)*10*time.Millisecond), w, tokens); reason == "" {
+				admitted++
+			}
+		}
+	}
+	return admitted
+}
+
+type limitCase struct {
+	hints  []entries
+	tokens float64
+	want   int // in 100 s, without the burst
+}
+
+var _ = ginkgo.Describe("limiter", func() {
+	one, four := entries{live: 1}, entries{live: 4}
+	// Guards against limits that grow with the number of entries or that uneven demand leaves unused.
+	bergamottest.Entries(map[string]limitCase{
+		"holds requests at one entry":     {[]entries{one}, 1, 2000},
+		"holds requests over four":        {[]entries{four, four, four, four}, 1, 2000},
+		"holds tokens at one entry":       {[]entries{one}, 50, 400},
+		"holds tokens over four":          {[]entries{four, four, four, four}, 50, 400},
+		"follows demand that is uneven":   {[]entries{{4, 75, 100}, {4, 25, 100}, {4, 0, 100}, {4, 0, 100}}, 1, 2000},
+		"ignores hints that contradict":   {[]entries{{2, 90, 10}, {2, 90, 10}}, 1, 2000},
+		"takes no live entry for one":     {[]entries{{0, 0, 0}}, 1, 2000},
+		"gives an unknown demand an even": {[]entries{four}, 1, 500},
+	}, func(c limitCase) {
+		gomega.Expect(total(c.hints, c.tokens)).To(gomega.BeNumerically("~", c.want, 0.08*float64(c.want)))
+	})
+
+	// Guards against tokens that were charged but never generated.
+	ginkgo.It("returns tokens that were not generated and charges those beyond the expected", func() {
+		l, w := bergamotadmission.NewLimiter(), workspace()
+		admit := func() bergamotrequest.Reason {
+			reason, _ := l.Admit(start, w, 1000)
+			return reason
+		}
+		gomega.Expect(admit()).To(gomega.BeEmpty())
+		gomega.Expect(admit()).To(gomega.Equal(bergamotrequest.ReasonTokens))
+		l.Settle(start, "a", -1000)
+		gomega.Expect(admit()).To(gomega.BeEmpty())
+		l.Settle(start, "a", 1000)
+		_, after := l.Admit(start, w, 1000)
+		gomega.Expect(after).To(gomega.BeNumerically("~", 8*time.Second, 100*time.Millisecond))
+	})
+
+	// Guards against a length that is learned for one workspace and used for another with other habits.
+	ginkgo.It("learns lengths by pipeline and workspace", func() {
+		l := bergamotadmission.NewLengths()
+		for range 100 {
+			l.Observe("advice", "a", 10)
+			l.Observe("advice", "b", 500)
+		}
+		gomega.Expect(l.Expect("advice", "a", 1000)).To(gomega.BeNumerically("~", 10, 1))
+		gomega.Expect(l.Expect("advice", "b", 1000)).To(gomega.BeNumerically("~", 500, 1))
+		gomega.Expect(l.Expect("advice", "b", 20)).To(gomega.Equal(20.0))
+		gomega.Expect(l.Expect("advice", "new", 1000)).To(gomega.BeNumerically("~", 255, 100))
+	})
+})
