Put limits, queue, routing by observation and health into the entry

Cause: the parts existed, but no request passed through them. Ruled out: hooks inside the session's attempts, which others change at the same time; an engine that wraps the adapter sees the same calls. Change: filters limit and queue, an observing engine, and cache events as a controller. The slots of an entry follow the best bound, the live entries and the policy. A request for which a slot is free is not held back by the bound of the queue.

--- /dev/null
+++ b/core/bergamotfilter/queue.go
@@ -0,0 +1,156 @@
+package bergamotfilter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"bergamotspur/core/bergamotadmission"
+	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotqueue"
+	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamotroute"
+)
+
+const (
+	paceAge    = 250 * time.Millisecond // age of the capacity after which it is computed anew
+	tokenMost  = 51 * time.Millisecond  // longest time between two tokens at p95 that the design allows
+	longFactor = 4.0                    // a request this much longer than the mean of its model is long
+)
+
+// Capacity tells what the targets can do.
+type Capacity interface {
+	Bound(w bergamotroute.Want, limit time.Duration) bergamotroute.Bound
+	Expect(w bergamotroute.Want) (token time.Duration, ok bool)
+}
+
+// Queue lets requests for pipelines wait for a slot, in an order that is fair between workspaces.
+type Queue struct {
+	Clock    bergamotqueue.Clock
+	Capacity Capacity
+	Lengths  *bergamotadmission.Lengths
+	Peers    bergamotadmission.Peers
+	Most     int           // most requests that wait for one model
+	Age      time.Duration // wait after which a request counts as one priority higher
+
+	mu    sync.Mutex
+	lanes map[string]*lane
+}
+
+// lane is the queue for one model.
+type lane struct {
+	gate  *bergamotqueue.Gate
+	paced time.Time
+}
+
+// models separates the mean length of a model from those of pipelines in the estimator.
+const models = "model "
+
+// Name returns "queue".
+func (f *Queue) Name() string { return "queue" }
+
+// Filter refuses a request at once when the queue is full or its deadline cannot be met; it was not run then.
+func (f *Queue) Filter(ctx context.Context, x *bergamotchain.Exchange, next bergamotchain.Handler) error {
+	if x.Request().Kind() == bergamotrequest.KindService {
+		return next.Handle(ctx, x)
+	}
+	gate, job := f.prepare(x)
+	if err := gate.Enter(ctx, job); err != nil {
+		return f.refuse(err)
+	}
+	m := &meter{Sink: x.Sink(), note: func(tokens int) {
+		if tokens == int(longFactor*job.Cost())+1 {
+			gate.Overrun(job)
+		}
+	}}
+	x.SetSink(m)
+	defer func() { gate.Leave(job, float64(m.tokens)) }()
+	err := next.Handle(ctx, x)
+	if err == nil {
+		f.Lengths.Observe(models+x.Pipeline().Model().Name(), "", m.tokens)
+	}
+	return err
+}
+
+// Waiting returns how many requests wait for a model.
+func (f *Queue) Waiting(model string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l, ok := f.lanes[model]; ok {
+		return l.gate.Waiting()
+	}
+	return 0
+}
+
+func (f *Queue) prepare(x *bergamotchain.Exchange) (*bergamotqueue.Gate, *bergamotqueue.Job) {
+	p, w, now := x.Pipeline(), x.Workspace(), f.Clock.Now()
+	want := bergamotroute.Want{Pipeline: p, Fleet: x.View().Fleet(), Bundle: x.View().Bundle()}
+	gate := f.gate(want, now)
+	cost := f.Lengths.Expect(p.Name(), w.Name(), min(x.Request().Limit(), p.Limit()))
+	latest := x.Deadline()
+	if token, ok := f.Capacity.Expect(want); ok {
+		latest = latest.Add(-time.Duration(cost * float64(token)))
+	}
+	class := bergamotqueue.ClassShort
+	if cost > longFactor*f.Lengths.Typical(models+p.Model().Name()) {
+		class = bergamotqueue.ClassLong
+	}
+	return gate, bergamotqueue.NewJob(bergamotqueue.Spec{
+		Workspace: w.Name(), Weight: w.Weight(), Priority: p.Priority(), Class: class, Cost: cost, Arrived: now, Latest: latest,
+	})
+}
+
+// gate returns the queue of a model with its current capacity.
+func (f *Queue) gate(w bergamotroute.Want, now time.Time) *bergamotqueue.Gate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lanes == nil {
+		f.lanes = map[string]*lane{}
+	}
+	name := w.Pipeline.Model().Name()
+	l, ok := f.lanes[name]
+	if !ok {
+		l = &lane{gate: bergamotqueue.NewGate(f.Clock, f.Most, f.Age)}
+		f.lanes[name] = l
+	}
+	if !ok || now.Sub(l.paced) >= paceAge {
+		l.paced = now
+		l.gate.SetPace(f.pace(w))
+	}
+	return l.gate
+}
+
+// pace divides the slots of the best bound between the entries and applies the weights of the policy: recovery keeps
+// slots free for the work of lost targets, blocking keeps room for short work, and peak service demands more certainty
+// that a deadline is met.
+func (f *Queue) pace(w bergamotroute.Want) bergamotqueue.Pace {
+	p := w.Pipeline
+	token := min(p.Deadline()/time.Duration(2*p.Limit()), tokenMost)
+	slots := f.Capacity.Bound(w, token).Slots() / float64(max(f.Peers.Live(), 1))
+	recovery, crest, blocking := weights(w.Bundle.Policy())
+	return bergamotqueue.Pace{
+		Slots: slots * (1 - 0.2*recovery), Token: token, Room: 0.1 + 0.4*blocking, Margin: 1 + crest,
+	}
+}
+
+// weights returns the weights of the policy relative to their sum.
+func weights(p bergamotbundle.Policy) (recovery, crest, blocking float64) {
+	sum := p.Throughput() + p.Recovery() + p.Crest() + p.Blocking()
+	if sum <= 0 {
+		return 0, 0, 0
+	}
+	return p.Recovery() / sum, p.Crest() / sum, p.Blocking() / sum
+}
+
+func (f *Queue) refuse(err error) error {
+	switch {
+	case errors.Is(err, bergamotqueue.ErrFull):
+		return bergamotrequest.Refuse(bergamotrequest.ReasonFull, "the queue is full").RetryAfter(time.Second)
+	case errors.Is(err, bergamotqueue.ErrDeadline), errors.Is(err, context.DeadlineExceeded):
+		return bergamotrequest.Refuse(bergamotrequest.ReasonDeadline, "the deadline cannot be met").RetryAfter(time.Second)
+	default:
+		return bergamotrequest.Refuse(bergamotrequest.ReasonCancel, "the caller went away")
+	}
+}
--- a/core/bergamotqueue/gate.go
+++ b/core/bergamotqueue/gate.go
@@ -82,7 +82,7 @@
 	if g.late(j) {
 		return ErrDeadline
 	}
-	if g.fair.Len() >= g.most {
+	if g.fair.Len() >= g.most && !g.direct(j) {
 		if err := g.evict(j); err != nil {
 			return err
 		}
@@ -138,7 +138,7 @@
 	if now.After(j.spec.Latest) {
 		return true
 	}
-	if g.free(j.spec.Class) && g.fair.Len() == 0 {
+	if g.direct(j) {
 		return false
 	}
 	slots := g.pace.Slots
@@ -149,6 +149,12 @@
 	return wait > float64(j.spec.Latest.Sub(now))
 }
 
+// direct tells whether a new job gets a slot without waiting.
+func (g *Gate) direct(j *Job) bool {
+	waiting, _ := g.fair.Peek(j.spec.Class, g.clock.Now())
+	return waiting == nil && g.free(j.spec.Class)
+}
+
 // evict makes room for a job of a workspace that waits with less than the largest one.
 func (g *Gate) evict(j *Job) error {
 	victim, load := g.fair.Largest()
--- a/core/bergamotroute/router.go
+++ b/core/bergamotroute/router.go
@@ -71,8 +71,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	x := r.refreshed(w.Fleet, w.Bundle)
-	us, ok := r.search.run(r, x, x.chart(w.Pipeline), w)
-	return time.Duration(us * float64(time.Microsecond)), ok
+	if _, ok = r.search.run(r, x, x.chart(w.Pipeline), w); !ok {
+		return 0, false
+	}
+	return r.search.time(x), true
 }
 
 // Finish releases the work of a plan that Route returned.
--- a/core/bergamotroute/search.go
+++ b/core/bergamotroute/search.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -117,6 +118,16 @@
 	return Plan{stages: stages}
 }
 
+// time returns the time of one token on the path of the last run, without the weights of a choice.
+func (s *search) time(x *index) time.Duration {
+	us := 0.0
+	for _, st := range s.path {
+		t := st.target
+		us += t.curve.Step(t.batch()+1)*float64(st.to-st.from) + x.links[st.centre][slices.Index(x.centres, t.centre)]
+	}
+	return time.Duration(us * float64(time.Microsecond))
+}
+
 // choose picks a target of each group.
 func (s *search) choose(r *Router, x *index, c *chart, w Want) {
 	s.best, s.layer = resize(s.best, len(c.groups), nil), resize(s.layer, len(c.groups), 0)
--- a/core/bergamotsession/span.go
+++ b/core/bergamotsession/span.go
@@ -67,3 +67,6 @@
 
 // Last returns the address of the last stage, which streams the tokens.
 func (s Span) Last() string { return s.plan.Stages()[len(s.plan.Stages())-1].Address() }
+
+// Plan returns the stages of the whole attempt.
+func (s Span) Plan() bergamotroute.Plan { return s.plan }
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -10,7 +10,6 @@
 	"bergamotspur/core/bergamotmember"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotrollout"
-	"bergamotspur/core/bergamotroute"
 	"bergamotspur/core/bergamotsession"
 	"bergamotspur/core/bergamotsetting"
 	"bergamotspur/io/bergamotengine"
@@ -76,6 +75,7 @@
 				Period: s.Head(), Timeout: textTimeout, Random: rand.Float64, Report: e.report("heads"),
 			},
 			&bergamotcontrol.Probes{Source: e.adapters.engines, Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses},
+			e.load.caches,
 		),
 	}
 }
@@ -100,7 +100,7 @@
 	return bergamotchain.NewChain(
 		&bergamotfilter.Dispatch{
 			Pipelines: &bergamotsession.Session{
-				Engine: e.adapters.engines, Router: bergamotroute.NewRouter(e.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), e.Setting.DataCentre()), Counter: e.metrics,
+				Engine: e.watch(), Router: e.load.router, Counter: e.metrics,
 				Stall: e.Setting.Stall(), Attempts: e.Setting.Attempts(),
 			},
 			Services: &bergamotfilter.Call{Caller: e.adapters.services, Counter: e.metrics, Clock: e.clock, Retries: e.retries},
@@ -111,6 +111,8 @@
 		bergamotfilter.Resolve{},
 		&bergamotfilter.Deadline{Clock: e.clock},
 		&bergamotfilter.Claim{Claims: e.claims, Asker: e.adapters.services, Clock: e.clock},
+		e.load.limit,
+		e.load.queue,
 	)
 }
 
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -38,6 +38,7 @@
 	lease     *bergamotlease.Lease
 	retries   *bergamotretry.Retries
 	claims    *bergamotclaim.Claims
+	load      *load
 	callers   net.Listener
 	operators net.Listener
 }
@@ -53,6 +54,7 @@
 	if e.peers, err = e.newPeers(); err != nil {
 		return err
 	}
+	e.load = e.newLoad()
 	e.loop = e.newLoop()
 	e.loop.Init()
 	e.drain = bergamotfilter.NewDrain()
--- /dev/null
+++ b/io/bergamotentry/load.go
@@ -0,0 +1,56 @@
+package bergamotentry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bergamotspur/core/bergamotadmission"
+	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamothealth"
+	"bergamotspur/core/bergamotprefix"
+	"bergamotspur/core/bergamotroute"
+	"bergamotspur/core/bergamotsession"
+)
+
+const (
+	queueMost   = 1024 // requests that wait for one model
+	queueAge    = 5 * time.Second
+	prefixMost  = 1 << 15 // blocks of cached prompts, about 5 MB
+	cacheProbes = 2       // probes of the load for one read of cache events
+)
+
+// load is the parts of an entry that decide how much work runs, where and when.
+type load struct {
+	router  *bergamotroute.Router
+	health  *bergamothealth.Tracker
+	caches  *bergamotprefix.Follow
+	limiter *bergamotadmission.Limiter
+	limit   *bergamotfilter.Limit
+	queue   *bergamotfilter.Queue
+}
+
+func (e *Entry) newLoad() *load {
+	l := &load{
+		health: bergamothealth.NewTracker(), limiter: bergamotadmission.NewLimiter(),
+		caches: &bergamotprefix.Follow{
+			Source: e.adapters.engines, Index: bergamotprefix.NewIndex(prefixMost),
+			Period: cacheProbes * e.Setting.Probe(), Timeout: e.Setting.Probe(),
+		},
+	}
+	l.router = bergamotroute.NewRouter(e.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), e.Setting.DataCentre())
+	l.router.Fleet = func() *bergamotfleet.Fleet { return e.loop.View().Fleet() }
+	l.router.Health, l.router.Affinity = l.health, l.caches.Index
+	lengths := bergamotadmission.NewLengths()
+	l.limit = &bergamotfilter.Limit{Clock: e.clock, Limiter: l.limiter, Lengths: lengths}
+	l.queue = &bergamotfilter.Queue{
+		Clock: e.clock, Capacity: l.router, Lengths: lengths, Peers: l.limiter.Peers, Most: queueMost, Age: queueAge,
+	}
+	return l
+}
+
+// watch returns the engine client with its observations.
+func (e *Entry) watch() bergamotsession.Engine {
+	o := &observer{clock: e.clock, router: e.load.router, health: e.load.health}
+	return &bergamotsession.Watch{Engine: e.adapters.engines, Observer: o, Clock: e.clock}
+}
