--- a/core/bergamotcurve/estimate.go
+++ b/core/bergamotcurve/estimate.go
@@ -10,20 +10,25 @@
 	most     float64
 }
 
-func relative(mean float64) value {
-	return value{mean: mean, variance: startVar, drift: driftVar, limit: startVar, least: least, most: most}
+// relative returns a factor on a value of the bundle.
+func relative(drift, least, most float64) value {
+	return value{mean: 1, variance: startVar, drift: drift, limit: startVar, least: least, most: most}
 }
 
-// estimate is what was learned of one instance, relative to the start values of its kind.
+// estimate is what was learned of one instance, relative to its kind.
 type estimate struct {
-	name  string
-	base  value
-	slope value
+	name   string // of the kind
+	factor value
+	seen   bool // observed since the last Keep
 }
 
-// kind is the start curve of a kind and the mean of its instances relative to it.
+// kind is the start curve of a kind and what was learned of it.
 type kind struct {
 	start Curve
-	base  float64
-	slope float64
+	base  value
+	slope value
+}
+
+func newKind(c Curve) *kind {
+	return &kind{start: c, base: relative(kindDrift, 0.1, 10), slope: relative(kindDrift, 0.1, 10)}
 }
--- a/core/bergamotfilter/queue.go
+++ b/core/bergamotfilter/queue.go
@@ -56,7 +56,7 @@
 	if x.Request().Kind() == bergamotrequest.KindService {
 		return next.Handle(ctx, x)
 	}
-	gate, job := f.prepare(x)
+	gate, job := f.Prepare(x)
 	if err := gate.Enter(ctx, job); err != nil {
 		return f.refuse(err)
 	}
@@ -84,7 +84,8 @@
 	return 0
 }
 
-func (f *Queue) prepare(x *bergamotchain.Exchange) (*bergamotqueue.Gate, *bergamotqueue.Job) {
+// Prepare returns the queue of an exchange and its job, which has not asked for a slot yet.
+func (f *Queue) Prepare(x *bergamotchain.Exchange) (*bergamotqueue.Gate, *bergamotqueue.Job) {
 	p, w, now := x.Pipeline(), x.Workspace(), f.Clock.Now()
 	want := bergamotroute.Want{Pipeline: p, Fleet: x.View().Fleet(), Bundle: x.View().Bundle()}
 	gate := f.gate(want, now)
--- a/core/bergamotroute/index.go
+++ b/core/bergamotroute/index.go
@@ -15,6 +15,8 @@
 	bundle     *bergamotbundle.Bundle
 	built      time.Time
 	throughput float64
+	peers      float64 // sequences of other entries for each of this one, by the reports
+	decay      float64 // weight that reports have kept since the index was built
 	centres    []string
 	links      [][]float64 // microseconds between two data centres
 	home       int
@@ -58,7 +60,7 @@
 	if r.Health != nil {
 		weights = r.Health.Weights(now, runners)
 	}
-	sum, count := 0.0, 0.0
+	own, others := 0.0, 0.0
 	for n, i := range runners {
 		weight := 1.0
 		if weights != nil {
@@ -69,28 +71,27 @@
 		}
 		w, ok := r.work[i.Name()]
 		if !ok {
-			w = &work{}
+			w = &work{share: startShare(i, x.bundle)}
 			r.work[i.Name()] = w
 		}
 		t := &target{
 			name: i.Name(), address: i.Address(), kind: i.Kind(), centre: i.DataCentre(),
 			curve: r.Curves.Curve(i.Name(), i.Kind()), weight: weight, work: w,
 		}
-		x.centre(t.centre)
+		t.place = x.centre(t.centre)
 		t.others = t.reported(i.Load())
-		sum += t.others * fresh(i.Load(), now)
-		count += fresh(i.Load(), now)
+		t.fresh = fresh(i.Load(), now)
+		if !i.Load().At().IsZero() {
+			own += float64(w.before) * w.share
+			others += t.others
+		}
 		x.targets[i.Name()] = t
 	}
-	// An old report is discounted towards the mean of the fleet, since a target that was idle then is not known to
-	// be idle now.
-	mean := sum / max(count, 1)
-	for _, i := range runners {
-		if t := x.targets[i.Name()]; t != nil {
-			w := fresh(i.Load(), now)
-			t.others = w*t.others + (1-w)*mean
-		}
+	x.peers = r.peers
+	if own > 0 {
+		x.peers = others / own
 	}
+	r.peers = x.peers
 }
 
 func (x *index) centre(name string) int {
--- a/core/bergamotroute/plan.go
+++ b/core/bergamotroute/plan.go
@@ -8,6 +8,7 @@
 	address  string
 	from     int
 	to       int
+	share    float64 // expected share of a token's time, from the router
 }
 
 // NewStage returns a stage that runs layers from (included) to to (excluded) on an instance.
--- a/core/bergamotroute/router.go
+++ b/core/bergamotroute/router.go
@@ -42,6 +42,7 @@
 	mu     sync.Mutex
 	work   map[string]*work
 	index  *index
+	peers  float64
 	search search
 }
 
@@ -59,9 +60,9 @@
 	if _, ok = r.search.run(r, x, c, w); !ok {
 		return Plan{}, false
 	}
-	p = r.search.plan()
+	p = r.search.plan(x)
 	for _, s := range p.stages {
-		x.targets[s.instance].work.own++
+		x.targets[s.instance].work.add(s.share)
 	}
 	return p, true
 }
@@ -74,7 +75,7 @@
 	if _, ok = r.search.run(r, x, x.chart(w.Pipeline), w); !ok {
 		return 0, false
 	}
-	return r.search.time(x), true
+	return time.Duration(r.search.total(x) * float64(time.Microsecond)), true
 }
 
 // Finish releases the work of a plan that Route returned.
@@ -86,7 +87,8 @@
 		if !ok {
 			continue
 		}
-		if w.own--; w.own <= 0 && (r.index == nil || r.index.targets[s.instance] == nil) {
+		w.remove(s.share)
+		if w.count <= 0 && (r.index == nil || r.index.targets[s.instance] == nil) {
 			delete(r.work, s.instance)
 		}
 	}
@@ -116,7 +118,7 @@
 			return nil
 		}
 		t := r.index.targets[s.instance]
-		parts = append(parts, bergamotcurve.NewPart(s.instance, t.kind, t.centre, s.to-s.from, t.batch()))
+		parts = append(parts, bergamotcurve.NewPart(s.instance, t.kind, t.centre, s.to-s.from, t.batch(r.index)))
 	}
 	return parts
 }
@@ -137,7 +139,7 @@
 	}
 	r.index = newIndex(r, f, b, now)
 	for name, w := range r.work {
-		if w.own <= 0 && r.index.targets[name] == nil {
+		if w.count <= 0 && r.index.targets[name] == nil {
 			delete(r.work, name)
 		}
 	}
--- a/core/bergamotroute/search.go
+++ b/core/bergamotroute/search.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"time"
 )
 
 const (
@@ -40,6 +39,7 @@
 
 // run finds the cheapest path over nodes of layer bound and data centre, and returns its time in microseconds.
 func (s *search) run(r *Router, x *index, c *chart, w Want) (us float64, ok bool) {
+	x.decay = math.Exp(-float64(r.Clock.Now().Sub(x.built)) / float64(trust))
 	s.choose(r, x, c, w)
 	centres := len(x.centres)
 	s.cost = resize(s.cost, len(c.bounds)*centres, math.Inf(1))
@@ -109,23 +109,29 @@
 }
 
 // plan returns the path of the last run.
-func (s *search) plan() Plan {
+func (s *search) plan(x *index) Plan {
 	stages := make([]Stage, 0, len(s.path))
+	total := s.total(x)
 	for n := len(s.path) - 1; n >= 0; n-- {
 		st := s.path[n]
-		stages = append(stages, NewStage(st.target.name, st.target.address, st.from, st.to))
+		stage := NewStage(st.target.name, st.target.address, st.from, st.to)
+		stage.share = st.time(x) / total
+		stages = append(stages, stage)
 	}
 	return Plan{stages: stages}
 }
 
-// time returns the time of one token on the path of the last run, without the weights of a choice.
-func (s *search) time(x *index) time.Duration {
-	us := 0.0
+// total returns the time of one token on the path of the last run in microseconds, without the weights of a choice.
+func (s *search) total(x *index) (us float64) {
 	for _, st := range s.path {
-		t := st.target
-		us += t.curve.Step(t.batch()+1)*float64(st.to-st.from) + x.links[st.centre][slices.Index(x.centres, t.centre)]
+		us += st.time(x) + x.links[st.centre][st.target.place]
 	}
-	return time.Duration(us * float64(time.Microsecond))
+	return us
+}
+
+// time returns the time that a token spends at the stage in microseconds.
+func (st step) time(x *index) float64 {
+	return st.target.curve.Step(st.target.batch(x)+1) * float64(st.to-st.from)
 }
 
 // choose picks a target of each group.
@@ -155,7 +161,7 @@
 	if len(w.Avoid) > 0 && w.Avoid[t.name] {
 		return
 	}
-	cost := t.cost(x.throughput)
+	cost := t.cost(x)
 	save := 0.0
 	if len(s.share) > 0 && first {
 		save = embed * s.share[t.name] * t.curve.Base()
