Measure goodput, blocking, fairness and recovery in virtual time

Cause: nothing showed whether admission and queueing help under load. Change: an event loop in a test file drives the real router and queue against FIFO with the same slots. The bound adds targets of the same range before it bisects.

--- a/core/bergamotadmission/limiter_test.go
+++ b/core/bergamotadmission/limiter_test.go
@@ -1,6 +1,7 @@
 package bergamotadmission_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -100,3 +101,31 @@
 		gomega.Expect(l.Expect("advice", "new", 1000)).To(gomega.BeNumerically("~", 255, 100))
 	})
 })
+
+func BenchmarkAdmit(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	text := "[bundle]\nversion=1\n[operator mari]\nkey=11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n"
+	for n := range 11000 {
+		text += fmt.Sprintf("[workspace w%d]\nkeys=%s\nrate=1000000\ntokens=1000000000\n", n, bergamotbundle.HashKey(fmt.Sprint(n)))
+	}
+	bundle, err := bergamotbundle.Parse("test", []byte(text))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, workspaces := range []int{10, 1000, 11000} {
+		b.Run(fmt.Sprint("workspaces=", workspaces), func(b *testing.B) {
+			var list []bergamotbundle.Workspace
+			for n := range workspaces {
+				w, _ := bundle.Workspace(fmt.Sprint("w", n))
+				list = append(list, w)
+			}
+			l := bergamotadmission.NewLimiter()
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				now := start.Add(time.Duration(n) * time.Microsecond)
+				l.Admit(now, list[n%workspaces], 20)
+				l.Settle(now, list[n%workspaces].Name(), 0)
+				n++
+			}
+		})
+	}
+}
--- a/core/bergamotfilter/loop_test.go
+++ b/core/bergamotfilter/loop_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bergamotspur/core/bergamotbundle"
@@ -72,6 +73,7 @@
 
 // sequence is one answer that is generated.
 type sequence struct {
+	id     int
 	plan   bergamotroute.Plan
 	path   []*machine
 	stage  int
@@ -120,6 +122,8 @@
 }
 
 func (s *site) start(q *sequence) {
+	s.count++
+	q.id = s.count
 	for _, st := range q.plan.Stages() {
 		m := s.machines[st.Instance()]
 		q.path = append(q.path, m)
@@ -198,7 +202,7 @@
 	}
 }
 
-// kill ends a machine; its sequences fail in the order of their plans' creation.
+// kill ends a machine; its sequences fail in the order of their start.
 func (s *site) kill(m *machine) {
 	m.dead = true
 	m.queue = nil
@@ -206,7 +210,7 @@
 	for q := range m.assigned {
 		victims = append(victims, q)
 	}
-	// All victims fail at the same virtual time; their count, not their order, decides what follows.
+	slices.SortFunc(victims, func(a, b *sequence) int { return a.id - b.id })
 	for _, q := range victims {
 		s.fail(q, m)
 	}
--- a/core/bergamotfilter/queue.go
+++ b/core/bergamotfilter/queue.go
@@ -118,15 +118,15 @@
 	}
 	if !ok || now.Sub(l.paced) >= paceAge {
 		l.paced = now
-		l.gate.SetPace(f.pace(w))
+		l.gate.SetPace(f.Pace(w))
 	}
 	return l.gate
 }
 
-// pace divides the slots of the best bound between the entries and applies the weights of the policy: recovery keeps
+// Pace returns the capacity of the entry for a pipeline: it divides the slots of the best bound between the entries and applies the weights of the policy: recovery keeps
 // slots free for the work of lost targets, blocking keeps room for short work, and peak service demands more certainty
 // that a deadline is met.
-func (f *Queue) pace(w bergamotroute.Want) bergamotqueue.Pace {
+func (f *Queue) Pace(w bergamotroute.Want) bergamotqueue.Pace {
 	p := w.Pipeline
 	token := min(p.Deadline()/time.Duration(2*p.Limit()), tokenMost)
 	slots := f.Capacity.Bound(w, token).Slots() / float64(max(f.Peers.Live(), 1))
--- a/core/bergamotroute/bound.go
+++ b/core/bergamotroute/bound.go
@@ -31,12 +31,12 @@
 	x := r.refreshed(w.Fleet, w.Bundle)
 	c := x.chart(w.Pipeline)
 	us := float64(limit) / float64(time.Microsecond) / float64(c.layers)
-	rates := make([]float64, len(c.parts))
+	rates := make([]float64, len(c.ranges))
 	total := 0.0
-	for n, p := range c.parts {
-		t := p.target
-		rates[n] = t.curve.Rate(t.curve.Batch(us, batchMost)) * t.weight
-		total += rates[n]
+	for _, p := range c.parts {
+		rate := p.target.curve.Rate(p.target.curve.Batch(us, batchMost)) * p.target.weight
+		rates[p.extent] += rate
+		total += rate
 	}
 	low, high := 0.0, total/float64(c.layers)
 	for range 40 {
@@ -52,13 +52,13 @@
 // feasible tells whether every layer can pass flow tokens a second.
 func feasible(c *chart, rates []float64, flow float64) bool {
 	starts := make([][]int, c.layers)
-	for n, p := range c.parts {
-		starts[p.from] = append(starts[p.from], n)
+	for n, r := range c.ranges {
+		starts[r.from] = append(starts[r.from], n)
 	}
 	open := &ranges{}
 	for layer := range c.layers {
 		for _, n := range starts[layer] {
-			heap.Push(open, offer{c.parts[n].to, rates[n]})
+			heap.Push(open, offer{c.ranges[n].to, rates[n]})
 		}
 		need := flow
 		for need > 0 {
--- a/core/bergamotroute/chart.go
+++ b/core/bergamotroute/chart.go
@@ -12,6 +12,7 @@
 	bounds []int // layers at which a stage may begin, in order, and the end of the model
 	groups []*group
 	parts  []part
+	ranges []extent
 }
 
 // group is the targets that are alike in range, data centre and kind, so that a choice need not look at all of them.
@@ -27,10 +28,13 @@
 
 // part is one holding, as the bound sees it.
 type part struct {
-	from, to int
-	target   *target
+	target *target
+	extent int // index of its range
 }
 
+// extent is a range of layers that one or more targets hold.
+type extent struct{ from, to int }
+
 func newChart(x *index, key chartKey, layers int) *chart {
 	c := &chart{layers: layers}
 	groups := map[groupKey]*group{}
@@ -53,7 +57,7 @@
 			c.groups = append(c.groups, g)
 		}
 		g.members = append(g.members, t)
-		c.parts = append(c.parts, part{from, to, t})
+		c.parts = append(c.parts, part{t, c.extent(from, to)})
 		seen[to] = true
 	}
 	for n, ok := range seen {
@@ -76,3 +80,13 @@
 	}
 	return from, to
 }
+
+// extent returns the index of a range, of which there are few.
+func (c *chart) extent(from, to int) int {
+	n := slices.Index(c.ranges, extent{from, to})
+	if n < 0 {
+		n = len(c.ranges)
+		c.ranges = append(c.ranges, extent{from, to})
+	}
+	return n
+}
--- a/core/bergamotroute/route_test.go
+++ b/core/bergamotroute/route_test.go
@@ -178,16 +178,35 @@
 }
 
 func BenchmarkRoute(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	text := bundle()
+	for _, n := range []int{40, 400, 3100} {
+		for _, streams := range []int{0, 100, 10000} {
+			b.Run(fmt.Sprintf("targets=%d/streams=%d", n, streams), func(b *testing.B) {
+				r, _ := newRouter()
+				w := want(text, fleet(n)...)
+				for range streams {
+					r.Route(w)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					p, _ := r.Route(w)
+					r.Finish(p)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkFlow(b *testing.B) {
 	gomega.RegisterTestingT(b)
 	text := bundle()
 	for _, n := range []int{40, 400, 3100} {
 		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
 			r, _ := newRouter()
 			w := want(text, fleet(n)...)
-			b.ReportAllocs()
 			for b.Loop() {
-				p, _ := r.Route(w)
-				r.Finish(p)
+				r.Bound(w, 20*time.Millisecond)
 			}
 		})
 	}
