Hold slots for a while after a loss and report the ratio to the bound

Cause: after the death of a stage the slots fell with the bound at once, so that the remaining machines ran smaller batches and delivered 8 % less than FIFO with fixed slots. Ruled out: more slots at all times, which lengthens the time of a token also without a loss. Change: lost slots go over 30 s, as far as twice the planned token time allows. The status of an entry shows rate, bound and their ratio for each pipeline.

--- a/core/bergamotfilter/load_test.go
+++ b/core/bergamotfilter/load_test.go
@@ -123,8 +123,8 @@
 		_, f := recovery(1, true)
 		gomega.Expect(d).To(gomega.BeNumerically("<=", time.Second))
 		gomega.Expect(c.late).To(gomega.BeZero())
-		// FIFO lets the time of a token grow and so delivers more from fewer machines.
-		gomega.Expect(c.rate(12, 24)).To(gomega.BeNumerically(">", 0.9*f.rate(12, 24)))
+		// A policy that gives up slots with the lost machine delivers 8 % less than FIFO, which keeps them.
+		gomega.Expect(c.rate(12, 24)).To(gomega.BeNumerically(">", 0.97*f.rate(12, 24)))
 	})
 })
 
--- a/core/bergamotfilter/queue.go
+++ b/core/bergamotfilter/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 const (
 	paceAge    = 250 * time.Millisecond // age of the capacity after which it is computed anew
 	tokenMost  = 51 * time.Millisecond  // longest time between two tokens at p95 that the design allows
+	holdTime   = 30 * time.Second       // time in which slots held after a loss fall by 63 %
 	longFactor = 4.0                    // a request this much longer than the mean of its model is long
 )
 
@@ -43,6 +45,8 @@
 type lane struct {
 	gate  *bergamotqueue.Gate
 	paced time.Time
+	slots float64 // held after a loss
+	flow  flow
 }
 
 // models separates the mean length of a model from those of pipelines in the estimator.
@@ -60,7 +64,9 @@
 	if err := gate.Enter(ctx, job); err != nil {
 		return f.refuse(err)
 	}
+	flow := f.flow(x.Pipeline().Model().Name())
 	m := &meter{Sink: x.Sink(), note: func(tokens int) {
+		flow.add(f.Clock.Now())
 		if tokens == int(longFactor*job.Cost())+1 {
 			gate.Overrun(job)
 		}
@@ -117,18 +123,33 @@
 		f.lanes[name] = l
 	}
 	if !ok || now.Sub(l.paced) >= paceAge {
+		l.gate.SetPace(f.held(l, w, now))
 		l.paced = now
-		l.gate.SetPace(f.Pace(w))
 	}
 	return l.gate
 }
 
+// held returns the capacity, where slots that a loss takes away go slowly. The token time of Pace is half of what the
+// deadline allows, and that reserve lets the remaining targets carry larger batches for a while.
+func (f *Queue) held(l *lane, w bergamotroute.Want, now time.Time) bergamotqueue.Pace {
+	p := f.Pace(w)
+	decay := math.Exp(-float64(now.Sub(l.paced)) / float64(holdTime))
+	if kept := l.slots * decay; kept > p.Slots {
+		most := f.Capacity.Bound(w, 2*p.Token).Slots() / float64(max(f.Peers.Live(), 1))
+		kept = max(min(kept, most), p.Slots)
+		p.Token = time.Duration(float64(p.Token) * kept / p.Slots)
+		p.Slots = kept
+	}
+	l.slots = p.Slots
+	return p
+}
+
 // Pace returns the capacity of the entry for a pipeline: it divides the slots of the best bound between the entries and applies the weights of the policy: recovery keeps
 // slots free for the work of lost targets, blocking keeps room for short work, and peak service demands more certainty
 // that a deadline is met.
 func (f *Queue) Pace(w bergamotroute.Want) bergamotqueue.Pace {
 	p := w.Pipeline
-	token := min(p.Deadline()/time.Duration(2*p.Limit()), tokenMost)
+	token := TokenTime(p)
 	slots := f.Capacity.Bound(w, token).Slots() / float64(max(f.Peers.Live(), 1))
 	recovery, crest, blocking := weights(w.Bundle.Policy())
 	return bergamotqueue.Pace{
@@ -136,6 +157,12 @@
 	}
 }
 
+// TokenTime returns the time of one token that is planned for a pipeline: half of what the deadline allows for the
+// longest answer, and at most what the design allows.
+func TokenTime(p bergamotbundle.Pipeline) time.Duration {
+	return min(p.Deadline()/time.Duration(2*p.Limit()), tokenMost)
+}
+
 // weights returns the weights of the policy relative to their sum.
 func weights(p bergamotbundle.Policy) (recovery, crest, blocking float64) {
 	sum := p.Throughput() + p.Recovery() + p.Crest() + p.Blocking()
@@ -145,6 +172,18 @@
 	return p.Recovery() / sum, p.Crest() / sum, p.Blocking() / sum
 }
 
+// Rate returns the tokens a second that callers of a model got lately.
+func (f *Queue) Rate(model string) float64 { return f.flow(model).rate(f.Clock.Now()) }
+
+func (f *Queue) flow(model string) *flow {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l, ok := f.lanes[model]; ok {
+		return &l.flow
+	}
+	return &flow{}
+}
+
 func (f *Queue) refuse(err error) error {
 	switch {
 	case errors.Is(err, bergamotqueue.ErrFull):
--- a/core/bergamotfilter/queue_test.go
+++ b/core/bergamotfilter/queue_test.go
@@ -112,6 +112,16 @@
 		}
 	})
 
+	// Guards against a rate that counts requests, or that never falls.
+	ginkgo.It("measures the tokens that callers got", func() {
+		clock := bergamotclock.NewVirtual(epoch)
+		q := newQueue(clock, time.Millisecond, 1)
+		gomega.Expect(loadChain(answer(100, nil, nil), clock, q).Handle(context.Background(), sinkExchange(func(*bergamotrequest.Spec) {}))).To(gomega.Succeed())
+		gomega.Expect(q.Rate("care")).To(gomega.BeNumerically("~", 10, 0.1))
+		clock.Advance(time.Minute)
+		gomega.Expect(q.Rate("care")).To(gomega.BeNumerically("<", 0.1))
+	})
+
 	// Guards against service calls that wait for slots of models.
 	ginkgo.It("passes service calls", func() {
 		clock, called := bergamotclock.NewVirtual(epoch), false
--- a/io/bergamotentry/load.go
+++ b/io/bergamotentry/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotspur/core/bergamotadmission"
+	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamothealth"
@@ -54,3 +55,28 @@
 	o := &observer{clock: e.clock, router: e.load.router, health: e.load.health}
 	return &bergamotsession.Watch{Engine: e.adapters.engines, Observer: o, Clock: e.clock}
 }
+
+// PipelineMessage is the JSON form of the load of the model of a pipeline.
+type PipelineMessage struct {
+	Name    string  `json:"name"`
+	Waiting int     `json:"waiting"`
+	Rate    float64 `json:"rate"`  // tokens a second from this entry, lately
+	Bound   float64 `json:"bound"` // most tokens a second that the targets could do for all entries
+	Ratio   float64 `json:"ratio"` // rate of this entry divided by its part of the bound
+}
+
+// pipelines returns the load of each pipeline.
+func (l *load) pipelines(v *bergamotcontrol.View) (list []PipelineMessage) {
+	b := v.Bundle()
+	for _, name := range b.Pipelines() {
+		p, _ := b.Pipeline(name)
+		model := p.Model().Name()
+		bound := l.router.Bound(bergamotroute.Want{Pipeline: p, Fleet: v.Fleet(), Bundle: b}, bergamotfilter.TokenTime(p))
+		m := PipelineMessage{Name: name, Waiting: l.queue.Waiting(model), Rate: l.queue.Rate(model), Bound: bound.Rate()}
+		if m.Bound > 0 {
+			m.Ratio = m.Rate * float64(max(l.limiter.Peers.Live(), 1)) / m.Bound
+		}
+		list = append(list, m)
+	}
+	return list
+}
--- a/io/bergamotentry/status.go
+++ b/io/bergamotentry/status.go
@@ -15,6 +15,7 @@
 	Digest    string            `json:"digest"`
 	Confirmed int64             `json:"confirmed"` // milliseconds since the head was last read, -1 for never
 	Instances []InstanceMessage `json:"instances"`
+	Pipelines []PipelineMessage `json:"pipelines"`
 }
 
 // InstanceMessage is the JSON form of one instance as the entry sees it.
@@ -36,6 +37,7 @@
 	}
 	if b := v.Bundle(); b != nil {
 		m.Version, m.Digest = b.Version(), b.Digest()
+		m.Pipelines = e.load.pipelines(v)
 	}
 	for _, i := range v.Fleet().Instances() {
 		m.Instances = append(m.Instances, newInstanceMessage(i))
