Spread reads of cache events over their period

Cause: the control loop runs at most 64 tasks at a time and drops others until their next period. With 40 runners, probes and reads of cache events fall on one moment, and always the reads of the last names are dropped. Change: first reads are spread over 16 parts of the period.

--- a/core/bergamothealth/tracker.go
+++ b/core/bergamothealth/tracker.go
@@ -85,7 +85,7 @@
 		}
 	}
 	if len(out) > 0 {
-		t.eject(now, instances, out, weights)
+		t.eject(instances, out, weights)
 	}
 	t.forget(now)
 	return weights
@@ -99,7 +99,7 @@
 	return max(t.Least, float64(age)/float64(t.Warm))
 }
 
-func (t *Tracker) eject(now time.Time, instances []bergamotfleet.Instance, out []int, weights []float64) {
+func (t *Tracker) eject(instances []bergamotfleet.Instance, out []int, weights []float64) {
 	slices.SortStableFunc(out, func(a, b int) int {
 		return t.records[instances[b].Name()].ejected - t.records[instances[a].Name()].ejected
 	})
--- a/core/bergamotprefix/follow.go
+++ b/core/bergamotprefix/follow.go
@@ -15,6 +15,9 @@
 	Events(ctx context.Context, address string, from int64) (events []Event, reset bool, err error)
 }
 
+// spread is the number of parts of a period in which targets are read.
+const spread = 16
+
 // Follow is the controller that reads cache events into an index.
 type Follow struct {
 	Source  Source
@@ -40,6 +43,10 @@
 			continue
 		}
 		known[name] = true
+		if _, ok := c.next[name]; !ok {
+			// First reads are spread over the period, since the loop runs a bounded number of tasks at a time.
+			c.next[name] = s.Now().Add(c.Period * time.Duration(len(c.next)%spread) / spread)
+		}
 		if s.Now().Before(c.next[name]) {
 			continue
 		}
