--- /dev/null
+++ b/io/bergamotdemo/load_test.go
@@ -0,0 +1,56 @@
+package bergamotdemo_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/io/bergamotdemo"
+	"bergamotspur/io/bergamotentry"
+)
+
+// Guards against a queue or a bound that the assembled entry leaves out: its status must show the rate that callers got
+// and the best bound of the runners, and a deadline that cannot be met must be rejected without a run.
+var _ = ginkgo.Describe("the load of an entry", func() {
+	ginkgo.It("is in its status, and hasty requests are rejected", func(ctx context.Context) {
+		shop := &bergamotdemo.Shop{Log: io.Discard}
+		ginkgo.DeferCleanup(func() { gomega.Expect(shop.Close()).To(gomega.Succeed()) })
+		gomega.Expect(shop.Start(ctx)).To(gomega.Succeed())
+		entry := shop.Entries()[0]
+		complete := func(deadline string) *http.Response {
+			body := `{"model":"advice","prompt":"` + strings.Repeat("oil for beech ", 20) + `","max_tokens":200}`
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.Callers()+"/v1/completions", strings.NewReader(body))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			r.Header.Set("Authorization", "Bearer "+bergamotdemo.Key)
+			r.Header.Set("Bergamot-Deadline", deadline)
+			resp, err := http.DefaultClient.Do(r)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			defer resp.Body.Close()
+			_, err = io.ReadAll(resp.Body)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return resp
+		}
+		gomega.Expect(complete("60000").StatusCode).To(gomega.Equal(http.StatusOK))
+
+		hasty := complete("20")
+		gomega.Expect(hasty.Header.Get("Bergamot-Reason")).To(gomega.Equal("deadline"))
+		gomega.Expect(hasty.Header.Get("Bergamot-Run")).To(gomega.Equal("no"))
+		gomega.Expect(entry.Metrics().Value("refusal.deadline")).To(gomega.Equal(int64(1)))
+
+		resp, err := http.Get("http://" + entry.Operators() + "/status")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer resp.Body.Close()
+		var m bergamotentry.StatusMessage
+		gomega.Expect(json.NewDecoder(resp.Body).Decode(&m)).To(gomega.Succeed())
+		gomega.Expect(m.Pipelines).To(gomega.HaveLen(2))
+		gomega.Expect(m.Pipelines[0].Name).To(gomega.Equal("advice"))
+		gomega.Expect(m.Pipelines[0].Rate).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(m.Pipelines[0].Bound).To(gomega.BeNumerically(">", 0))
+		gomega.Expect(m.Pipelines[0].Ratio).To(gomega.BeNumerically(">", 0))
+	})
+})
