Poll waiting requests only after a grant in load tests

Cause: each arrival polled all waiting requests of the event loop. Change: they are polled only when fewer wait at the gate than in the test's list.

--- a/core/bergamotfilter/demand_test.go
+++ b/core/bergamotfilter/demand_test.go
@@ -149,6 +149,9 @@
 		}
 		return
 	}
+	if len(c.line) == 0 || c.line[0].gate.Waiting() == len(c.line) {
+		return
+	}
 	var ready []*caller
 	c.line = slices.DeleteFunc(c.line, func(r *caller) bool {
 		select {
