Attribute failures of targets to requests and quarantine the confirmed ones

Cause: a request that crashes every target that runs it takes one target with each retry and each resend.

Ruled out: counting failures of each content, since the loss of a rack would reject every common prompt that ran on two of its instances; bisecting the batch, which loses log2(n) targets for a batch of n; keeping the records in the control state, since a view lags and a suspect must be known before its next dispatch.

The quarantine filter rejects confirmed contents as not run.

--- a/core/bergamotchain/exchange.go
+++ b/core/bergamotchain/exchange.go
@@ -23,6 +23,7 @@
 	workspace bergamotbundle.Workspace
 	pipeline  bergamotbundle.Pipeline
 	service   bergamotbundle.Service
+	content   [32]byte
 	deadline  time.Time
 	path      []string
 }
@@ -62,6 +63,12 @@
 // SetService records the service that the request names.
 func (x *Exchange) SetService(s bergamotbundle.Service) { x.service = s }
 
+// Content returns the digest of what targets run for the request, the same for each resend of it.
+func (x *Exchange) Content() [32]byte { return x.content }
+
+// SetContent records the digest of what targets run for the request.
+func (x *Exchange) SetContent(digest [32]byte) { x.content = digest }
+
 // Deadline returns the time by which the caller needs the whole answer.
 func (x *Exchange) Deadline() time.Time { return x.deadline }
 
--- /dev/null
+++ b/core/bergamotfilter/quarantine.go
@@ -0,0 +1,38 @@
+package bergamotfilter
+
+import (
+	"context"
+
+	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamotsuspect"
+)
+
+// Suspects tells which contents are confirmed to make targets fail.
+type Suspects interface {
+	Confirmed(content [32]byte) bool
+}
+
+// Quarantine rejects requests that are confirmed to make targets fail, also when they are sent again.
+type Quarantine struct {
+	Suspects Suspects
+}
+
+// Name returns "quarantine".
+func (f *Quarantine) Name() string { return "quarantine" }
+
+// Filter records the content of the exchange and refuses a confirmed one; the refused request was not run.
+func (f *Quarantine) Filter(ctx context.Context, x *bergamotchain.Exchange, next bergamotchain.Handler) error {
+	if x.Request().Kind() == bergamotrequest.KindService {
+		return next.Handle(ctx, x)
+	}
+	p := x.Pipeline()
+	content := bergamotsuspect.NewDigest(p.Model().Name(), p.Model().Version(), p.Adapter(), x.Request().Prompt())
+	x.SetContent(content)
+	if f.Suspects.Confirmed(content) {
+		return bergamotrequest.Refuse(bergamotrequest.ReasonSuspect,
+			"this prompt is quarantined for model %s version %s, because targets failed each time they ran it",
+			p.Model().Name(), p.Model().Version())
+	}
+	return next.Handle(ctx, x)
+}
--- /dev/null
+++ b/core/bergamotsuspect/doc.go
@@ -0,0 +1,2 @@
+// Package bergamotsuspect attributes failures of targets to the requests that ran there.
+package bergamotsuspect
--- /dev/null
+++ b/core/bergamotsuspect/suite_test.go
@@ -0,0 +1,9 @@
+package bergamotsuspect_test
+
+import (
+	"testing"
+
+	"bergamotspur/core/bergamottest"
+)
+
+func TestSuspect(t *testing.T) { bergamottest.Run(t, "suspect") }
