--- a/core/bergamotcontrol/instances.go
+++ b/core/bergamotcontrol/instances.go
@@ -42,7 +42,8 @@
 	return listed(list)
 }
 
-// listed is a fresh read of the list. It lags, so that an instance marked leaving elsewhere stays so.
+// listed is a fresh read of the list. It lags, so that an instance marked leaving elsewhere stays so until
+// its own report says otherwise.
 type listed []bergamotfleet.Spec
 
 // Apply adds new instances, marks leaving ones and forgets those no longer listed.
@@ -52,13 +53,13 @@
 		current[n.Name] = true
 		old, ok := s.Instance(n.Name)
 		if !ok || old.Address() != n.Address {
-			n.Joined = s.Now()
+			n.Joined, n.Listed = s.Now(), n.Leaving
 			s.PutInstance(bergamotfleet.NewInstance(n))
 			continue
 		}
-		if n.Leaving && !old.Leaving() {
+		if n.Leaving != old.Listed() || n.Leaving && !old.Leaving() {
 			spec := old.Spec()
-			spec.Leaving = true
+			spec.Listed, spec.Leaving = n.Leaving, n.Leaving || old.Leaving()
 			s.PutInstance(bergamotfleet.NewInstance(spec))
 		}
 	}
--- a/core/bergamotcontrol/probes.go
+++ b/core/bergamotcontrol/probes.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		c.next[name] = s.Now().Add(c.Period)
-		tasks = append(tasks, c.task(name, i.Address()))
+		tasks = append(tasks, c.task(name, i.Address(), s.Now()))
 	}
 	for name := range c.next {
 		if _, ok := s.Instance(name); !ok {
@@ -64,16 +64,16 @@
 	return tasks
 }
 
-func (c *Probes) task(name, address string) Task {
+func (c *Probes) task(name, address string, sent time.Time) Task {
 	return NewTask(c.Name()+" "+name, func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 		defer cancel()
 		r, err := c.Source.Probe(ctx, address)
-		return EventFunc(func(s *State) { c.apply(s, name, r, err) })
+		return EventFunc(func(s *State) { c.apply(s, name, sent, r, err) })
 	})
 }
 
-func (c *Probes) apply(s *State, name string, r Report, err error) {
+func (c *Probes) apply(s *State, name string, sent time.Time, r Report, err error) {
 	i, ok := s.Instance(name)
 	if !ok {
 		return
@@ -81,12 +81,15 @@
 	spec := i.Spec()
 	if err != nil {
 		c.misses[name]++
-		spec.Failed = c.misses[name] >= c.Misses
+		spec.Failed = spec.Failed || c.misses[name] >= c.Misses
 		s.PutInstance(bergamotfleet.NewInstance(spec))
 		return
 	}
 	c.misses[name] = 0
-	spec.Failed = false
+	if spec.Seen.Before(sent) {
+		// The report is newer than what this entry saw itself: the instance is alive again.
+		spec.Failed, spec.Leaving = false, spec.Listed
+	}
 	spec.Leaving = spec.Leaving || r.leaving
 	spec.Load = bergamotfleet.NewLoad(r.running, r.queued, s.Now())
 	spec.Holdings = r.holdings
--- a/core/bergamotfleet/instance.go
+++ b/core/bergamotfleet/instance.go
@@ -11,15 +11,17 @@
 // Spec holds the fields from which NewInstance builds an instance.
 type Spec struct {
 	Name     string
-	Address  string // host and port
-	Centre   string // data centre
-	Kind     string // kind of accelerator
-	Role     string // RoleRunner or the name of a plain service
-	Memory   int    // layers that fit
-	Fenced   bool   // the instance rejects commands with an old fencing number
-	Leaving  bool   // the instance must get no new work
-	Failed   bool   // the instance does not answer
-	Hinted   bool   // another entry saw the instance leave or fail
+	Address  string    // host and port
+	Centre   string    // data centre
+	Kind     string    // kind of accelerator
+	Role     string    // RoleRunner or the name of a plain service
+	Memory   int       // layers that fit
+	Fenced   bool      // the instance rejects commands with an old fencing number
+	Listed   bool      // the list says that the instance is leaving
+	Leaving  bool      // the instance must get no new work
+	Failed   bool      // the instance does not answer
+	Hinted   bool      // another entry saw the instance leave or fail
+	Seen     time.Time // when this entry itself last saw the instance refuse work, zero for never
 	Joined   time.Time
 	Load     Load
 	Holdings []Holding
@@ -67,6 +69,9 @@
 // Hinted tells whether another entry saw the instance leave or fail.
 func (i Instance) Hinted() bool { return i.spec.Hinted }
 
+// Listed tells whether the list says that the instance is leaving.
+func (i Instance) Listed() bool { return i.spec.Listed }
+
 // Joined returns when the entry first saw the instance.
 func (i Instance) Joined() time.Time { return i.spec.Joined }
 
