Recover an answer by KV cache import, reconnection and two limits on silence

Cause: heartbeats of a stuck target kept its attempt alive; a lost connection was blamed on the target; a command without a reply waited for the caller's deadline; a retry used the fleet of the time of arrival; every retry recomputed the whole prefix; cancelling a silent instance delayed the retry by up to 1 s.

Ruled out: one limit on silence, which cannot tell a stuck target from a lost connection; importing into the same attempt after a failed import, since a late import could change layers that already run; blaming every stage of a stalled path, which would make suspects of all requests under overload.

Change: a silent connection is replaced and resumes at the next position, and the target is blamed after three. A time without a token ends the attempt, and the stages are asked which batch does not end. The next attempt uses the newest fleet and imports KV cache from live stages when the estimate says that it is faster. Failures reach the observer and the attribution. One file holds one type. The fake engine exports and imports state cut to a position, reports progress, and has a hook for each step.

--- a/core/bergamotsession/attempt.go
+++ b/core/bergamotsession/attempt.go
@@ -8,7 +8,6 @@
 	"github.com/samber/oops"
 
 	"bergamotspur/core/bergamotchain"
-	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 )
 
@@ -18,43 +17,66 @@
 	x       *bergamotchain.Exchange
 	plan    bergamotroute.Plan
 	spans   []Span
+	imports [][]Import // for each stage, nil when all is recomputed
 	prefix  Prefix
 	tokens  *[]int
+	token   time.Time // when the last token came, or the stream began
 	started bool
 }
 
 func (a *attempt) run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("session").Wrapf(err, "attempt %d", a.spans[0].Attempt()) }()
-	defer a.cancel(ctx)
-	if err = a.open(ctx); err != nil {
+	if err = a.each(func(n int) error {
+		s := a.spans[n]
+		return a.call(ctx, s, func(ctx context.Context) error { return a.session.Engine.Open(ctx, s.Stage().Address(), s) })
+	}); err != nil {
 		return err
 	}
-	a.started = true
-	first, last := a.spans[0], a.spans[len(a.spans)-1]
-	if err = a.session.Engine.Start(ctx, first.Stage().Address(), first, a.prefix); err != nil {
-		return NewStageError(first.Stage().Address(), err.Error())
+	if err = a.pull(ctx); err != nil {
+		return err
 	}
-	stream, err := a.session.Engine.Stream(ctx, last.Stage().Address(), last, last.Start())
+	a.started = true
+	first := a.spans[0]
+	err = a.call(ctx, first, func(ctx context.Context) error {
+		return a.session.Engine.Start(ctx, first.Stage().Address(), first, a.prefix)
+	})
 	if err != nil {
-		return NewStageError(last.Stage().Address(), err.Error())
+		return err
 	}
-	defer func() { err = errors.Join(err, stream.Close()) }()
-	return a.read(ctx, stream)
+	a.token = a.session.Clock.Now()
+	return a.read(ctx)
 }
 
-// open prepares all stages at the same time.
-func (a *attempt) open(ctx context.Context) error {
-	errs := make(chan error, len(a.spans))
-	for _, s := range a.spans {
-		go func() {
-			err := a.session.Engine.Open(ctx, s.Stage().Address(), s)
+// pull has the stages import KV cache, all at the same time.
+func (a *attempt) pull(ctx context.Context) error {
+	if a.imports == nil {
+		return nil
+	}
+	a.session.Counter.Count("recovery.import")
+	err := a.each(func(n int) error {
+		s := a.spans[n]
+		for _, i := range a.imports[n] {
+			ctx, cancel := context.WithTimeout(ctx, a.session.Stall)
+			err := a.session.Engine.Import(ctx, s.Stage().Address(), s, i)
+			cancel()
 			if err != nil {
-				err = NewStageError(s.Stage().Address(), err.Error())
+				return NewStageError(s.Stage().Address(), err)
 			}
-			errs <- err
-		}()
+		}
+		return nil
+	})
+	if err != nil {
+		return importError{err}
+	}
+	return nil
+}
+
+// each runs f for every stage at the same time and returns one of the errors.
+func (a *attempt) each(f func(n int) error) (first error) {
+	errs := make(chan error, len(a.spans))
+	for n := range a.spans {
+		go func() { errs <- f(n) }()
 	}
-	var first error
 	for range a.spans {
 		if err := <-errs; err != nil && first == nil {
 			first = err
@@ -63,76 +85,108 @@
 	return first
 }
 
-func (a *attempt) read(ctx context.Context, stream TokenStream) error {
-	first := a.spans[0]
-	v := NewVerifier(first.Session(), first.Attempt(), first.Start(), a.plan)
-	for {
-		step, err := a.next(ctx, stream)
-		if err != nil {
-			return err
+// call sends a command and repeats it once on a new connection when there is no answer.
+func (a *attempt) call(ctx context.Context, s Span, f func(ctx context.Context) error) (err error) {
+	for range 2 {
+		bounded, cancel := context.WithTimeoutCause(ctx, a.session.Silence, errSilence)
+		err = f(bounded)
+		silent := err != nil && ctx.Err() == nil && context.Cause(bounded) == errSilence
+		cancel()
+		if err == nil {
+			return nil
 		}
-		if step.Beat() {
-			continue
+		if !silent {
+			return NewStageError(s.Stage().Address(), err)
 		}
-		if err = v.Check(step.Token(), step.Proof()); err != nil {
-			return proofError{err}
+		a.session.Counter.Count("recovery.reconnect")
+	}
+	return NewStageError(s.Stage().Address(), errSilence)
+}
+
+// read follows the token stream over as many connections as are needed.
+func (a *attempt) read(ctx context.Context) error {
+	first, last := a.spans[0], a.spans[len(a.spans)-1]
+	v := NewVerifier(first.Session(), first.Attempt(), first.Start(), a.plan)
+	for failures := 0; ; {
+		next := v.Next()
+		err := a.follow(ctx, last, v)
+		if err == nil || ctx.Err() != nil || isFinal(err) {
+			return err
 		}
-		*a.tokens = append(*a.tokens, step.Token().ID())
-		if err = a.x.Sink().Token(ctx, step.Token()); err != nil {
-			return callerError{err}
+		if v.Next() > next {
+			failures = 0
 		}
-		if step.Token().Last() || len(*a.tokens) >= a.prefix.Limit() {
-			return nil
+		if failures++; failures > a.session.Reconnects {
+			return NewStageError(last.Stage().Address(), err)
 		}
+		a.session.Counter.Count("recovery.reconnect")
 	}
 }
 
-// next bounds the silence of the stream.
-func (a *attempt) next(ctx context.Context, stream TokenStream) (Step, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, a.session.Stall, errStall)
-	defer cancel()
-	step, err := stream.Next(ctx)
-	if err != nil && context.Cause(ctx) == errStall {
-		return Step{}, errStall
-	}
-	return step, err
+// isFinal tells whether a new connection to the same stage cannot help.
+func isFinal(err error) bool {
+	var proof proofError
+	var caller callerError
+	var stage *StageError
+	return errors.Is(err, errStall) || errors.As(err, &proof) || errors.As(err, &caller) || errors.As(err, &stage)
 }
 
-// cancel frees the spans, also when the caller's context has ended.
-func (a *attempt) cancel(ctx context.Context) {
-	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
-	defer stop()
-	done := make(chan struct{}, len(a.spans))
-	for _, s := range a.spans {
-		go func() {
-			// A lost cancel is harmless: the instance drops spans that it has not stepped for a while.
-			_ = a.session.Engine.Cancel(ctx, s.Stage().Address(), s)
-			done <- struct{}{}
-		}()
+// follow reads one connection; nil means that the answer is complete.
+func (a *attempt) follow(ctx context.Context, last Span, v *Verifier) (err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := a.session.Stall
+	if v.Next() == a.spans[0].Start() {
+		stall = a.session.First
 	}
-	for range a.spans {
-		<-done
+	w := startWatch(a.session.Clock, a.session.Silence, stall, a.token, cancel)
+	defer func() {
+		w.close()
+		a.token = w.lastToken()
+	}()
+	defer func() {
+		if cause := context.Cause(ctx); err != nil && (cause == errStall || cause == errSilence) {
+			err = cause
+		}
+	}()
+	stream, err := a.session.Engine.Stream(ctx, last.Stage().Address(), last, v.Next())
+	if err != nil {
+		if errors.Is(err, ErrRefused) || errors.Is(err, ErrSpan) || errors.Is(err, ErrLeaving) {
+			err = NewStageError(last.Stage().Address(), err)
+		}
+		return err
+	}
+	// The connection is given up in any case, so that an error of closing it says nothing about the answer.
+	defer func() { _ = stream.Close() }()
+	for {
+		step, err := stream.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if step.Beat() {
+			w.beat()
+			continue
+		}
+		w.pause()
+		done, err := a.deliver(ctx, step, v)
+		w.resume(a.session.Stall)
+		if done || err != nil {
+			return err
+		}
 	}
 }
 
-const cancelTimeout = time.Second
-
-var errStall = errors.New("no message from the last stage within the silence limit")
-
-// proofError marks a token that failed its check.
-type proofError struct{ error }
-
-// callerError marks a sink that no longer takes tokens.
-type callerError struct{ error }
-
-func reasonOf(err error) bergamotrequest.Reason {
-	var proof proofError
-	switch {
-	case errors.As(err, &proof):
-		return bergamotrequest.ReasonProof
-	case errors.Is(err, errStall):
-		return bergamotrequest.ReasonStall
-	default:
-		return bergamotrequest.ReasonTarget
+// deliver checks a token and hands it to the caller; done means that the answer is complete.
+func (a *attempt) deliver(ctx context.Context, step Step, v *Verifier) (done bool, err error) {
+	if err = v.Check(step.Token(), step.Proof()); err != nil {
+		return false, proofError{err}
+	}
+	if err = a.x.Sink().Token(ctx, step.Token()); err != nil {
+		return false, callerError{err}
 	}
+	*a.tokens = append(*a.tokens, step.Token().ID())
+	return step.Token().Last() || len(*a.tokens) >= a.prefix.Limit(), nil
 }
+
+// advanced tells whether the attempt delivered a token, so that its stages hold KV cache up to the last one.
+func (a *attempt) advanced() bool { return a.started && len(*a.tokens) > a.spans[0].Start() }
--- /dev/null
+++ b/core/bergamotsession/errors.go
@@ -0,0 +1,42 @@
+package bergamotsession
+
+import (
+	"errors"
+
+	"bergamotspur/core/bergamotrequest"
+)
+
+// Causes that an engine adapter puts into the chain of its errors.
+var (
+	ErrRefused = errors.New("the instance refused the connection")
+	ErrLeaving = errors.New("the instance is leaving")
+	ErrSpan    = errors.New("the instance does not accept or know the span")
+)
+
+var (
+	errStall   = errors.New("no token within the stall limit")
+	errSilence = errors.New("no message on the connection within the silence limit")
+)
+
+// proofError marks a token that failed its check.
+type proofError struct{ error }
+
+// callerError marks a sink that no longer takes tokens.
+type callerError struct{ error }
+
+// importError marks an attempt that ended because KV cache could not be imported.
+type importError struct{ error }
+
+func (e importError) Unwrap() error { return e.error }
+
+func reasonOf(err error) bergamotrequest.Reason {
+	var proof proofError
+	switch {
+	case errors.As(err, &proof):
+		return bergamotrequest.ReasonProof
+	case errors.Is(err, errStall), errors.Is(err, errSilence):
+		return bergamotrequest.ReasonStall
+	default:
+		return bergamotrequest.ReasonTarget
+	}
+}
--- /dev/null
+++ b/core/bergamotsession/isolation.go
@@ -0,0 +1,12 @@
+package bergamotsession
+
+import "context"
+
+// Isolation keeps a suspect alone on its instances.
+type Isolation interface {
+	// Held returns the instances on which a suspect runs alone; the caller must not change the map.
+	Held() map[string]bool
+	// Enter waits until the instances may be used and returns what releases them; with alone set it
+	// waits until no other request of this entry runs on them. It returns the error of ctx.
+	Enter(ctx context.Context, instances []string, alone bool) (leave func(), err error)
+}
--- a/core/bergamotsetting/timing.go
+++ b/core/bergamotsetting/timing.go
@@ -9,6 +9,7 @@
 // timing is the section [timing].
 type timing struct {
 	drain    time.Duration
+	silence  time.Duration
 	stall    time.Duration
 	probe    time.Duration
 	head     time.Duration
@@ -18,7 +19,7 @@
 
 func newTiming() timing {
 	return timing{
-		drain: 30 * time.Second, stall: 3 * time.Second, probe: time.Second, head: 2 * time.Second,
+		drain: 30 * time.Second, silence: time.Second, stall: 3 * time.Second, probe: time.Second, head: 2 * time.Second,
 		poll: time.Second, attempts: 5,
 	}
 }
@@ -29,6 +30,7 @@
 
 func (t *timing) read(c *bergamotini.Section) {
 	t.drain = c.Duration("drain", t.drain, time.Millisecond, time.Hour)
+	t.silence = c.Duration("silence", t.silence, 10*time.Millisecond, time.Hour)
 	t.stall = c.Duration("stall", t.stall, 10*time.Millisecond, time.Hour)
 	t.probe = c.Duration("probe", t.probe, 10*time.Millisecond, time.Minute)
 	t.head = c.Duration("head", t.head, 10*time.Millisecond, time.Minute)
@@ -39,7 +41,10 @@
 // Drain returns the longest time that a shutdown waits for requests in flight, 30 s by default.
 func (t *timing) Drain() time.Duration { return t.drain }
 
-// Stall returns the longest silence of a token stream, 3 s by default.
+// Silence returns the longest time without a message on a connection, heartbeats included, 1 s by default.
+func (t *timing) Silence() time.Duration { return t.silence }
+
+// Stall returns the longest time between two tokens of a stream, 3 s by default.
 func (t *timing) Stall() time.Duration { return t.stall }
 
 // Probe returns the time between two probes of an instance, 1 s by default.
--- a/io/bergamotengine/client.go
+++ b/io/bergamotengine/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -15,17 +16,25 @@
 )
 
 // Client is the HTTP adapter to engines.
-type Client struct{ wire *bergamotwire.Client }
+type Client struct {
+	wire    *bergamotwire.Client
+	streams *bergamotwire.Client // opens a new connection for each stream
+}
 
 // NewClient returns a client.
-func NewClient() *Client { return &Client{wire: bergamotwire.NewClient()} }
+func NewClient() *Client {
+	return &Client{wire: bergamotwire.NewClient(), streams: bergamotwire.NewFreshClient()}
+}
 
 // Close closes idle connections.
-func (c *Client) Close() { c.wire.Close() }
+func (c *Client) Close() {
+	c.wire.Close()
+	c.streams.Close()
+}
 
 // Open prepares a span on an engine.
 func (c *Client) Open(ctx context.Context, address string, s bergamotsession.Span) error {
-	return c.wire.Post(ctx, address, "/span/open", NewSpanMessage(s), nil)
+	return c.post(ctx, address, "/span/open", NewSpanMessage(s), nil)
 }
 
 // Start begins the generation at the first stage.
@@ -33,7 +42,7 @@
 	m := StartMessage{
 		Session: s.Session(), Attempt: s.Attempt(), Prompt: p.Prompt(), Tokens: p.Tokens(), Limit: p.Limit(), Seed: p.Seed(),
 	}
-	return c.wire.Post(ctx, address, "/span/start", m, nil)
+	return c.post(ctx, address, "/span/start", m, nil)
 }
 
 // Stream opens the token stream of the last stage at position from.
@@ -43,21 +52,51 @@
 		"session": {s.Session()}, "attempt": {fmt.Sprint(s.Attempt())}, "from": {fmt.Sprint(from)},
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := c.wire.Open(ctx, http.MethodGet, address, "/span/stream?"+q.Encode(), nil, nil)
+	resp, err := c.streams.Open(ctx, http.MethodGet, address, "/span/stream?"+q.Encode(), nil, nil)
 	if err != nil {
 		cancel()
-		return nil, err
+		return nil, classify(err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		cancel()
-		return nil, oops.Errorf("status %d", resp.StatusCode)
+		// The reply is refused whatever its body says.
+		_ = resp.Body.Close()
+		return nil, refusal(resp.StatusCode, oops.Errorf("status %d", resp.StatusCode))
 	}
 	return newStream(resp.Body, cancel), nil
 }
 
 // Cancel ends a span.
 func (c *Client) Cancel(ctx context.Context, address string, s bergamotsession.Span) error {
-	return c.wire.Post(ctx, address, "/span/cancel", NewSpanMessage(s), nil)
+	return c.post(ctx, address, "/span/cancel", NewSpanMessage(s), nil)
+}
+
+// Import has an engine pull KV cache from another one.
+func (c *Client) Import(ctx context.Context, address string, s bergamotsession.Span, i bergamotsession.Import) error {
+	m := ImportMessage{
+		Session: s.Session(), Attempt: s.Attempt(), Source: i.Source(), Of: i.Attempt(),
+		From: i.From(), To: i.To(), Position: i.Position(),
+	}
+	return c.post(ctx, address, "/span/import", m, nil)
+}
+
+// Progress asks an engine what it has done for a span.
+func (c *Client) Progress(ctx context.Context, address string, s bergamotsession.Span) (p bergamotsession.Progress, err error) {
+	var m ProgressMessage
+	if err = c.post(ctx, address, "/span/progress", NewSpanMessage(s), &m); err != nil {
+		return p, err
+	}
+	return bergamotsession.NewProgress(m.Steps, time.Duration(m.Batch)*time.Millisecond), nil
+}
+
+// post sends a command. After a command without an answer the idle connections are closed, so that the next
+// command uses a new one: a middlebox that lost the state of one connection may have lost the others.
+func (c *Client) post(ctx context.Context, address, path string, in, out any) error {
+	err := c.wire.Post(ctx, address, path, in, out)
+	if err != nil && ctx.Err() != nil {
+		c.wire.Close()
+	}
+	return classify(err)
 }
 
 // Order tells an engine all that it should hold; the engine may ignore the fencing number.
--- a/io/bergamotengine/message.go
+++ b/io/bergamotengine/message.go
@@ -39,6 +39,23 @@
 	Seed    uint64 `json:"seed"`
 }
 
+// ImportMessage is the JSON form of an import; position counts the tokens of the answer that are covered.
+type ImportMessage struct {
+	Session  string `json:"session"`
+	Attempt  int    `json:"attempt"`
+	Source   string `json:"source"`
+	Of       int    `json:"of"`
+	From     int    `json:"from"`
+	To       int    `json:"to"`
+	Position int    `json:"position"`
+}
+
+// ProgressMessage is the JSON form of the progress of a span; batch is the age of the running batch in ms.
+type ProgressMessage struct {
+	Steps int   `json:"steps"`
+	Batch int64 `json:"batch"`
+}
+
 // ReceiptMessage is the JSON form of a receipt.
 type ReceiptMessage struct {
 	From  int `json:"from"`
--- a/io/bergamotengine/stream.go
+++ b/io/bergamotengine/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 
 	"bergamotspur/core/bergamotsession"
@@ -41,7 +42,7 @@
 			r.err = io.ErrUnexpectedEOF
 		case r.err != nil:
 		case m.Fail != "":
-			r.err = bergamotsession.NewStageError(m.Target, m.Fail)
+			r.err = bergamotsession.NewStageError(m.Target, errors.New(m.Fail))
 		default:
 			r.step = m.Step()
 		}
--- /dev/null
+++ b/io/bergamotengine/stream_bench_test.go
@@ -0,0 +1,72 @@
+package bergamotengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"runtime"
+	"testing"
+
+	"bergamotspur/core/bergamotroute"
+	"bergamotspur/core/bergamotsession"
+)
+
+// BenchmarkStream measures what one token costs from its line on the wire to the check of its proof: time,
+// allocations and bytes, for a path of four stages.
+func BenchmarkStream(b *testing.B) {
+	const length = 500
+	data := benchmarkLines(b, length)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	tokens := 0
+	for b.Loop() {
+		v := bergamotsession.NewVerifier("session", 1, 0, benchmarkPlan())
+		s := newStream(io.NopCloser(bytes.NewReader(data)), func() {})
+		for range length {
+			step, err := s.Next(context.Background())
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err = v.Check(step.Token(), step.Proof()); err != nil {
+				b.Fatal(err)
+			}
+			tokens++
+		}
+		if err := s.Close(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(tokens), "ns/token")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(tokens), "allocs/token")
+	b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/float64(tokens), "B/token")
+	b.ReportMetric(float64(len(data))/length, "wire-B/token")
+}
+
+func benchmarkPlan() bergamotroute.Plan {
+	var stages []bergamotroute.Stage
+	for n := range 4 {
+		stages = append(stages, bergamotroute.NewStage("runner", "10.0.0.1:1", 3*n, 3*n+3))
+	}
+	return bergamotroute.NewPlan(stages...)
+}
+
+// benchmarkLines returns the lines of an answer as an engine sends them.
+func benchmarkLines(b *testing.B, length int) []byte {
+	b.Helper()
+	var out bytes.Buffer
+	for position := range length {
+		m := TokenMessage{Session: "session", Attempt: 1, Position: position, Token: position, Text: "board "}
+		digest := bergamotsession.FirstDigest("session", 1, position)
+		for _, s := range benchmarkPlan().Stages() {
+			m.Receipts = append(m.Receipts, ReceiptMessage{From: s.From(), To: s.To(), Steps: position + 1})
+			digest = bergamotsession.NextDigest(digest, bergamotsession.NewReceipt(s.From(), s.To(), position+1))
+		}
+		m.Digest = bergamotsession.LastDigest(digest, position)
+		if err := json.NewEncoder(&out).Encode(m); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return out.Bytes()
+}
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -13,6 +13,7 @@
 	"bergamotspur/core/bergamotroute"
 	"bergamotspur/core/bergamotsession"
 	"bergamotspur/core/bergamotsetting"
+	"bergamotspur/core/bergamotsuspect"
 	"bergamotspur/io/bergamotengine"
 	"bergamotspur/io/bergamotlist"
 	"bergamotspur/io/bergamotobject"
@@ -28,6 +29,8 @@
 	headTimeout = 2 * time.Second
 	// A fetch starts from the beginning each time, so that a text must fit into it also on a slow link.
 	textTimeout = 10 * time.Second
+	reconnects  = 2 // with the silence limit of 1 s, a dead connection costs the caller at most 3 s
+	firstStalls = 3 // the first token of an attempt also waits for its turn and its prefill
 )
 
 // adapters are the clients of one entry to targets and platform.
@@ -99,21 +102,30 @@
 func (e *Entry) newChain() bergamotchain.Handler {
 	return bergamotchain.NewChain(
 		&bergamotfilter.Dispatch{
-			Pipelines: &bergamotsession.Session{
-				Engine: e.adapters.engines, Router: bergamotroute.NewRouter(), Counter: e.metrics,
-				Stall: e.Setting.Stall(), Attempts: e.Setting.Attempts(),
-			},
-			Services: &bergamotfilter.Call{Caller: e.adapters.services, Counter: e.metrics, Clock: e.clock, Retries: e.retries},
+			Pipelines: e.session,
+			Services:  &bergamotfilter.Call{Caller: e.adapters.services, Counter: e.metrics, Clock: e.clock, Retries: e.retries},
 		},
 		&bergamotfilter.Recover{Counter: e.metrics, Report: func(id string, v any) { e.log.Error("panic in request %s: %v", id, v) }},
 		e.drain,
 		bergamotfilter.Identify{},
 		bergamotfilter.Resolve{},
 		&bergamotfilter.Deadline{Clock: e.clock},
+		&bergamotfilter.Quarantine{Suspects: e.suspects},
 		&bergamotfilter.Claim{Claims: e.claims, Asker: e.adapters.services, Clock: e.clock},
 	)
 }
 
+// newSession returns the handler for pipelines.
+func (e *Entry) newSession() *bergamotsession.Session {
+	return &bergamotsession.Session{
+		Engine: e.adapters.engines, Router: bergamotroute.NewRouter(), Views: e.loop,
+		Observer: &bergamotcontrol.Observer{Loop: e.loop}, Suspects: e.suspects, Isolation: bergamotsuspect.NewIsolation(),
+		Counter: e.metrics, Clock: e.clock, Estimate: bergamotsession.DefaultEstimate(),
+		Silence: e.Setting.Silence(), First: firstStalls * e.Setting.Stall(), Stall: e.Setting.Stall(),
+		Reconnects: reconnects, Attempts: e.Setting.Attempts(),
+	}
+}
+
 // counterNames returns the counters that exist from the start, one for each refusal and retry reason.
 func counterNames() (names []string) {
 	for _, r := range bergamotrequest.Reasons() {
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -17,7 +17,9 @@
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotlease"
 	"bergamotspur/core/bergamotretry"
+	"bergamotspur/core/bergamotsession"
 	"bergamotspur/core/bergamotsetting"
+	"bergamotspur/core/bergamotsuspect"
 	"bergamotspur/io/bergamotfront"
 	"bergamotspur/io/bergamotlog"
 	"bergamotspur/io/bergamotmetric"
@@ -33,6 +35,8 @@
 	metrics   *bergamotmetric.Registry
 	loop      *bergamotcontrol.Loop
 	drain     *bergamotfilter.Drain
+	suspects  *bergamotsuspect.Ledger
+	session   *bergamotsession.Session
 	adapters  *adapters
 	peers     *peers
 	lease     *bergamotlease.Lease
@@ -56,6 +60,8 @@
 	e.loop = e.newLoop()
 	e.loop.Init()
 	e.drain = bergamotfilter.NewDrain()
+	e.suspects = bergamotsuspect.NewLedger(e.clock)
+	e.session = e.newSession()
 	if e.callers, err = net.Listen("tcp", e.Setting.Callers()); err != nil {
 		return e.peers.abandon(err)
 	}
@@ -77,11 +83,15 @@
 // View returns the current control state.
 func (e *Entry) View() *bergamotcontrol.View { return e.loop.View() }
 
+// Suspects returns the records of requests that make targets fail, which entries exchange.
+func (e *Entry) Suspects() *bergamotsuspect.Ledger { return e.suspects }
+
 // Run serves until ctx ends, then refuses new requests and waits for those in flight.
 func (e *Entry) Run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("entry").Wrapf(err, "run") }()
 	defer e.adapters.close()
 	defer e.peers.close()
+	defer e.session.Wait()
 	front := &bergamotfront.Server{Chain: e.newChain(), Views: e.loop, Clock: e.clock, Entry: e.Setting.Name()}
 	root := suture.New(e.Setting.Name(), suture.Spec{EventHook: e.hook, Timeout: 5 * time.Second})
 	root.Add(&service{name: "control", run: e.loop.Run})
--- a/io/bergamotfake/engine.go
+++ b/io/bergamotfake/engine.go
@@ -29,6 +29,10 @@
 	queue    []StepMessage
 	busy     bool
 	journal  []Entry
+	imports  int
+	batch    time.Time // when the running batch began, zero while idle
+	hook     Hook
+	frozen   chan struct{}
 	wire     *bergamotwire.Client
 	server   *Server
 }
@@ -44,7 +48,7 @@
 
 // NewEngine returns an engine that holds the given layers.
 func NewEngine(holdings ...bergamotengine.HoldingMessage) *Engine {
-	return &Engine{holdings: holdings, spans: map[key]*span{}, Beat: 200 * time.Millisecond, wire: bergamotwire.NewClient()}
+	return &Engine{holdings: holdings, spans: map[key]*span{}, frozen: make(chan struct{}), Beat: 200 * time.Millisecond, wire: bergamotwire.NewClient()}
 }
 
 // Start serves the engine on address.
@@ -102,7 +106,12 @@
 			<-time.After(d)
 		}
 		for _, m := range batch {
-			if send := e.step(m); send != nil {
+			action := e.ask(m)
+			if action == ActionDie {
+				e.Kill()
+				return
+			}
+			if send := e.step(m, action); send != nil && action != ActionLose {
 				go send()
 			}
 		}
@@ -115,23 +124,44 @@
 	batch := e.queue
 	e.queue = nil
 	e.busy = len(batch) > 0
+	e.batch = time.Time{}
+	if e.busy {
+		e.batch = time.Now()
+	}
 	return batch
 }
 
 // step runs the layers and returns what sends the result on, nil when there is nothing to send.
-func (e *Engine) step(m StepMessage) func() {
+func (e *Engine) step(m StepMessage, action Action) func() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, ok := e.spans[key{m.Session, m.Attempt}]
 	if !ok {
 		return nil
 	}
+	if !s.ready(m) {
+		fail := bergamotengine.TokenMessage{Fail: "KV cache has a gap", Target: e.Address(), Session: m.Session, Attempt: m.Attempt}
+		return func() { e.report(s, fail) }
+	}
 	e.journal = append(e.journal, Entry{m.Session, m.Attempt, m.Position, s.message.From, s.message.To})
 	m = s.run(m)
+	if action == ActionTwice {
+		again := m
+		again.Receipts = m.Receipts[:len(m.Receipts)-1]
+		again.Digest = bergamotsession.FirstDigest(m.Session, m.Attempt, m.Position)
+		e.journal = append(e.journal, Entry{m.Session, m.Attempt, m.Position, s.message.From, s.message.To})
+		m = s.run(again)
+	}
+	if action == ActionCross {
+		m.Session += "-other"
+	}
 	if s.message.Next != "" {
 		return func() { e.forward(s, s.message.Next, "/span/step", m) }
 	}
 	t := s.emit(m)
+	if action == ActionRepeat {
+		s.tokens = append(s.tokens, t)
+	}
 	if t.Last {
 		return nil
 	}
@@ -147,7 +177,13 @@
 	if err == nil {
 		return
 	}
-	fail := bergamotengine.TokenMessage{Fail: err.Error(), Target: address, Session: s.message.Session, Attempt: s.message.Attempt}
+	e.report(s, bergamotengine.TokenMessage{Fail: err.Error(), Target: address, Session: s.message.Session, Attempt: s.message.Attempt})
+}
+
+// report tells the last stage about a failure.
+func (e *Engine) report(s *span, fail bergamotengine.TokenMessage) {
+	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+	defer cancel()
 	if s.message.Next == "" {
 		e.fail(fail)
 		return
@@ -175,7 +211,12 @@
 		e.mu.Unlock()
 		return http.StatusNotFound
 	}
-	s.seed, s.limit = m.Seed, m.Limit
+	if s.started {
+		// A repeated command takes effect once.
+		e.mu.Unlock()
+		return http.StatusOK
+	}
+	s.started, s.seed, s.limit = true, m.Seed, m.Limit
 	position := s.message.Start
 	e.mu.Unlock()
 	step := StepMessage{
@@ -195,12 +236,14 @@
 func (e *Engine) next(m NextMessage) int {
 	e.mu.Lock()
 	s, ok := e.spans[key{m.Session, m.Attempt}]
-	e.mu.Unlock()
 	if !ok {
+		e.mu.Unlock()
 		return http.StatusNotFound
 	}
+	offset := s.inputs
+	e.mu.Unlock()
 	ok = e.enqueue(StepMessage{
-		Session: m.Session, Attempt: m.Attempt, Position: m.Position, Limit: s.limit,
+		Session: m.Session, Attempt: m.Attempt, Position: m.Position, Limit: s.limit, Offset: offset,
 		Hidden: []uint64{embed(s.seed, m.Token)},
 		Digest: bergamotsession.FirstDigest(m.Session, m.Attempt, m.Position),
 	})
--- a/io/bergamotfake/engine_http.go
+++ b/io/bergamotfake/engine_http.go
@@ -27,6 +27,9 @@
 		return http.StatusOK
 	}))
 	mux.HandleFunc("POST /span/cancel", handle(e.cancel))
+	mux.HandleFunc("POST /span/import", e.pull)
+	mux.HandleFunc("POST /span/export", reply(e.export))
+	mux.HandleFunc("POST /span/progress", reply(e.progress))
 	mux.HandleFunc("GET /span/stream", e.stream)
 	mux.HandleFunc("POST /order", handle(e.order))
 	mux.HandleFunc("GET /load", e.load)
@@ -45,12 +48,29 @@
 	}
 }
 
+// reply decodes a message and replies with the status and the message that f returns.
+func reply[M, R any](f func(M) (int, R)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var m M
+		if err := bergamotwire.Read(r, &m); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		status, out := f(m)
+		bergamotwire.Write(w, status, out)
+	}
+}
+
 // open refuses a span of layers, a version or an adapter that the engine does not hold.
 func (e *Engine) open(m bergamotengine.SpanMessage) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
-		return http.StatusConflict
+		return bergamotengine.StatusLeaving
+	}
+	if _, ok := e.spans[key{m.Session, m.Attempt}]; ok {
+		// A repeated command takes effect once.
+		return http.StatusOK
 	}
 	for _, h := range e.holdings {
 		if h.Model == m.Model && h.Version == m.Version && h.From <= m.From && h.To >= m.To &&
@@ -84,6 +104,7 @@
 	k := key{r.URL.Query().Get("session"), attempt}
 	e.mu.Lock()
 	s, ok := e.spans[k]
+	frozen := e.frozen
 	e.mu.Unlock()
 	if !ok {
 		http.Error(w, "no such span", http.StatusNotFound)
@@ -94,6 +115,12 @@
 	sent := from - s.message.Start
 	for {
 		tokens, fail, changed := e.read(s, sent)
+		select {
+		case <-frozen:
+			<-r.Context().Done()
+			return
+		default:
+		}
 		for _, t := range tokens {
 			if out.Encode(t) != nil {
 				return
@@ -113,6 +140,7 @@
 		select {
 		case <-r.Context().Done():
 			return
+		case <-frozen:
 		case <-changed:
 		case <-time.After(e.Beat):
 			if out.Encode(bergamotengine.TokenMessage{Beat: true}) != nil {
--- a/io/bergamotfake/server.go
+++ b/io/bergamotfake/server.go
@@ -14,7 +14,8 @@
 type Server struct {
 	server  *http.Server
 	address string
-	done    chan error
+	done    chan struct{}
+	err     error // how serving ended, readable after done
 }
 
 // Listen serves h on address; port 0 takes any free port.
@@ -26,16 +27,19 @@
 	}
 	s = &Server{
 		server:  &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second},
-		address: l.Addr().String(), done: make(chan error, 1),
+		address: l.Addr().String(), done: make(chan struct{}),
 	}
-	go func() { s.done <- s.server.Serve(l) }()
+	go func() {
+		defer close(s.done)
+		s.err = s.server.Serve(l)
+	}()
 	return s, nil
 }
 
 // Address returns host and port.
 func (s *Server) Address() string { return s.address }
 
-// Kill closes the port and cuts all connections at once.
+// Kill closes the port and cuts all connections at once; it may be called more than once.
 func (s *Server) Kill() {
 	// The port is gone either way.
 	_ = s.server.Close()
@@ -48,10 +52,10 @@
 	case <-ctx.Done():
 		s.Kill()
 		return nil
-	case err := <-s.done:
-		if errors.Is(err, http.ErrServerClosed) {
+	case <-s.done:
+		if errors.Is(s.err, http.ErrServerClosed) {
 			return nil
 		}
-		return err
+		return s.err
 	}
 }
--- a/io/bergamotfake/span.go
+++ b/io/bergamotfake/span.go
@@ -1,6 +1,8 @@
 package bergamotfake
 
 import (
+	"slices"
+
 	"bergamotspur/core/bergamotsession"
 	"bergamotspur/io/bergamotengine"
 )
@@ -16,6 +18,10 @@
 	message bergamotengine.SpanMessage
 	states  []uint64
 	steps   int
+	inputs  int            // tokens run, the prompt included
+	covered int            // layers whose state was imported
+	started bool           // the first stage got the prefix
+	kept    map[int]cached // state by the position of the token that the step gave
 	seed    uint64
 	limit   int
 	tokens  []bergamotengine.TokenMessage
@@ -24,12 +30,32 @@
 }
 
 func newSpan(m bergamotengine.SpanMessage) *span {
-	return &span{message: m, states: make([]uint64, m.To-m.From), changed: make(chan struct{})}
+	return &span{message: m, states: make([]uint64, m.To-m.From), kept: map[int]cached{}, changed: make(chan struct{})}
+}
+
+// cached is the KV cache of a span after one step.
+type cached struct {
+	states []uint64
+	inputs int
 }
 
-// run applies the layers of the span to a step.
+// ready tells whether the span can run a step: it needs every input that it has not imported.
+func (s *span) ready(m StepMessage) bool {
+	if s.steps > 0 {
+		return true
+	}
+	return m.Offset <= s.inputs && (s.covered == 0 || s.covered == len(s.states))
+}
+
+// run applies the layers of the span to a step; the first step leaves out what was imported.
 func (s *span) run(m StepMessage) StepMessage {
+	if skip := s.inputs - m.Offset; s.steps == 0 && skip > 0 {
+		m.Hidden = m.Hidden[min(skip, len(m.Hidden)-1):]
+		m.Offset = s.inputs
+	}
 	s.steps++
+	s.inputs += len(m.Hidden)
+	defer func() { s.kept[m.Position] = cached{slices.Clone(s.states), s.inputs} }()
 	hidden := make([]uint64, len(m.Hidden))
 	for n, h := range m.Hidden {
 		for l := range s.states {
--- a/io/bergamotfake/step.go
+++ b/io/bergamotfake/step.go
@@ -8,6 +8,7 @@
 	Attempt  int                             `json:"attempt"`
 	Position int                             `json:"position"`
 	Limit    int                             `json:"limit"`
+	Offset   int                             `json:"offset"` // inputs of the sequence before the first one of the step
 	Hidden   []uint64                        `json:"hidden"`
 	Receipts []bergamotengine.ReceiptMessage `json:"receipts"`
 	Digest   uint64                          `json:"digest,string"`
--- a/io/bergamotwire/client.go
+++ b/io/bergamotwire/client.go
@@ -41,9 +41,18 @@
 type Client struct{ client *http.Client }
 
 // NewClient returns a client that follows no redirects.
-func NewClient() *Client {
+func NewClient() *Client { return newClient(NewTransport()) }
+
+// NewFreshClient returns a client that opens a new connection for each request.
+func NewFreshClient() *Client {
+	t := NewTransport()
+	t.DisableKeepAlives = true
+	return newClient(t)
+}
+
+func newClient(t *http.Transport) *Client {
 	return &Client{client: &http.Client{
-		Transport: NewTransport(),
+		Transport: t,
 		// A followed 307 would send the body to another server a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
