--- a/core/bergamotsession/watch_test.go
+++ b/core/bergamotsession/measured_test.go
@@ -66,13 +66,13 @@
 	bergamottest.Entries(map[string]watchCase{
 		"observes token times without the first": {9, nil, 0, false, seen{[]time.Duration{step}, nil, 1}},
 		"leaves out the times of a slow caller":  {9, nil, time.Second, false, seen{nil, nil, 1}},
-		"blames the stage that an error names":   {3, bergamotsession.NewStageError("b:1", "gone"), 0, false, seen{nil, []string{"b:1"}, 0}},
+		"blames the stage that an error names":   {3, bergamotsession.NewStageError("b:1", errors.New("gone")), 0, false, seen{nil, []string{"b:1"}, 0}},
 		"blames the last stage for its stream":   {3, broken, 0, false, seen{nil, []string{"c:1"}, 0}},
 		"blames nobody when the caller left":     {3, broken, 0, true, seen{nil, nil, 0}},
 	}, func(c watchCase) {
 		clock, got := bergamotclock.NewVirtual(time.Unix(1000, 0)), &seen{}
-		w := &bergamotsession.Watch{
-			Engine: &timed{clock: clock, step: step, tokens: c.tokens, err: c.err}, Observer: got, Clock: clock,
+		w := &bergamotsession.MeasuredEngine{
+			Engine: &timed{clock: clock, step: step, tokens: c.tokens, err: c.err}, Learner: got, Clock: clock,
 		}
 		plan := bergamotroute.NewPlan(
 			bergamotroute.NewStage("a", "a:1", 0, 4), bergamotroute.NewStage("b", "b:1", 4, 8), bergamotroute.NewStage("c", "c:1", 8, 12))
--- a/core/bergamotsession/watch.go
+++ b/core/bergamotsession/watch.go
@@ -2,120 +2,81 @@
 
 import (
 	"context"
-	"errors"
+	"sync/atomic"
 	"time"
-
-	"bergamotspur/core/bergamotroute"
 )
 
-// Observer learns from what an entry sees of attempts.
-type Observer interface {
-	Observe(p bergamotroute.Plan, token time.Duration)
-	Failed(p bergamotroute.Plan, address string) // address of the instance, empty when it is not known which one failed
-	Succeeded(p bergamotroute.Plan)
+// watch ends the context of one connection when it is silent for too long, or when no token came for too
+// long. Two limits are needed, since heartbeats of a stuck target keep its connection alive.
+type watch struct {
+	clock   Clock
+	silence time.Duration
+	stall   atomic.Int64 // limit of the time without a token, in nanoseconds
+	begin   time.Time
+	line    atomic.Int64 // time of the last message since begin
+	token   atomic.Int64 // time of the last token since begin
+	paused  atomic.Bool
+	stop    chan struct{}
+	done    chan struct{}
 }
 
-// Clock tells the time.
-type Clock interface {
-	Now() time.Time
+// startWatch watches until close; token is when the last token of the attempt came.
+func startWatch(c Clock, silence, stall time.Duration, token time.Time, cancel context.CancelCauseFunc) *watch {
+	w := &watch{clock: c, silence: silence, begin: c.Now(), stop: make(chan struct{}), done: make(chan struct{})}
+	w.stall.Store(int64(stall))
+	w.token.Store(int64(token.Sub(w.begin)))
+	go w.run(cancel)
+	return w
 }
 
-// Watch is an engine that reports token times and failures of another engine to an observer.
-type Watch struct {
-	Engine
-	Observer Observer
-	Clock    Clock
-}
+// pause stops both limits while the caller takes a token, since a slow caller is no fault of a target.
+func (w *watch) pause() { w.paused.Store(true) }
 
-// Open opens a span and reports a failure.
-func (w *Watch) Open(ctx context.Context, address string, s Span) error {
-	err := w.Engine.Open(ctx, address, s)
-	w.note(ctx, s, address, err)
-	return err
+// resume marks the time of a token and restarts both limits; stall is the limit from now on.
+func (w *watch) resume(stall time.Duration) {
+	w.stall.Store(int64(stall))
+	now := int64(w.clock.Now().Sub(w.begin))
+	w.line.Store(now)
+	w.token.Store(now)
+	w.paused.Store(false)
 }
 
-// Start starts an attempt and reports a failure.
-func (w *Watch) Start(ctx context.Context, address string, s Span, p Prefix) error {
-	err := w.Engine.Start(ctx, address, s, p)
-	w.note(ctx, s, address, err)
-	return err
-}
-
-// Stream opens a token stream whose times and failures are reported.
-func (w *Watch) Stream(ctx context.Context, address string, s Span, from int) (TokenStream, error) {
-	stream, err := w.Engine.Stream(ctx, address, s, from)
-	w.note(ctx, s, address, err)
-	if err != nil {
-		return nil, err
-	}
-	return &watchedStream{TokenStream: stream, watch: w, span: s}, nil
-}
-
-// note reports a failure unless the caller or the deadline ended the call.
-func (w *Watch) note(ctx context.Context, s Span, address string, err error) {
-	if err != nil && ctx.Err() == nil {
-		w.Observer.Failed(s.Plan(), address)
-	}
-}
+// beat marks the time of a message without a token.
+func (w *watch) beat() { w.line.Store(int64(w.clock.Now().Sub(w.begin))) }
 
-const (
-	// watchTokens is how many tokens a mean covers, so that a learner is called seldom.
-	watchTokens = 8
-	// watchOutside is the share of the time that may pass outside of Next; beyond it the times show a slow caller.
-	watchOutside = 0.2
-)
+// lastToken returns when the last token came.
+func (w *watch) lastToken() time.Time { return w.begin.Add(time.Duration(w.token.Load())) }
 
-// watchedStream times the tokens of a stream.
-type watchedStream struct {
-	TokenStream
-	watch   *Watch
-	span    Span
-	last    time.Time // when Next returned last
-	total   time.Duration
-	outside time.Duration
-	count   int
+// close ends the watch.
+func (w *watch) close() {
+	close(w.stop)
+	<-w.done
 }
 
-// Next waits for the next step and measures the time since the one before; the first token is left out, since it
-// includes the prompt.
-func (s *watchedStream) Next(ctx context.Context) (Step, error) {
-	asked := s.watch.Clock.Now()
-	step, err := s.TokenStream.Next(ctx)
-	if err != nil {
-		s.failed(ctx, err)
-		return step, err
-	}
-	if step.Beat() {
-		return step, nil
-	}
-	now := s.watch.Clock.Now()
-	if !s.last.IsZero() {
-		s.total += now.Sub(s.last)
-		s.outside += asked.Sub(s.last)
-		s.count++
-	}
-	s.last = now
-	if s.count >= watchTokens || step.Token().Last() && s.count > 0 {
-		if float64(s.outside) <= watchOutside*float64(s.total) {
-			s.watch.Observer.Observe(s.span.Plan(), s.total/time.Duration(s.count))
+func (w *watch) run(cancel context.CancelCauseFunc) {
+	defer close(w.done)
+	for {
+		wait := w.silence
+		if !w.paused.Load() {
+			now := w.clock.Now().Sub(w.begin)
+			silent := time.Duration(w.line.Load()) + w.silence - now
+			stalled := time.Duration(w.token.Load()+w.stall.Load()) - now
+			// A resume between the reads above leaves old times behind; the next pass sees the new ones.
+			switch wait = min(silent, stalled); {
+			case w.paused.Load():
+				wait = w.silence
+			case stalled <= 0:
+				cancel(errStall)
+				return
+			case silent <= 0:
+				cancel(errSilence)
+				return
+			}
+		}
+		select {
+		case <-w.stop:
+			return
+		case <-w.clock.After(wait):
 		}
-		s.total, s.outside, s.count = 0, 0, 0
-	}
-	if step.Token().Last() {
-		s.watch.Observer.Succeeded(s.span.Plan())
-	}
-	return step, nil
-}
-
-func (s *watchedStream) failed(ctx context.Context, err error) {
-	var stage *StageError
-	switch {
-	case errors.As(err, &stage):
-		s.watch.Observer.Failed(s.span.Plan(), stage.Address())
-	case ctx.Err() == nil:
-		// The stream itself broke, so that the last stage or the way to it failed.
-		s.watch.Observer.Failed(s.span.Plan(), s.span.Last())
-	case context.Cause(ctx) == errStall:
-		s.watch.Observer.Failed(s.span.Plan(), "")
 	}
 }
--- a/io/bergamotentry/load.go
+++ b/io/bergamotentry/load.go
@@ -50,10 +50,10 @@
 	return l
 }
 
-// watch returns the engine client with its observations.
-func (e *Entry) watch() bergamotsession.Engine {
+// measuredEngine returns the engine client, whose token times and failures teach the router.
+func (e *Entry) measuredEngine() bergamotsession.Engine {
 	o := &observer{clock: e.clock, router: e.load.router, health: e.load.health}
-	return &bergamotsession.Watch{Engine: e.adapters.engines, Observer: o, Clock: e.clock}
+	return &bergamotsession.MeasuredEngine{Engine: e.adapters.engines, Learner: o, Clock: e.clock}
 }
 
 // PipelineMessage is the JSON form of the load of the model of a pipeline.
