Connect limits, quarantine, retries and versions across entries

Cause: the parts were built side by side; limits counted one entry, quarantine records stayed at the entry that wrote them, session retries had no budget, and a new model version left a gap until its runners had loaded it. Change: shares of limits follow live entries and announced demand; a controller exchanges strikes with other entries by their remaining lifetime; from the second recovery on, an answer pays from the retry budgets; a version filter settles the version that all layers are held of for the whole answer. Ruled out: charging the first recovery, which would end most streams of a lost instance; a version chosen for each attempt, which could continue an answer with other weights.

--- a/core/bergamotadmission/limiter.go
+++ b/core/bergamotadmission/limiter.go
@@ -80,7 +80,18 @@
 	if !ok {
 		return 0
 	}
-	return u.demand * math.Exp(-float64(now.Sub(u.at))/float64(memory))
+	return u.demandAt(now)
+}
+
+// Demands returns the requests a second of each workspace that used this entry lately, refused ones included.
+func (l *Limiter) Demands(now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]float64, len(l.workspaces))
+	for name, u := range l.workspaces {
+		out[name] = u.demandAt(now)
+	}
+	return out
 }
 
 func (l *Limiter) usage(now time.Time, name string) *usage {
@@ -100,8 +111,13 @@
 	return u
 }
 
+// demandAt returns the measured demand, which fades since the last request.
+func (u *usage) demandAt(now time.Time) float64 {
+	return u.demand * math.Exp(-float64(now.Sub(u.at))/float64(memory))
+}
+
 // note adds one request to the measured demand.
 func (u *usage) note(now time.Time) {
-	u.demand = u.demand*math.Exp(-float64(now.Sub(u.at))/float64(memory)) + 1/memory.Seconds()
+	u.demand = u.demandAt(now) + 1/memory.Seconds()
 	u.at = now
 }
--- a/core/bergamotbundle/pipeline.go
+++ b/core/bergamotbundle/pipeline.go
@@ -19,6 +19,12 @@
 // Model returns the model that serves the pipeline.
 func (p Pipeline) Model() Model { return p.model }
 
+// WithVersion returns a copy that is served by another version of the model.
+func (p Pipeline) WithVersion(version string) Pipeline {
+	p.model.version = version
+	return p
+}
+
 // Adapter returns the name of the adapter, empty for none.
 func (p Pipeline) Adapter() string { return p.adapter }
 
--- /dev/null
+++ b/core/bergamotfilter/version_test.go
@@ -0,0 +1,49 @@
+package bergamotfilter_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotfilter"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotplacement"
+	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamottest"
+)
+
+func runner(name, version string, from, to int) bergamotfleet.Instance {
+	return bergamotfleet.NewInstance(bergamotfleet.Spec{
+		Name: name, Role: bergamotfleet.RoleRunner, Holdings: []bergamotfleet.Holding{bergamotfleet.NewHolding("care", version, from, to)},
+	})
+}
+
+type versionCase struct {
+	fleet []bergamotfleet.Instance
+	want  string
+}
+
+// Guards against a gap while the runners change from one version to the next: baseBundle declares version 1.
+var _ = ginkgo.Describe("Version", func() {
+	bergamottest.Entries(map[string]versionCase{
+		"takes the declared version when it is held": {[]bergamotfleet.Instance{runner("a", "0", 0, 12), runner("b", "1", 0, 12)}, "1"},
+		"takes an older version until then":          {[]bergamotfleet.Instance{runner("a", "0", 0, 12), runner("b", "1", 0, 6)}, "0"},
+		"takes the declared version when none is":    {[]bergamotfleet.Instance{runner("a", "0", 0, 6)}, "1"},
+	}, func(c versionCase) {
+		r, err := bergamotrequest.New(baseSpec())
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		view := bergamotcontrol.NewView(epoch, baseView().Bundle(), bergamotfleet.NewFleet(c.fleet))
+		x := bergamotchain.NewExchange(r, view, nil)
+		versions := &bergamotplacement.Versions{Clock: bergamotclock.NewVirtual(epoch), Age: time.Second}
+		called := false
+		h := bergamotchain.NewChain(reached(&called), bergamotfilter.Identify{}, bergamotfilter.Resolve{}, &bergamotfilter.Version{Versions: versions})
+		gomega.Expect(h.Handle(context.Background(), x)).To(gomega.Succeed())
+		gomega.Expect(called).To(gomega.BeTrue())
+		gomega.Expect(x.Pipeline().Model().Version()).To(gomega.Equal(c.want))
+	})
+})
--- a/core/bergamotplacement/serving.go
+++ b/core/bergamotplacement/serving.go
@@ -9,11 +9,16 @@
 // hold all its layers with the adapter, otherwise another that they hold completely. Without it a new version would
 // leave the pipeline unserved until the first runners have loaded it.
 func Serving(b *bergamotbundle.Bundle, p bergamotbundle.Pipeline, f *bergamotfleet.Fleet) (version string, ok bool) {
+	return cover(b, f).version(p)
+}
+
+// cover counts the holdings of all usable runners.
+func cover(b *bergamotbundle.Bundle, f *bergamotfleet.Fleet) *coverage {
 	c := newCoverage(b)
 	for _, i := range f.Role(bergamotfleet.RoleRunner) {
 		if i.Usable() {
 			c.add(i.Holdings(), 1)
 		}
 	}
-	return c.version(p)
+	return c
 }
--- a/core/bergamotsession/answer.go
+++ b/core/bergamotsession/answer.go
@@ -32,7 +32,7 @@
 			return bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "targets failed each time they ran this request").Ran(g.ran)
 		}
 		alone := g.session.Suspects.Suspect(content)
-		a, leave, err := g.prepare(ctx, alone)
+		a, leave, err := g.prepare(ctx, alone, failures)
 		if err != nil {
 			return g.refuse(ctx, err)
 		}
@@ -71,11 +71,15 @@
 }
 
 // prepare returns the next attempt, nil when there is no path, and what releases its instances.
-func (g *answer) prepare(ctx context.Context, alone bool) (a *attempt, leave func(), err error) {
+func (g *answer) prepare(ctx context.Context, alone bool, failures int) (a *attempt, leave func(), err error) {
 	plan, ok := g.route()
 	if !ok {
 		return nil, nil, nil
 	}
+	if err = g.charge(ctx, plan, failures); err != nil {
+		g.session.Router.Finish(plan)
+		return nil, nil, err
+	}
 	claims := plan.Instances()
 	if alone {
 		// Copies of one suspect run one after the other, else each of them could take down a target.
@@ -94,6 +98,19 @@
 	return g.attempt(plan), leave, nil
 }
 
+// charge counts an attempt against the retry budgets. The first recovery is free: it adds at most one attempt to each
+// request in flight, and a budget of a tenth of the requests would end most streams of a lost instance.
+func (g *answer) charge(ctx context.Context, plan bergamotroute.Plan, failures int) error {
+	workspace := g.x.Workspace().Name()
+	if g.number == 0 {
+		g.session.Retries.First(workspace, plan.Instances()...)
+	}
+	if failures <= 1 {
+		return nil
+	}
+	return g.session.Retries.Next(ctx, workspace, failures-1, g.x.Deadline(), plan.Instances()...)
+}
+
 // route prefers paths without doubtful instances and without those on which a suspect runs alone.
 func (g *answer) route() (plan bergamotroute.Plan, ok bool) {
 	w := bergamotroute.Want{
--- a/core/bergamotsession/errors.go
+++ b/core/bergamotsession/errors.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamotretry"
 )
 
 // Causes that an engine adapter puts into the chain of its errors.
@@ -34,6 +35,10 @@
 	switch {
 	case errors.As(err, &proof):
 		return bergamotrequest.ReasonProof
+	case errors.Is(err, bergamotretry.ErrBudget):
+		return bergamotrequest.ReasonBudget
+	case errors.Is(err, bergamotretry.ErrDeadline):
+		return bergamotrequest.ReasonDeadline
 	case errors.Is(err, errStall), errors.Is(err, errSilence):
 		return bergamotrequest.ReasonStall
 	default:
--- a/core/bergamotsession/session.go
+++ b/core/bergamotsession/session.go
@@ -19,6 +19,7 @@
 	Observer   Observer
 	Suspects   Suspects
 	Isolation  Isolation
+	Retries    Retries
 	Counter    Counter
 	Clock      Clock
 	Estimate   Estimate
--- a/core/bergamotsession/sim_test.go
+++ b/core/bergamotsession/sim_test.go
@@ -250,9 +250,14 @@
 func (*world) Held() map[string]bool                                 { return nil }
 func (*world) Enter(context.Context, []string, bool) (func(), error) { return func() {}, nil }
 
+func (*world) First(string, ...string) {}
+func (*world) Next(context.Context, string, int, time.Time, ...string) error {
+	return nil
+}
+
 func (w *world) session(e bergamotsession.Engine) *bergamotsession.Session {
 	return &bergamotsession.Session{
-		Engine: e, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: w, Observer: w, Suspects: w, Isolation: w, Counter: w,
+		Engine: e, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: w, Observer: w, Suspects: w, Isolation: w, Retries: w, Counter: w,
 		Clock: bergamotclock.Real{}, Estimate: bergamotsession.DefaultEstimate(), Silence: time.Second,
 		First: 9 * time.Second, Stall: 3 * time.Second, Reconnects: 2, Attempts: 6,
 	}
--- a/io/bergamotengine/rig_test.go
+++ b/io/bergamotengine/rig_test.go
@@ -94,11 +94,17 @@
 	return bergamotengine.HoldingMessage{Model: "care", Version: "1", From: 4 * stage, To: 4*stage + 4}
 }
 
+// First counts nothing: the budgets have tests of their own.
+func (r *rig) First(string, ...string) {}
+
+// Next allows every retry.
+func (r *rig) Next(context.Context, string, int, time.Time, ...string) error { return nil }
+
 // newSession returns the session of one entry with records of its own.
 func (r *rig) newSession(l *bergamotsuspect.Ledger) *bergamotsession.Session {
 	return &bergamotsession.Session{
 		Engine: r.client, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: r, Observer: r, Suspects: l,
-		Isolation: bergamotsuspect.NewIsolation(), Counter: r, Clock: bergamotclock.Real{},
+		Isolation: bergamotsuspect.NewIsolation(), Retries: r, Counter: r, Clock: bergamotclock.Real{},
 		// Recomputing is made dear, so that imports are used wherever they are possible.
 		Estimate: bergamotsession.NewEstimate(1e12, 0, time.Second),
 		Silence:  400 * time.Millisecond, First: 2 * time.Second, Stall: time.Second, Reconnects: 2, Attempts: 8,
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -8,6 +8,7 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotmember"
+	"bergamotspur/core/bergamotplacement"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/core/bergamotsession"
@@ -29,6 +30,8 @@
 	// A fetch starts from the beginning each time, so that a text must fit into it also on a slow link.
 	textTimeout = 10 * time.Second
 	reconnects  = 2 // with the silence limit of 1 s, a dead connection costs the caller at most 3 s
+	// Counting the holdings of 3,100 runners for each request would take longer than choosing the path.
+	versionAge  = 250 * time.Millisecond
 	firstStalls = 3 // the first token of an attempt also waits for its turn and its prefill
 )
 
@@ -66,7 +69,7 @@
 		&bergamotcontrol.Instances{Source: e.adapters.list, Period: s.Poll(), Report: e.report("instances")},
 	}
 	if e.peers != nil {
-		controllers = append(controllers, e.peers.controller)
+		controllers = append(controllers, e.peers.controller, e.peers.suspects)
 	}
 	// Probes come last, since those of a large fleet can fill the room for tasks.
 	return &bergamotcontrol.Loop{
@@ -109,6 +112,7 @@
 		e.drain,
 		bergamotfilter.Identify{},
 		bergamotfilter.Resolve{},
+		&bergamotfilter.Version{Versions: &bergamotplacement.Versions{Clock: e.clock, Age: versionAge}},
 		&bergamotfilter.Deadline{Clock: e.clock},
 		&bergamotfilter.Quarantine{Suspects: e.suspects},
 		&bergamotfilter.Claim{Claims: e.claims, Asker: e.adapters.services, Clock: e.clock},
@@ -121,7 +125,7 @@
 func (e *Entry) newSession() *bergamotsession.Session {
 	return &bergamotsession.Session{
 		Engine: e.measuredEngine(), Router: e.load.router, Views: e.loop,
-		Observer: &bergamotcontrol.Observer{Loop: e.loop}, Suspects: e.suspects, Isolation: bergamotsuspect.NewIsolation(),
+		Observer: &bergamotcontrol.Observer{Loop: e.loop}, Suspects: e.suspects, Isolation: bergamotsuspect.NewIsolation(), Retries: e.retries,
 		Counter: e.metrics, Clock: e.clock, Estimate: bergamotsession.DefaultEstimate(),
 		Silence: e.Setting.Silence(), First: firstStalls * e.Setting.Stall(), Stall: e.Setting.Stall(),
 		Reconnects: reconnects, Attempts: e.Setting.Attempts(),
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -55,6 +55,7 @@
 	e.adapters = newAdapters(e.Setting)
 	e.retries = e.newRetries()
 	e.claims = e.newClaims()
+	e.suspects = bergamotsuspect.NewLedger(e.clock)
 	if e.peers, err = e.newPeers(); err != nil {
 		return err
 	}
@@ -62,7 +63,6 @@
 	e.loop = e.newLoop()
 	e.loop.Init()
 	e.drain = bergamotfilter.NewDrain()
-	e.suspects = bergamotsuspect.NewLedger(e.clock)
 	e.session = e.newSession()
 	if e.callers, err = net.Listen("tcp", e.Setting.Callers()); err != nil {
 		return e.peers.abandon(err)
--- a/io/bergamotentry/load.go
+++ b/io/bergamotentry/load.go
@@ -42,6 +42,7 @@
 	l.router = bergamotroute.NewRouter(e.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), e.Setting.DataCentre())
 	l.router.Fleet = func() *bergamotfleet.Fleet { return e.loop.View().Fleet() }
 	l.router.Health, l.router.Affinity = l.health, l.caches.Index
+	l.limiter.Peers = entryPeers{entry: e}
 	lengths := bergamotadmission.NewLengths()
 	l.limit = &bergamotfilter.Limit{Clock: e.clock, Limiter: l.limiter, Lengths: lengths}
 	l.queue = &bergamotfilter.Queue{
--- a/io/bergamotentry/peers.go
+++ b/io/bergamotentry/peers.go
@@ -19,6 +19,7 @@
 // peers is the membership of an entry; nil when the settings name no peers.
 type peers struct {
 	controller *bergamotcontrol.Members
+	suspects   *bergamotcontrol.Suspects
 	client     *bergamotpeer.Client
 	server     *bergamotpeer.Server
 }
@@ -42,9 +43,10 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.controller = &bergamotcontrol.Members{
 		// Others raise a first incarnation that they have seen before, so that no clock is needed.
-		Node: bergamotmember.NewNode(self, 1, rng), Sender: p.client, Seeds: seeds(s),
+		Node: bergamotmember.NewNode(self, 1, rng), Sender: p.client, Seeds: seeds(s), Demand: e.demand,
 		Post: func(event bergamotcontrol.Event) bool { return e.loop.Post(event) }, Count: e.metrics.Count,
 	}
+	p.suspects = &bergamotcontrol.Suspects{Ledger: e.suspects, Node: p.controller.Node}
 	p.server = &bergamotpeer.Server{Listener: l, TLS: cfg, Inbox: p.controller, Counter: e.metrics}
 	return p, nil
 }
