Give waiting requests the capacity that is learned after their arrival

Cause: the queue computed its slots only when a request arrived. After a burst of 200 streams with nothing behind it, 6 ran at a time although the bound had grown from 199 to 1,755 tokens/s, and the last ones passed their deadline of 60 s. Ruled out: a slow learner (the bound in /status grew within a second), a lost wake-up in the gate (each end granted one), the load of the machine (load average 4 to 5). Change: the capacity is also asked for when an answer ends and every 32 tokens of one.

--- a/cmd/bergamotcommand/whole_test.go
+++ b/cmd/bergamotcommand/whole_test.go
@@ -72,8 +72,9 @@
 	return bergamotbundle.NewAuthority(1, bergamotbundle.NewOperator("mari", wholePrivate().Public().(ed25519.PublicKey)))
 }
 
-func writeSettings(name, platform string) string {
-	text := fmt.Sprintf(`[entry]
+// settingsText returns the settings of an entry without peers.
+func settingsText(name, platform string) string {
+	return fmt.Sprintf(`[entry]
 name = %s
 centre = tallinn
 [listen]
@@ -91,6 +92,10 @@
 [trust]
 operators = mari:11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 `, name, platform)
+}
+
+func writeSettings(name, platform string) string {
+	text := settingsText(name, platform)
 	file := filepath.Join(ginkgo.GinkgoT().TempDir(), name+".ini")
 	gomega.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
 	return file
--- a/core/bergamotfilter/queue.go
+++ b/core/bergamotfilter/queue.go
@@ -17,6 +17,7 @@
 
 const (
 	paceAge    = 250 * time.Millisecond // age of the capacity after which it is computed anew
+	paceTokens = 32                     // tokens of an answer after which it asks for the capacity
 	tokenMost  = 51 * time.Millisecond  // longest time between two tokens at p95 that the design allows
 	holdTime   = 30 * time.Second       // time in which slots held after a loss fall by 63 %
 	longFactor = 4.0                    // a request this much longer than the mean of its model is long
@@ -64,15 +65,23 @@
 	if err := gate.Enter(ctx, job); err != nil {
 		return f.refuse(err)
 	}
+	want := wanted(x)
 	flow := f.flow(x.Pipeline().Model().Name())
 	m := &meter{Sink: x.Sink(), note: func(tokens int) {
 		flow.add(f.Clock.Now())
+		if tokens%paceTokens == 0 {
+			f.gate(want, f.Clock.Now())
+		}
 		if tokens == int(longFactor*job.Cost())+1 {
 			gate.Overrun(job)
 		}
 	}}
 	x.SetSink(m)
-	defer func() { gate.Leave(job, float64(m.tokens)) }()
+	defer func() {
+		// Requests that already wait need the learned capacity as much as new ones do.
+		f.gate(want, f.Clock.Now())
+		gate.Leave(job, float64(m.tokens))
+	}()
 	err := next.Handle(ctx, x)
 	if err == nil {
 		f.Lengths.Observe(models+x.Pipeline().Model().Name(), "", m.tokens)
@@ -93,7 +102,7 @@
 // Prepare returns the queue of an exchange and its job, which has not asked for a slot yet.
 func (f *Queue) Prepare(x *bergamotchain.Exchange) (*bergamotqueue.Gate, *bergamotqueue.Job) {
 	p, w, now := x.Pipeline(), x.Workspace(), f.Clock.Now()
-	want := bergamotroute.Want{Pipeline: p, Fleet: x.View().Fleet(), Bundle: x.View().Bundle()}
+	want := wanted(x)
 	gate := f.gate(want, now)
 	cost := f.Lengths.Expect(p.Name(), w.Name(), min(x.Request().Limit(), p.Limit()))
 	latest := x.Deadline()
@@ -109,6 +118,11 @@
 	})
 }
 
+// wanted returns the path that any request for the pipeline needs.
+func wanted(x *bergamotchain.Exchange) bergamotroute.Want {
+	return bergamotroute.Want{Pipeline: x.Pipeline(), Fleet: x.View().Fleet(), Bundle: x.View().Bundle()}
+}
+
 // gate returns the queue of a model with its current capacity.
 func (f *Queue) gate(w bergamotroute.Want, now time.Time) *bergamotqueue.Gate {
 	f.mu.Lock()
--- a/core/bergamotfilter/queue_test.go
+++ b/core/bergamotfilter/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -25,6 +26,15 @@
 
 func (c capacity) Expect(bergamotroute.Want) (time.Duration, bool) { return c.token, c.token > 0 }
 
+// growing is targets whose slots a test changes.
+type growing struct{ slots atomic.Int64 }
+
+func (g *growing) Bound(bergamotroute.Want, time.Duration) bergamotroute.Bound {
+	return bergamotroute.NewBound(1, float64(g.slots.Load()))
+}
+
+func (*growing) Expect(bergamotroute.Want) (time.Duration, bool) { return time.Millisecond, true }
+
 // answer is a handler that sends tokens and then waits for release, when there is one.
 func answer(tokens int, entered chan<- string, release <-chan struct{}) bergamotchain.Handler {
 	return bergamotchain.HandlerFunc(func(ctx context.Context, x *bergamotchain.Exchange) error {
@@ -162,3 +172,34 @@
 		gomega.Expect(refusal.After()).To(gomega.BeNumerically(">", 0))
 	})
 })
+
+var _ = ginkgo.Describe("Queue", func() {
+	// Guards against a burst that waits for the capacity of its first moment: without new arrivals nothing told the
+	// queue that the targets had turned out to be faster, and 200 streams took 60 s instead of a few.
+	ginkgo.It("grants waiting requests the capacity that was learned after their arrival", func() {
+		clock, capacity := bergamotclock.NewVirtual(epoch), &growing{}
+		capacity.slots.Store(1)
+		q := newQueue(clock, time.Millisecond, 10)
+		q.Capacity = capacity
+		entered, first, rest := make(chan string, 3), make(chan struct{}), make(chan struct{})
+		done := make(chan error, 3)
+		send := func(id string, release chan struct{}) {
+			done <- loadChain(answer(1, entered, release), clock, q).Handle(context.Background(),
+				sinkExchange(func(s *bergamotrequest.Spec) { s.ID = id }))
+		}
+		go send("r1", first)
+		<-entered
+		go send("r2", rest)
+		go send("r3", rest)
+		gomega.Eventually(func() int { return q.Waiting("care") }).Should(gomega.Equal(2))
+		capacity.slots.Store(100)
+		clock.Advance(time.Second)
+		close(first)
+		gomega.Eventually(entered).Should(gomega.Receive())
+		gomega.Eventually(entered).Should(gomega.Receive())
+		close(rest)
+		for range 3 {
+			gomega.Eventually(done).Should(gomega.Receive(gomega.BeNil()))
+		}
+	})
+})
--- a/core/bergamotroute/bound.go
+++ b/core/bergamotroute/bound.go
@@ -14,6 +14,9 @@
 	slots float64
 }
 
+// NewBound returns a bound of rate tokens a second with slots sequences in flight.
+func NewBound(rate, slots float64) Bound { return Bound{rate: rate, slots: slots} }
+
 // Rate returns the most tokens a second.
 func (b Bound) Rate() float64 { return b.rate }
 
