Bound the probes, the reads of the list and the passes of an entry

Cause: an entry probed every runner once a second and read the whole list once a second; at 3,100 runners that is 3,100 probes/s for an entry, 840/s for a runner and 0.5 MB/s for the list. The loop woke up every 50 ms, sorted all names for each controller and built the whole fleet for each event.

Ruled out: probing by some entries with results passed on, which makes what an entry may use depend on peers that serve as hints only; groups of equal layer ranges, since runners of different memory hold different ranges and each range would be a group of its own; a fixed count of members for each layer, which leaves hot models uneven and runners unused when entries are few; conditional load requests, which the engines' protocol does not offer.

Change: up to 48 runners are probed every period as before. In a larger fleet an entry takes, for each model and adapter, the holders with the highest rendezvous hash until each layer has its part of 512 members, at least 4 and in 3 data centres with its own; only they are in the view. They are probed 16 times a period, all others 4 times, with 48 as the bound of all. A failed member is replaced in the same pass. The list is read with a tag and in gzip where it offers them, and a large one is put off so that it takes 3 KB/s. Controllers tell when they next have work, the fleet is changed in place of being rebuilt, and instances are copied by reference.

--- a/core/bergamotcontrol/controller.go
+++ b/core/bergamotcontrol/controller.go
@@ -1,6 +1,9 @@
 package bergamotcontrol
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Event is an input to the control state.
 type Event interface {
@@ -32,3 +35,9 @@
 	Name() string
 	Reconcile(s *State) []Task
 }
+
+// Scheduler is a controller that tells when it next has work by itself, so that the loop does not wake up in
+// vain. Events wake the loop at any time.
+type Scheduler interface {
+	Next(s *State) time.Time
+}
--- a/core/bergamotcontrol/heads.go
+++ b/core/bergamotcontrol/heads.go
@@ -56,6 +56,18 @@
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event { return c.read(ctx, current, now) })}
 }
 
+// Next returns when the next read is due; the end of a read wakes the loop by itself.
+func (c *Heads) Next(s *State) time.Time {
+	switch {
+	case c.busy:
+		return s.Now().Add(c.Period)
+	case s.hinted:
+		return c.begun.Add(c.Period / hintGap)
+	default:
+		return c.next
+	}
+}
+
 func (c *Heads) read(ctx context.Context, current *bergamotbundle.Bundle, at time.Time) Event {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
--- a/core/bergamotcontrol/loop.go
+++ b/core/bergamotcontrol/loop.go
@@ -11,7 +11,10 @@
 // Limits of the loop.
 const (
 	inboxSize = 4096 // events that may wait; more are dropped, since every event is repeated by its source
-	taskLimit = 64   // tasks that run at the same time
+	taskLimit = 128  // tasks that run at the same time: two seconds of probes and all others
+	// A controller whose time has passed but that cannot act yet must not make the loop spin.
+	minWait = 5 * time.Millisecond
+	maxWait = time.Second // a view is at most this old
 )
 
 // Clock tells the time and wakes the loop.
@@ -23,7 +26,7 @@
 // Loop is the control goroutine: it owns the state, applies events and runs the controllers.
 type Loop struct {
 	Clock       Clock
-	Period      time.Duration // longest time between two passes
+	Period      time.Duration // time between two passes for controllers that are no Scheduler
 	Controllers []Controller
 	Drops       func() // called when an event is dropped because the inbox is full
 
@@ -96,7 +99,7 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-l.Clock.After(l.Period):
+	case <-l.Clock.After(l.pause(s)):
 	case e := <-l.inbox:
 		e.Apply(s)
 	case r := <-l.done:
@@ -114,6 +117,19 @@
 	}
 }
 
+// pause returns how long the loop waits when no event comes.
+func (l *Loop) pause(s *State) time.Duration {
+	d := max(l.Period, maxWait)
+	for _, c := range l.Controllers {
+		if n, ok := c.(Scheduler); ok {
+			d = min(d, n.Next(s).Sub(s.now))
+		} else {
+			d = min(d, l.Period)
+		}
+	}
+	return max(d, min(l.Period, minWait))
+}
+
 func finish(s *State, running map[string]bool, r result) {
 	delete(running, r.name)
 	if r.event != nil {
--- a/core/bergamotcontrol/loop_test.go
+++ b/core/bergamotcontrol/loop_test.go
@@ -123,12 +123,12 @@
 // lister returns fixed lists, one after the other, and then the last one again.
 type lister struct{ lists [][]bergamotfleet.Spec }
 
-func (f *lister) List(context.Context) ([]bergamotfleet.Spec, error) {
+func (f *lister) List(context.Context, string) (bergamotcontrol.Listing, error) {
 	list := f.lists[0]
 	if len(f.lists) > 1 {
 		f.lists = f.lists[1:]
 	}
-	return list, nil
+	return bergamotcontrol.NewListing("", 0, list), nil
 }
 
 var _ = ginkgo.Describe("Instances", func() {
--- a/core/bergamotcontrol/observer_test.go
+++ b/core/bergamotcontrol/observer_test.go
@@ -35,8 +35,9 @@
 	return l.asked
 }
 
-func (l *lagging) List(context.Context) ([]bergamotfleet.Spec, error) {
-	return []bergamotfleet.Spec{{Name: "a", Address: "10.0.0.1:1", Role: bergamotfleet.RoleRunner}}, nil
+func (l *lagging) List(context.Context, string) (bergamotcontrol.Listing, error) {
+	list := []bergamotfleet.Spec{{Name: "a", Address: "10.0.0.1:1", Role: bergamotfleet.RoleRunner}}
+	return bergamotcontrol.NewListing("", 0, list), nil
 }
 
 func (l *lagging) Probe(context.Context, string) (bergamotcontrol.Report, error) {
--- a/core/bergamotcontrol/probes.go
+++ b/core/bergamotcontrol/probes.go
@@ -28,40 +28,101 @@
 	Probe(ctx context.Context, address string) (Report, error)
 }
 
-// Probes is the controller that asks every runner for its load and holdings.
+// Probes is the controller that asks runners for their load and holdings, and that chooses the runners which
+// traffic may use.
 type Probes struct {
 	Source  Prober
-	Period  time.Duration // time between two probes of an instance
+	Entry   string        // name of the entry, which decides on its subset of a large fleet
+	Centre  string        // data centre of the entry
+	Period  time.Duration // time between two probes of an instance of a small fleet
 	Timeout time.Duration // time after which a probe has failed
 	Misses  int           // failed probes in a row after which an instance counts as failed
 
-	next   map[string]time.Time
-	misses map[string]int
+	state    *State
+	subset   *subset
+	schedule *schedule
 }
 
+// freshPeriods is for how many periods a report says enough about a runner that becomes a member.
+const freshPeriods = 10
+
 // Name returns "probes".
 func (c *Probes) Name() string { return "probes" }
 
-// Reconcile probes the runners whose period has passed.
+// Reconcile takes over what has changed and probes the runners that are due.
 func (c *Probes) Reconcile(s *State) (tasks []Task) {
-	if c.next == nil {
-		c.next, c.misses = map[string]time.Time{}, map[string]int{}
+	// A restart of the loop begins with another state, which holds nothing yet.
+	if c.state != s {
+		c.state, c.subset, c.schedule = s, newSubset(c.Entry, c.Centre), newSchedule(c.Period)
+	}
+	c.takeChanges(s)
+	for name := range s.asked {
+		c.schedule.hasten(s.Now(), name, everyPeriod)
+	}
+	clear(s.asked)
+	for _, t := range c.schedule.take(s.Now(), func(name string) interval { return c.interval(s, name) }) {
+		tasks = append(tasks, c.task(t.name, t.address, s.Now()))
+	}
+	return tasks
+}
+
+// Next returns when a runner is due and the rate of probes allows one more.
+func (c *Probes) Next(s *State) time.Time { return c.schedule.next(s.Now()) }
+
+func (c *Probes) takeChanges(s *State) {
+	if len(s.touched) == 0 {
+		return
 	}
-	for _, name := range s.Instances() {
-		i, _ := s.Instance(name)
-		if i.Role() != bergamotfleet.RoleRunner || s.Now().Before(c.next[name]) {
+	for name := range s.touched {
+		i, ok := s.Instance(name)
+		if !ok || i.Role() != bergamotfleet.RoleRunner {
+			c.schedule.remove(name)
+			c.subset.remove(name)
 			continue
 		}
-		c.next[name] = s.Now().Add(c.Period)
-		tasks = append(tasks, c.task(name, i.Address(), s.Now()))
+		c.subset.put(i)
+		c.schedule.put(s.Now(), name, i.Address(), c.subset.rank(name), len(s.touched))
+		if i.Failed() {
+			// The report may come from elsewhere; the entry checks it by itself.
+			c.schedule.hasten(s.Now(), name, everyPeriod)
+		}
 	}
-	for name := range c.next {
-		if _, ok := s.Instance(name); !ok {
-			delete(c.next, name)
-			delete(c.misses, name)
+	clear(s.touched)
+	small := c.schedule.len() <= wholeFleet
+	c.schedule.setBurst(s.Now(), small)
+	added, changed := c.subset.choose(c.schedule.len())
+	switch {
+	case small && s.chosen != nil:
+		s.choose(nil)
+	case !small && (changed || s.chosen == nil):
+		s.choose(c.subset.members)
+		for _, name := range added {
+			at := c.memberInterval(s)
+			// A replacement may have been seen last by a sweep many minutes ago.
+			if i, _ := s.Instance(name); s.Now().Sub(i.Load().At()) > freshPeriods*c.Period {
+				at = everyPeriod
+			}
+			c.schedule.hasten(s.Now(), name, at)
 		}
 	}
-	return tasks
+}
+
+func (c *Probes) interval(s *State, name string) interval {
+	switch i, _ := s.Instance(name); {
+	case c.schedule.len() <= wholeFleet:
+		return everyPeriod
+	case i.Failed():
+		return failedInterval
+	case s.chosen[name] > 0:
+		return c.memberInterval(s)
+	default:
+		return interval(max((c.schedule.len()-len(s.chosen))/sweepProbes, 1))
+	}
+}
+
+func (c *Probes) memberInterval(s *State) interval {
+	// Right after a start few members are known, whose probes would take the place of the first ones of others.
+	return interval(max(len(s.chosen), min(c.schedule.len(), memberTarget)) / memberProbes)
 }
 
 func (c *Probes) task(name, address string, sent time.Time) Task {
@@ -80,12 +141,19 @@
 	}
 	spec := i.Spec()
 	if err != nil {
-		c.misses[name]++
-		spec.Failed = spec.Failed || c.misses[name] >= c.Misses
-		s.PutInstance(bergamotfleet.NewInstance(spec))
+		// Until the instance counts as failed it is probed again soon, so that a failed member is replaced
+		// within seconds.
+		if c.schedule.miss(name) < c.Misses {
+			c.schedule.hasten(s.Now(), name, everyPeriod)
+			return
+		}
+		if !spec.Failed {
+			spec.Failed = true
+			s.PutInstance(bergamotfleet.NewInstance(spec))
+		}
 		return
 	}
-	c.misses[name] = 0
+	c.schedule.hit(name)
 	if spec.Seen.Before(sent) {
 		// The report is newer than what this entry saw itself: the instance is alive again.
 		spec.Failed, spec.Leaving = false, spec.Listed
--- a/core/bergamotfleet/holding.go
+++ b/core/bergamotfleet/holding.go
@@ -31,6 +31,12 @@
 // Adapters returns the names of the adapters that are loaded beside the layers.
 func (h Holding) Adapters() []string { return h.adapters }
 
+// Equal tells whether both are the same layers of the same version with the same adapters.
+func (h Holding) Equal(o Holding) bool {
+	return h.model == o.model && h.version == o.version && h.from == o.from && h.to == o.to &&
+		slices.Equal(h.adapters, o.adapters)
+}
+
 // Serves tells whether the holding can run its layers for the model version and adapter.
 func (h Holding) Serves(model, version, adapter string) bool {
 	return h.model == model && h.version == version && (adapter == "" || slices.Contains(h.adapters, adapter))
--- a/core/bergamotfleet/instance.go
+++ b/core/bergamotfleet/instance.go
@@ -27,56 +27,69 @@
 	Holdings []Holding
 }
 
-// Instance is one target as the entry sees it.
-type Instance struct{ spec Spec }
+// Instance is one target as the entry sees it. It refers to its fields, which never change, so that a copy of a
+// fleet copies 8 bytes for each instance.
+type Instance struct{ spec *Spec }
 
 // NewInstance returns an instance with the fields of s.
-func NewInstance(s Spec) Instance { return Instance{spec: s} }
+func NewInstance(s Spec) Instance { return Instance{spec: &s} }
 
 // Spec returns the fields, to build a changed instance from.
-func (i Instance) Spec() Spec { return i.spec }
+func (i Instance) Spec() Spec { return *i.fields() }
 
 // Name returns the unique name.
-func (i Instance) Name() string { return i.spec.Name }
+func (i Instance) Name() string { return i.fields().Name }
 
 // Address returns host and port.
-func (i Instance) Address() string { return i.spec.Address }
+func (i Instance) Address() string { return i.fields().Address }
 
 // DataCentre returns the data centre.
-func (i Instance) DataCentre() string { return i.spec.Centre }
+func (i Instance) DataCentre() string { return i.fields().Centre }
 
 // Kind returns the kind of accelerator.
-func (i Instance) Kind() string { return i.spec.Kind }
+func (i Instance) Kind() string { return i.fields().Kind }
 
 // Role returns RoleRunner or the name of a plain service.
-func (i Instance) Role() string { return i.spec.Role }
+func (i Instance) Role() string { return i.fields().Role }
 
 // Memory returns how many layers fit.
-func (i Instance) Memory() int { return i.spec.Memory }
+func (i Instance) Memory() int { return i.fields().Memory }
 
 // Fenced tells whether the instance rejects commands with an old fencing number.
-func (i Instance) Fenced() bool { return i.spec.Fenced }
+func (i Instance) Fenced() bool { return i.fields().Fenced }
 
 // Usable tells whether the instance may get new work.
-func (i Instance) Usable() bool { return !i.spec.Leaving && !i.spec.Failed && !i.spec.Hinted }
+func (i Instance) Usable() bool {
+	return !i.fields().Leaving && !i.fields().Failed && !i.fields().Hinted
+}
 
 // Leaving tells whether the instance is leaving.
-func (i Instance) Leaving() bool { return i.spec.Leaving }
+func (i Instance) Leaving() bool { return i.fields().Leaving }
 
 // Failed tells whether the instance does not answer.
-func (i Instance) Failed() bool { return i.spec.Failed }
+func (i Instance) Failed() bool { return i.fields().Failed }
 
 // Hinted tells whether another entry saw the instance leave or fail.
-func (i Instance) Hinted() bool { return i.spec.Hinted }
+func (i Instance) Hinted() bool { return i.fields().Hinted }
 
 // Listed tells whether the list says that the instance is leaving.
 func (i Instance) Listed() bool { return i.spec.Listed }
 
 // Joined returns when the entry first saw the instance.
-func (i Instance) Joined() time.Time { return i.spec.Joined }
+func (i Instance) Joined() time.Time { return i.fields().Joined }
 
 // Load returns the last load report.
-func (i Instance) Load() Load { return i.spec.Load }
+func (i Instance) Load() Load { return i.fields().Load }
 
 // Holdings returns the ranges of layers that the instance reported.
-func (i Instance) Holdings() []Holding { return i.spec.Holdings }
+func (i Instance) Holdings() []Holding { return i.fields().Holdings }
+
+// fields returns the fields, empty ones for the zero instance.
+func (i Instance) fields() *Spec {
+	if i.spec == nil {
+		return &noFields
+	}
+	return i.spec
+}
+
+var noFields Spec
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -66,7 +66,7 @@
 func (e *Entry) newLoop() *bergamotcontrol.Loop {
 	s := e.Setting
 	controllers := []bergamotcontrol.Controller{
-		&bergamotcontrol.Instances{Source: e.adapters.list, Period: s.Poll(), Report: e.report("instances")},
+		&bergamotcontrol.Instances{Source: e.adapters.list, Period: s.Poll(), Random: rand.Float64, Report: e.report("instances")},
 	}
 	if e.peers != nil {
 		controllers = append(controllers, e.peers.controller, e.peers.suspects)
@@ -80,7 +80,10 @@
 				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects, Trust: s.Trust(), Timeout: headTimeout},
 				Period: s.Head(), Timeout: textTimeout, Random: rand.Float64, Report: e.report("heads"),
 			},
-			&bergamotcontrol.Probes{Source: e.adapters.engines, Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses},
+			&bergamotcontrol.Probes{
+				Source: e.adapters.engines, Entry: s.Name(), Centre: s.DataCentre(),
+				Period: s.Probe(), Timeout: s.Probe(), Misses: probeMisses,
+			},
 			e.load.caches,
 		),
 	}
--- a/io/bergamotfake/instances.go
+++ b/io/bergamotfake/instances.go
@@ -1,17 +1,23 @@
 package bergamotfake
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotspur/io/bergamotlist"
-	"bergamotspur/io/bergamotwire"
 )
 
 // Instances is a fake instance list.
 type Instances struct {
 	Faults Faults
+	Plain  bool // the list offers neither tags nor compression; set before it serves
 
 	mu   sync.Mutex
 	list []bergamotlist.InstanceMessage
@@ -38,11 +44,7 @@
 // Handler returns the routes.
 func (l *Instances) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		bergamotwire.Write(w, http.StatusOK, l.list)
-	})
+	mux.HandleFunc("GET /instances", l.read)
 	mux.HandleFunc("POST /instances", func(w http.ResponseWriter, r *http.Request) {
 		answer(w, r, func(m bergamotlist.InstanceMessage) any {
 			l.Put(m)
@@ -51,3 +53,38 @@
 	})
 	return l.Faults.Wrap(mux)
 }
+
+// read replies with the list and a tag of its content, compressed on request, or only that the tag is current.
+func (l *Instances) read(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	data, err := json.Marshal(l.list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(data))
+	w.Header().Set("Content-Type", "application/json")
+	if !l.Plain {
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		if r.Header.Get("Accept-Encoding") == "gzip" {
+			data = compress(data)
+			w.Header().Set("Content-Encoding", "gzip")
+		}
+	}
+	// A reader that has gone away asks again.
+	_, _ = w.Write(data)
+}
+
+func compress(data []byte) []byte {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	// Writing to a buffer does not fail.
+	_, _ = w.Write(data)
+	_ = w.Close()
+	return out.Bytes()
+}
