--- a/core/bergamotcontrol/listing.go
+++ b/core/bergamotcontrol/listing.go
@@ -20,3 +20,15 @@
 func NewUnchanged(tag string, size int) Listing {
 	return Listing{tag: tag, size: size, unchanged: true}
 }
+
+// Tag returns what names the content, empty when the list offers no tags.
+func (l Listing) Tag() string { return l.tag }
+
+// Size returns how many bytes were received.
+func (l Listing) Size() int { return l.size }
+
+// Unchanged tells whether the content is the one whose tag was asked for.
+func (l Listing) Unchanged() bool { return l.unchanged }
+
+// Specs returns the listed instances, none when the content is unchanged.
+func (l Listing) Specs() []bergamotfleet.Spec { return l.list }
--- a/core/bergamotcontrol/loop_bench_test.go
+++ b/core/bergamotcontrol/loop_bench_test.go
@@ -29,7 +29,7 @@
 			n := 0
 			for b.Loop() {
 				name := names[n%len(names)]
-				c.apply(s, name, NewReport(n%9, 0, false, holdingsOf(name)), nil)
+				c.apply(s, name, s.now, NewReport(n%9, 0, false, holdingsOf(name)), nil)
 				c.Reconcile(s)
 				s.view()
 				n++
--- a/core/bergamotcontrol/probes_test.go
+++ b/core/bergamotcontrol/probes_test.go
@@ -129,7 +129,7 @@
 		i := m.visible()[3].Spec()
 		i.Failed = true
 		m.state.PutInstance(bergamotfleet.NewInstance(i))
-		m.probes.apply(m.state, i.Name, Report{}, errDown)
+		m.probes.apply(m.state, i.Name, m.state.now, Report{}, errDown)
 		now, _ := m.state.Instance(i.Name)
 		gomega.Expect(now.Failed()).To(gomega.BeTrue())
 	})
--- a/core/bergamotcontrol/wake_test.go
+++ b/core/bergamotcontrol/wake_test.go
@@ -140,7 +140,7 @@
 	}
 	name := names[0]
 	if n := testing.AllocsPerRun(100, func() {
-		c.apply(s, name, NewReport(1, 0, false, nil), nil)
+		c.apply(s, name, s.now, NewReport(1, 0, false, nil), nil)
 		c.Reconcile(s)
 		s.view()
 	}); n > 20 {
--- a/io/bergamotengine/client.go
+++ b/io/bergamotengine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -15,21 +16,33 @@
 	"bergamotspur/io/bergamotwire"
 )
 
+// Limits of probes. At 20 probes/s of other runners each time 5 s keep 100 connections open; a fleet that is
+// probed every second keeps its connections.
+const (
+	probeIdle  = 5 * time.Second
+	probeLimit = 64 << 10 // bytes of a report, so that a damaged engine cannot fill the memory of an entry
+)
+
 // Client is the HTTP adapter to engines.
 type Client struct {
 	wire    *bergamotwire.Client
 	streams *bergamotwire.Client // opens a new connection for each stream
+	probe   *bergamotwire.Client
 }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	return &Client{wire: bergamotwire.NewClient(), streams: bergamotwire.NewFreshClient()}
+	return &Client{
+		wire: bergamotwire.NewClient(), streams: bergamotwire.NewFreshClient(),
+		probe: bergamotwire.NewPollClient(probeIdle, probeLimit),
+	}
 }
 
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.wire.Close()
 	c.streams.Close()
+	c.probe.Close()
 }
 
 // Open prepares a span on an engine.
@@ -112,8 +125,14 @@
 
 // Probe returns an engine's report about itself.
 func (c *Client) Probe(ctx context.Context, address string) (r bergamotcontrol.Report, err error) {
+	defer func() { err = oops.In("engine").Wrapf(err, "probe %s", address) }()
+	// An empty value keeps net/http from sending its own name.
+	body, _, err := c.probe.Do(ctx, http.MethodGet, address, "/load", http.Header{"User-Agent": {""}}, nil)
+	if err != nil {
+		return r, err
+	}
 	var m LoadMessage
-	if err = c.wire.Get(ctx, address, "/load", &m); err != nil {
+	if err = json.Unmarshal(body, &m); err != nil {
 		return r, err
 	}
 	holdings := make([]bergamotfleet.Holding, len(m.Holdings))
--- /dev/null
+++ b/io/bergamotlist/client_test.go
@@ -0,0 +1,104 @@
+package bergamotlist_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamottest"
+	"bergamotspur/io/bergamotfake"
+	"bergamotspur/io/bergamotlist"
+)
+
+func TestList(t *testing.T) { bergamottest.Run(t, "list") }
+
+func instance(n int) bergamotlist.InstanceMessage {
+	return bergamotlist.InstanceMessage{
+		Name: fmt.Sprintf("runner-%04d", n), Address: fmt.Sprintf("10.%d.%d.%d:7000", n/2500, n/250%10, n%250+1),
+		Centre: fmt.Sprintf("centre-%d", n%5), Kind: fmt.Sprintf("kind-%d", n%7), Role: "runner", Memory: 16 + n%3*8, State: "live",
+	}
+}
+
+// serve fills the list and returns its address and what ends it.
+func serve(l *bergamotfake.Instances, instances int) (address string, end func()) {
+	for n := range instances {
+		l.Put(instance(n))
+	}
+	s := httptest.NewServer(l.Handler())
+	return strings.TrimPrefix(s.URL, "http://"), s.Close
+}
+
+var _ = ginkgo.Describe("a read of the list", func() {
+	// Guards against a list that is sent whole each time, against a tag that hides a change, and against a list
+	// without tags or compression that cannot be read.
+	bergamottest.Entries(map[string]struct {
+		plain     bool
+		most      int // bytes of a list of 3,100
+		unchanged int // bytes of the same list again
+	}{
+		"takes no body when nothing changed":   {most: 100_000},
+		"is whole when the list offers no tag": {plain: true, most: 600_000, unchanged: 600_000},
+	}, func(c struct {
+		plain     bool
+		most      int
+		unchanged int
+	},
+	) {
+		list := bergamotfake.NewInstances()
+		list.Plain = c.plain
+		address, end := serve(list, 3100)
+		defer end()
+		client := bergamotlist.NewClient(address)
+		defer client.Close()
+		first := read(client, "")
+		gomega.Expect(len(first.Specs())).To(gomega.Equal(3100))
+		gomega.Expect(first.Size()).To(gomega.BeNumerically("<=", c.most))
+		again := read(client, first.Tag())
+		gomega.Expect(again.Size()).To(gomega.BeNumerically("<=", c.unchanged))
+		gomega.Expect(again.Unchanged()).To(gomega.Equal(!c.plain))
+		leaving := instance(7)
+		leaving.State = bergamotlist.StateLeaving
+		list.Put(leaving)
+		changed := read(client, first.Tag())
+		gomega.Expect(changed.Unchanged()).To(gomega.BeFalse())
+		gomega.Expect(changed.Tag() == first.Tag()).To(gomega.Equal(c.plain))
+		gomega.Expect(len(changed.Specs())).To(gomega.Equal(3100))
+		ginkgo.GinkgoWriter.Printf("whole %d B, again %d B\n", first.Size(), again.Size())
+	})
+})
+
+func read(c *bergamotlist.Client, tag string) bergamotcontrol.Listing {
+	l, err := c.List(context.Background(), tag)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return l
+}
+
+// BenchmarkList reports the bytes of a read of 3,100 instances.
+func BenchmarkList(b *testing.B) {
+	for _, plain := range []bool{true, false} {
+		b.Run(fmt.Sprintf("plain=%v", plain), func(b *testing.B) {
+			list := bergamotfake.NewInstances()
+			list.Plain = plain
+			address, end := serve(list, 3100)
+			defer end()
+			c := bergamotlist.NewClient(address)
+			defer c.Close()
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				l, err := c.List(context.Background(), "")
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = l.Size()
+			}
+			b.ReportMetric(float64(size), "body-B")
+		})
+	}
+}
--- a/io/bergamotwire/client.go
+++ b/io/bergamotwire/client.go
@@ -38,20 +38,34 @@
 func (e *StatusError) Body() []byte { return e.body }
 
 // Client sends requests to one kind of server.
-type Client struct{ client *http.Client }
+type Client struct {
+	client *http.Client
+	limit  int64 // bytes of a reply that are read
+}
 
 // NewClient returns a client that follows no redirects.
-func NewClient() *Client { return newClient(NewTransport()) }
+func NewClient() *Client { return newClient(NewTransport(), maxBody) }
 
 // NewFreshClient returns a client that opens a new connection for each request.
 func NewFreshClient() *Client {
 	t := NewTransport()
 	t.DisableKeepAlives = true
-	return newClient(t)
+	return newClient(t, maxBody)
+}
+
+// NewPollClient returns a client for short questions to many servers. It reads at most limit bytes of a reply and
+// closes connections that are idle for more than the given time: each holds two goroutines and two buffers.
+func NewPollClient(idle time.Duration, limit int64) *Client {
+	t := NewTransport()
+	t.IdleConnTimeout = idle
+	t.MaxIdleConnsPerHost = 1
+	// A question and its answer fit into one packet each, so that the header for compression only costs bytes.
+	t.DisableCompression = true
+	return newClient(t, limit)
 }
 
-func newClient(t *http.Transport) *Client {
-	return &Client{client: &http.Client{
+func newClient(t *http.Transport, limit int64) *Client {
+	return &Client{limit: limit, client: &http.Client{
 		Transport: t,
 		// A followed 307 would send the body to another server a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -92,13 +106,13 @@
 		return nil, nil, err
 	}
 	defer func() { err = errors.Join(err, resp.Body.Close()) }()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err = io.ReadAll(io.LimitReader(resp.Body, c.limit+1))
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(body) > maxBody {
+	if int64(len(body)) > c.limit {
 		// A part of an answer must not be taken for the whole.
-		return nil, nil, fmt.Errorf("reply is larger than %d bytes", maxBody)
+		return nil, nil, fmt.Errorf("reply is larger than %d bytes", c.limit)
 	}
 	if resp.StatusCode/100 != 2 {
 		return nil, nil, &StatusError{status: resp.StatusCode, body: body}
