Parse a bundle without a copy of its lines and a map of its keys

Cause: parsing a bundle of 11,000 workspaces took 28 MB above the text at its peak, which with the bundle in force and the fleet is more than the 32 MB that an entry has for control.

Ruled out: a lower GOGC, which makes traffic pay for a rare change; holding fewer sections in the form of the INI library, since they are a small part.

Change: the document keeps the text and the ranges of its sections.

--- a/core/bergamotini/document.go
+++ b/core/bergamotini/document.go
@@ -12,41 +12,45 @@
 // for a section, which at 11,000 workspaces would be more than the 32 MB that an entry has for control.
 const batchSize = 64
 
-// Document is a parsed INI document that collects faults while it is read.
+// Document is a parsed INI document that collects faults while it is read. It keeps the text and where its
+// sections are, but neither a copy of the lines nor the place of each key: at 11,000 workspaces those took more
+// memory than the parsed bundle. The lines of a section are read again when they are needed.
 type Document struct {
 	name   string
-	clean  []byte // the lines without faults
+	text   []byte
 	stubs  []stub
-	places map[place]position
+	index  map[string]int // stub of each section
 	faults Faults
 	batch  int // index of the batch in file
 	file   *ini.File
 }
 
-// place is a section, or a key of it.
-type place struct {
-	section string
-	key     string
+// stub is where a section is in the text; one that appears twice has more than one range.
+type stub struct {
+	name  string
+	first lines
+	more  []lines
 }
 
-type position struct {
-	line int
-	stub int
-}
+// lines is a range of bytes of the text below a header, which is on the given line.
+type lines struct{ from, to, header int }
 
-// stub is where the lines of a section are in the clean text; one that appears twice has several ranges.
-type stub struct {
-	name   string
-	ranges [][2]int
+func (s *stub) ranges(yield func(lines) bool) {
+	if !yield(s.first) {
+		return
+	}
+	for _, r := range s.more {
+		if !yield(r) {
+			return
+		}
+	}
 }
 
-var newline = []byte("\n")
-
 // Parse returns the document in text; name appears in faults. A syntax error is a fault of its line,
-// and the other lines are still read.
+// and the other lines are still read. The caller must not change the text while the document is in use.
 func Parse(name string, text []byte) (d *Document) {
-	d = &Document{name: name, places: make(map[place]position, bytes.Count(text, newline)), batch: -1}
-	d.scan(text)
+	d = &Document{name: name, text: bytes.TrimPrefix(text, []byte("\ufeff")), index: map[string]int{}, batch: -1}
+	d.scan()
 	return d
 }
 
@@ -60,10 +64,16 @@
 
 func (d *Document) loadBatch(batch int) *ini.File {
 	var text bytes.Buffer
-	for _, s := range d.stubs[batch*batchSize : min((batch+1)*batchSize, len(d.stubs))] {
-		text.WriteString("[" + s.name + "]\n")
-		for _, r := range s.ranges {
-			text.Write(d.clean[r[0]:r[1]])
+	seen := map[string]bool{}
+	for n := batch * batchSize; n < min((batch+1)*batchSize, len(d.stubs)); n++ {
+		text.WriteString("[" + d.stubs[n].name + "]\n")
+		clear(seen)
+		for _, p := range d.pairs(n) {
+			// A key that appears twice has a fault already; its first value is checked.
+			if !seen[p[0]] {
+				seen[p[0]] = true
+				text.WriteString(p[0] + " = " + p[1] + "\n")
+			}
 		}
 	}
 	file, err := ini.LoadSources(ini.LoadOptions{
@@ -78,6 +88,18 @@
 	return file
 }
 
+// line returns the line of the first appearance of a key in a section, or of the section's header.
+func (d *Document) line(n int, key string) int {
+	if key != "" {
+		for line, p := range d.pairs(n) {
+			if p[0] == key {
+				return line
+			}
+		}
+	}
+	return d.stubs[n].first.header
+}
+
 func (d *Document) add(line int, section, key, text string) {
 	d.faults = append(d.faults, Fault{file: d.name, line: max(line, 1), section: section, key: key, text: text})
 }
--- a/core/bergamotini/scan.go
+++ b/core/bergamotini/scan.go
@@ -4,48 +4,55 @@
 	"bytes"
 	"fmt"
 	"strings"
-	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
 )
 
-// scanner checks the lines of a document and notes the line of each section and key, which the INI library
-// does not keep. The library stops at its first syntax error and lets quotes, backslashes and "-" keys
-// change the meaning of following lines, so that only lines without such features reach it.
+// scanner checks the lines of a document and notes where its sections are. The INI library stops at its first
+// syntax error and lets quotes, backslashes and "-" keys change the meaning of following lines, so that only
+// lines without such features reach it.
 type scanner struct {
-	doc     *Document
-	out     bytes.Buffer
-	section string
-	stub    int // index of the section, -1 before the first and in one without a name
-	line    int
-	words   map[string]string // keys, so that a key does not hold the text of its line in memory
+	doc      *Document
+	section  string
+	stub     int // index of the section, -1 before the first and in one without a name
+	line     int
+	keys     map[string]int         // lines of the keys of the current section
+	words    map[string]string      // keys, so that a key does not hold the text of its line in memory
+	repeated map[int]map[string]int // keys of the sections that appear more than once, and of those without a name
 }
 
 var brackets = strings.NewReplacer("[", "", "]", "")
 
-// scan keeps the lines that are correct and records a fault for each that is not.
-func (d *Document) scan(text []byte) {
-	s := &scanner{doc: d, stub: -1, words: map[string]string{}}
-	s.out.Grow(len(text))
-	for raw := range bytes.Lines(bytes.TrimPrefix(text, []byte("\ufeff"))) {
+// scan records a fault for each line that is not correct.
+func (d *Document) scan() {
+	s := &scanner{doc: d, stub: -1, keys: map[string]int{}, words: map[string]string{}}
+	s.repeated = map[int]map[string]int{-1: s.keys}
+	at := 0
+	for raw := range bytes.Lines(d.text) {
 		s.line++
-		line := string(bytes.TrimSpace(raw))
-		switch {
-		case line == "" || line[0] == '#' || line[0] == ';':
-		case !utf8.ValidString(line) || strings.ContainsFunc(line, isControl):
-			s.fault("", "line contains a control character or is not UTF-8")
-		case line[0] == '[':
-			s.header(line)
-		default:
-			s.pair(line)
+		if line := bytes.TrimSpace(raw); len(line) > 0 {
+			s.take(line, at, at+len(raw))
 		}
+		at += len(raw)
 	}
-	s.end()
-	d.clean = s.out.Bytes()
+	s.end(at)
 }
 
-func (s *scanner) header(line string) {
-	s.end()
+// take reads one line, which is in the text from one offset to another.
+func (s *scanner) take(line []byte, from, to int) {
+	kind, key, value, fault := split(line)
+	switch {
+	case kind == header:
+		s.end(from)
+		s.header(string(line), to)
+	case fault != "":
+		s.fault("", fault)
+	case kind == pair:
+		s.pair(key, value)
+	}
+}
+
+func (s *scanner) header(line string, next int) {
 	name, closed := strings.CutSuffix(line[1:], "]")
 	// Spaces are made uniform, since "[model  care]" and "[model care]" name the same section.
 	s.section = strings.Join(strings.Fields(name), " ")
@@ -58,66 +65,69 @@
 	s.section = brackets.Replace(s.section)
 	if s.section == "" || s.section == ini.DefaultSection {
 		// The name stands for its keys in faults only.
-		s.section, s.stub = ini.DefaultSection, -1
+		s.section, s.stub, s.keys = ini.DefaultSection, -1, s.repeated[-1]
 		return
 	}
-	s.begin()
+	s.begin(lines{from: next, to: next, header: s.line})
 }
 
 // begin starts the section with the current name, or goes on with it when it has appeared before.
-func (s *scanner) begin() {
-	at := place{section: s.section}
-	if first, ok := s.doc.places[at]; ok {
-		s.fault("", fmt.Sprintf("section appears twice, first on line %d", first.line))
-		s.stub = first.stub
-	} else {
+func (s *scanner) begin(r lines) {
+	n, ok := s.doc.index[s.section]
+	if !ok {
 		s.stub = len(s.doc.stubs)
-		s.doc.places[at] = position{line: s.line, stub: s.stub}
-		s.doc.stubs = append(s.doc.stubs, stub{name: s.section})
+		s.doc.index[s.section] = s.stub
+		s.doc.stubs = append(s.doc.stubs, stub{name: s.section, first: r})
+		s.keys = map[string]int{} // not cleared, since the old one may belong to a section that appears twice
+		return
 	}
-	r := &s.doc.stubs[s.stub].ranges
-	*r = append(*r, [2]int{s.out.Len(), s.out.Len()})
+	s.stub = n
+	first := &s.doc.stubs[n]
+	s.fault("", fmt.Sprintf("section appears twice, first on line %d", first.first.header))
+	if _, ok := s.repeated[n]; !ok {
+		s.repeated[n] = map[string]int{}
+		for line, p := range s.doc.pairs(n) {
+			if _, ok := s.repeated[n][p[0]]; !ok {
+				s.repeated[n][s.word(p[0])] = line
+			}
+		}
+	}
+	s.keys = s.repeated[n]
+	first.more = append(first.more, r)
 }
 
 // end notes where the lines of the current section end.
-func (s *scanner) end() {
-	if s.stub >= 0 {
-		r := s.doc.stubs[s.stub].ranges
-		r[len(r)-1][1] = s.out.Len()
+func (s *scanner) end(at int) {
+	if s.stub < 0 {
+		return
+	}
+	if c := &s.doc.stubs[s.stub]; len(c.more) > 0 {
+		c.more[len(c.more)-1].to = at
+	} else {
+		c.first.to = at
 	}
 }
 
-func (s *scanner) pair(line string) {
-	key, value, found := strings.Cut(line, "=")
-	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
-	switch {
-	case !found:
-		s.fault("", "line is not a section, a comment or key = value")
-	case !isWord(key):
-		s.fault("", fmt.Sprintf("key %q is not a lower-case word", key))
+func (s *scanner) pair(key, value string) {
+	switch first, ok := s.keys[key]; {
 	case s.section == "":
 		s.fault(key, "key stands before the first section")
-	case value != "" && strings.ContainsRune("\"'`", rune(value[0])):
+	case isQuoted(value):
 		s.fault(key, "value is written without quotes")
-	case s.first(key) && s.stub >= 0:
-		s.out.WriteString(key + " = " + value + "\n")
+	case ok:
+		s.fault(key, fmt.Sprintf("key appears twice, first on line %d", first))
+	default:
+		s.keys[s.word(key)] = s.line
 	}
 }
 
-// first notes the line of a key and tells whether it is the first of its name.
-func (s *scanner) first(key string) bool {
+func (s *scanner) word(key string) string {
 	word, ok := s.words[key]
 	if !ok {
 		word = strings.Clone(key)
 		s.words[word] = word
 	}
-	at := place{section: s.section, key: word}
-	if first, ok := s.doc.places[at]; ok {
-		s.fault(key, fmt.Sprintf("key appears twice, first on line %d", first.line))
-		return false
-	}
-	s.doc.places[at] = position{line: s.line}
-	return true
+	return word
 }
 
 func (s *scanner) fault(key, text string) {
@@ -127,14 +137,3 @@
 	}
 	s.doc.add(s.line, section, key, text)
 }
-
-func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
-
-func isWord(key string) bool {
-	for _, r := range key {
-		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '_' {
-			return false
-		}
-	}
-	return key != ""
-}
--- a/core/bergamotini/section.go
+++ b/core/bergamotini/section.go
@@ -43,11 +43,7 @@
 
 // Fault records a fault of key, or of the section when key is empty.
 func (s *Section) Fault(key, format string, a ...any) {
-	at, ok := s.doc.places[place{section: s.title, key: key}]
-	if !ok {
-		at = s.doc.places[place{section: s.title}]
-	}
-	s.doc.add(at.line, s.title, key, fmt.Sprintf(format, a...))
+	s.doc.add(s.doc.line(s.index, key), s.title, key, fmt.Sprintf(format, a...))
 }
 
 // Has tells whether the key is set.
@@ -126,11 +122,12 @@
 	return n
 }
 
-// Done records a fault for each key that was not read.
+// Done records a fault for each key that was not read; the section is not read after it.
 func (s *Section) Done() {
 	for _, k := range s.doc.load(s.index).Keys() {
 		if !slices.Contains(s.used, k.Name()) {
 			s.Fault(k.Name(), "unknown key")
 		}
 	}
+	s.used = nil
 }
