--- a/core/bergamotcontrol/members.go
+++ b/core/bergamotcontrol/members.go
@@ -61,6 +61,15 @@
 	return tasks
 }
 
+// Next returns when the next heartbeat or survey is due.
+func (c *Members) Next(s *State) time.Time {
+	beat := s.Now().Add(c.Node.Wait(s.Now()))
+	if c.next.Before(beat) {
+		return c.next
+	}
+	return beat
+}
+
 // Heartbeat answers a heartbeat of an authenticated peer on the control goroutine.
 func (c *Members) Heartbeat(ctx context.Context, peer string, m bergamotmember.Message) (reply bergamotmember.Message, err error) {
 	done := make(chan func() (bergamotmember.Message, error), 1)
--- a/core/bergamotcontrol/placement.go
+++ b/core/bergamotcontrol/placement.go
@@ -69,7 +69,15 @@
 		return tasks
 	}
 	c.next = now.Add(c.Period)
+	// What a runner holds that has not been asked yet is not known, and an order would unload it.
+	if !s.allReported() {
+		return tasks
+	}
 	c.settleOrders(s)
+	// Most runners of a large fleet are asked seldom, so that an order would seem to take until then.
+	for name := range c.busy {
+		s.Ask(name)
+	}
 	f := s.Fleet()
 	plan, busy := bergamotplacement.NewPlan(s.Bundle(), f), map[string]bool{}
 	for name := range c.busy {
@@ -82,6 +90,21 @@
 	return tasks
 }
 
+// Next returns when the next step of the lease or the next pass is due.
+func (c *Placement) Next(s *State) time.Time {
+	if !c.grant.Valid(s.Now()) || s.Bundle() == nil {
+		return c.nextRenew
+	}
+	pass := c.grant.Since().Add(c.Settle)
+	if pass.Before(c.next) {
+		pass = c.next
+	}
+	if c.nextRenew.Before(pass) {
+		return c.nextRenew
+	}
+	return pass
+}
+
 func (c *Placement) step(ctx context.Context) Event {
 	g, err := c.Lease.Step(ctx)
 	if err != nil {
--- a/core/bergamotcontrol/state.go
+++ b/core/bergamotcontrol/state.go
@@ -74,6 +74,20 @@
 // Ask makes the entry ask the runner for a report within a period of the probes.
 func (s *State) Ask(name string) { s.asked[name] = struct{}{} }
 
+// allReported tells whether every usable runner of a large fleet has been asked what it holds. A small one is
+// asked as a whole within one period.
+func (s *State) allReported() bool {
+	if s.chosen == nil {
+		return true
+	}
+	for _, i := range s.instances {
+		if i.Role() == bergamotfleet.RoleRunner && i.Usable() && i.Load().At().IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // Members returns the hints of other entries, nil when there are no peers.
 func (s *State) Members() *bergamotmember.Picture { return s.members }
 
