--- a/core/bergamotcontrol/wake_test.go
+++ b/core/bergamotcontrol/wake_test.go
@@ -131,8 +131,8 @@
 	})
 })
 
-// Guards against a pass whose cost grows with the fleet, and an event that builds all of it anew: the budget of
-// 5 % of a core allows 21 events/s far more, but garbage of 5 MB an event did not fit into 32 MB.
+// Guards against a pass or an event that allocates for each instance of the fleet: building the fleet anew took
+// 5 MB for each event.
 func TestAllocationsOfThePass(t *testing.T) {
 	s, c, names := settled(3100)
 	if n := testing.AllocsPerRun(100, func() { c.Reconcile(s); s.view() }); n > 1 {
