Let entries give the bundle text to each other

Cause: an entry whose object store is down kept its old version, and a new one was not ready, although other entries had the text. Membership had no test with whole entries.

Ruled out: chunks over the connection of the heartbeats (a text of 425,884 bytes would delay them), asking only members whose head matches (a member that claims version 99 hides the heads of all others), asking one peer at a time until its timeout (a silent one uses up the read).

Change: the method "bundle" of JSON-RPC on a TLS connection of its own, at most 2 MiB, 2 at a time and 1 a second with a burst of 8. An entry asks the next peer after a failure or 1 s, 3 at the same time, and passes over texts with another digest; the head from the table and the approvals are verified as before. Placement counts and logs models without enough runners and puts them into the view. The authority of the tests moved to bergamotfake.

Each test was seen to fail on a scratch copy with one mechanism off: Source.Peers unset ("get the bundle from each other": timed out at version 1), hints not applied ("give no new work"), client certificates not verified ("reject an entry"), no revival of dead members ("heal after a partition"), and no check of the text, no second peer and no other members ("one fetch" in all 4 cases, "claims a head that does not exist"). With them: `go test ./io/bergamotentry -ginkgo.focus 'know each other|object store is down|one fetch'`: ok in 34.3 s, most of it the suspicion and revival times of the membership.

--- a/core/bergamotcontrol/placement.go
+++ b/core/bergamotcontrol/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bergamotspur/core/bergamotfleet"
@@ -37,7 +38,8 @@
 	Loading time.Duration // time after which an order that no report confirms is given again
 	Loads   int           // most runners that load at the same time
 	Report  func(err error)
-	Count   func(name string) // counts "placement.orders", "placement.waits" and "placement.expired"
+	Count   func(name string)     // counts "placement.orders", "placement.waits", "placement.expired" and "placement.short"
+	Short   func(models []string) // called when the models change for which there are too few runners; may be nil
 
 	grant     bergamotlease.Grant
 	nextRenew time.Time
@@ -63,6 +65,7 @@
 	}
 	if !c.grant.Valid(now) {
 		c.busy = nil
+		s.short = nil // another entry reports it
 		return tasks
 	}
 	if s.Bundle() == nil || now.Before(c.next) || now.Before(c.grant.Since().Add(c.Settle)) {
@@ -80,6 +83,7 @@
 	}
 	f := s.Fleet()
 	plan, busy := bergamotplacement.NewPlan(s.Bundle(), f), map[string]bool{}
+	c.report(s, plan.Short())
 	for name := range c.busy {
 		busy[name] = true
 	}
@@ -113,6 +117,17 @@
 	return EventFunc(func(*State) { c.grant = g })
 }
 
+// report tells operators which models lack runners.
+func (c *Placement) report(s *State, short []string) {
+	if len(short) > 0 {
+		c.Count("placement.short")
+	}
+	if c.Short != nil && !slices.Equal(s.short, short) {
+		c.Short(short)
+	}
+	s.short = short
+}
+
 // settleOrders forgets the orders that a later report confirms and those that took too long.
 func (c *Placement) settleOrders(s *State) {
 	if c.busy == nil {
--- a/core/bergamotcontrol/state.go
+++ b/core/bergamotcontrol/state.go
@@ -23,6 +23,7 @@
 	whole     fleetCache
 	traffic   fleetCache
 	members   *bergamotmember.Picture
+	short     []string
 }
 
 // NewState returns an empty state.
@@ -125,6 +126,6 @@
 // view returns a read-only copy.
 func (s *State) view() *View {
 	v := NewView(s.now, s.bundle, s.Traffic()).WithMembers(s.members)
-	v.confirmed = s.confirmed
+	v.confirmed, v.short = s.confirmed, s.short
 	return v
 }
--- a/core/bergamotcontrol/view.go
+++ b/core/bergamotcontrol/view.go
@@ -16,6 +16,7 @@
 
 	confirmed time.Time
 	members   *bergamotmember.Picture
+	short     []string
 }
 
 // NewView returns a view of a bundle, which may be nil, and a fleet.
@@ -49,6 +50,10 @@
 	return v.members.Share(workspace)
 }
 
+// Short returns the models for which there are fewer runners than the bundle declares, none unless this entry holds the
+// lease of the placement controller; the caller must not change the slice.
+func (v *View) Short() []string { return v.short }
+
 // At returns when the view was taken.
 func (v *View) At() time.Time { return v.at }
 
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -10,7 +10,6 @@
 	"bergamotspur/core/bergamotmember"
 	"bergamotspur/core/bergamotplacement"
 	"bergamotspur/core/bergamotrequest"
-	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/core/bergamotsession"
 	"bergamotspur/core/bergamotsetting"
 	"bergamotspur/core/bergamotsuspect"
@@ -77,7 +76,7 @@
 		Controllers: append(controllers,
 			e.newPlacement(),
 			&bergamotcontrol.Heads{
-				Source: &bergamotrollout.Source{Table: e.adapters.table, Objects: e.adapters.objects, Trust: s.Trust(), Timeout: headTimeout},
+				Source: e.source(),
 				Period: s.Head(), Timeout: textTimeout, Random: rand.Float64, Report: e.report("heads"),
 			},
 			&bergamotcontrol.Probes{
--- a/io/bergamotentry/bundle_test.go
+++ b/io/bergamotentry/bundle_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -49,11 +50,14 @@
 	return s
 }
 
-func (s *shop) roll(ctx context.Context, version int64) {
+func (s *shop) roll(ctx context.Context, version int64) { s.rollWith(ctx, version, "") }
+
+// rollWith puts a bundle with more sections in force.
+func (s *shop) rollWith(ctx context.Context, version int64, extra string) {
 	h, _, err := s.rollout.Head(ctx)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	b, err := s.rollout.Propose(ctx, "test", fmt.Appendf(nil,
-		"[bundle]\nversion = %d\nparent = %s\n[operator mari]\nkey = %s\n", version, h.Digest(), s.public))
+		"[bundle]\nversion = %d\nparent = %s\n[operator mari]\nkey = %s\n%s", version, h.Digest(), s.public, extra))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	_, err = s.rollout.Approve(ctx, b.Digest(), "mari", s.key)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -78,8 +82,15 @@
 }
 
 func (s *shop) runAt(platform string) *bergamotentry.Entry {
+	e := s.newEntry("entry1", platform, "")
+	launch(e)
+	return e
+}
+
+// newEntry returns an entry that listens but does not run yet; extra is more settings.
+func (s *shop) newEntry(name, platform, extra string) *bergamotentry.Entry {
 	setting, err := bergamotsetting.Parse("test", fmt.Appendf(nil, `[entry]
-name = entry1
+name = %[3]s
 centre = tallinn
 [listen]
 callers = 127.0.0.1:0
@@ -91,22 +102,30 @@
 list = %[1]s
 [timing]
 head = 20ms
-poll = 1m
+poll = 50ms
+probe = 100ms
 drain = 1s
 [trust]
 operators = mari:%[2]s
-`, platform, s.public))
+%[4]s`, platform, s.public, name, extra))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	e := &bergamotentry.Entry{Setting: setting, Log: ginkgo.GinkgoWriter}
+	e.SetLease(2*time.Second, 500*time.Millisecond, 200*time.Millisecond, 50*time.Millisecond)
 	gomega.Expect(e.Init()).To(gomega.Succeed())
+	return e
+}
+
+// launch runs an entry, which stops when the spec ends or stop is called.
+func launch(e *bergamotentry.Entry) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- e.Run(ctx) }()
-	ginkgo.DeferCleanup(func() {
+	stop = sync.OnceFunc(func() {
 		cancel()
 		gomega.Expect(<-done).To(gomega.Succeed())
 	})
-	return e
+	ginkgo.DeferCleanup(stop)
+	return stop
 }
 
 func version(e *bergamotentry.Entry) int64 {
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -40,6 +40,7 @@
 	adapters  *adapters
 	peers     *peers
 	lease     *bergamotlease.Lease
+	times     leaseTimes
 	retries   *bergamotretry.Retries
 	claims    *bergamotclaim.Claims
 	load      *load
--- a/io/bergamotentry/peers.go
+++ b/io/bergamotentry/peers.go
@@ -10,6 +10,7 @@
 
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotmember"
+	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/io/bergamotpeer"
 )
 
@@ -22,6 +23,7 @@
 	suspects   *bergamotcontrol.Suspects
 	client     *bergamotpeer.Client
 	server     *bergamotpeer.Server
+	texts      *texts
 }
 
 // newPeers opens the listener for other entries.
@@ -47,10 +49,22 @@
 		Post: func(event bergamotcontrol.Event) bool { return e.loop.Post(event) }, Count: e.metrics.Count,
 	}
 	p.suspects = &bergamotcontrol.Suspects{Ledger: e.suspects, Node: p.controller.Node}
-	p.server = &bergamotpeer.Server{Listener: l, TLS: cfg, Inbox: p.controller, Counter: e.metrics}
+	p.texts = &texts{self: s.Name(), client: p.client, seeds: seeds(s), view: e.View, count: e.metrics.Count}
+	p.server = &bergamotpeer.Server{Listener: l, TLS: cfg, Inbox: p.controller, Texts: p.texts, Counter: e.metrics}
 	return p, nil
 }
 
+// source returns where the entry reads the bundle in force.
+func (e *Entry) source() *bergamotrollout.Source {
+	s := &bergamotrollout.Source{
+		Table: e.adapters.table, Objects: e.adapters.objects, Trust: e.Setting.Trust(), Timeout: headTimeout,
+	}
+	if e.peers != nil {
+		s.Peers = e.peers.texts
+	}
+	return s
+}
+
 // Peers returns the address for other entries, empty when there are none.
 func (e *Entry) Peers() string {
 	if e.peers == nil {
--- a/io/bergamotentry/placement.go
+++ b/io/bergamotentry/placement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"strings"
 	"time"
 
 	"bergamotspur/core/bergamotcontrol"
@@ -23,17 +24,33 @@
 	releaseTimeout = time.Second
 )
 
+// leaseTimes are the times that tests shorten.
+type leaseTimes struct{ term, margin, renew, pass time.Duration }
+
 // newPlacement returns the controller that brings the runners to the bundle while this entry holds the lease.
 func (e *Entry) newPlacement() *bergamotcontrol.Placement {
+	t := e.times
+	if t.term == 0 {
+		t = leaseTimes{term: leaseTerm, margin: leaseMargin, renew: leaseRenew, pass: placementPass}
+	}
 	e.lease = &bergamotlease.Lease{
 		Table: e.adapters.table, Clock: e.clock, Key: leaseKey, Holder: e.Setting.Name(),
-		Term: leaseTerm, Margin: leaseMargin, Stamp: rand.Text,
+		Term: t.term, Margin: t.margin, Stamp: rand.Text,
 	}
 	return &bergamotcontrol.Placement{
 		Lease: e.lease, Engine: e.adapters.engines, Weights: e.adapters.weights, Clock: e.clock,
-		Renew: leaseRenew, Period: placementPass, Settle: 2 * e.Setting.Probe(), Loading: loadingTime, Loads: loadsAtOnce,
-		Report: e.report("placement"), Count: e.metrics.Count,
+		Renew: t.renew, Period: t.pass, Settle: 2 * e.Setting.Probe(), Loading: loadingTime, Loads: loadsAtOnce,
+		Report: e.report("placement"), Count: e.metrics.Count, Short: e.short,
+	}
+}
+
+// short logs a change of the models for which there are too few runners.
+func (e *Entry) short(models []string) {
+	if len(models) == 0 {
+		e.log.Info("placement: runners hold enough memory for all models")
+		return
 	}
+	e.log.Warn("placement: too few runners for %s, add runners or lower replicas in the bundle", strings.Join(models, ", "))
 }
 
 // releaseLease spares the other entries the wait for the end of the term.
--- a/io/bergamotfake/engine.go
+++ b/io/bergamotfake/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,8 @@
 	mu       sync.Mutex
 	holdings []bergamotengine.HoldingMessage
 	leaving  bool
-	number   int64 // highest fencing number of an order
-	orders   int   // orders carried out
+	number   int64   // highest fencing number of an order
+	orders   []int64 // fencing numbers of the orders carried out
 	spans    map[key]*span
 	queue    []StepMessage
 	busy     bool
@@ -67,6 +68,20 @@
 // Run serves until ctx ends.
 func (e *Engine) Run(ctx context.Context) error { return e.server.Run(ctx) }
 
+// Orders returns the fencing numbers of the orders that the engine carried out.
+func (e *Engine) Orders() []int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// Holdings returns what the engine holds.
+func (e *Engine) Holdings() []bergamotengine.HoldingMessage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.holdings)
+}
+
 // Leave makes the engine refuse new spans and report that it is leaving.
 func (e *Engine) Leave() {
 	e.mu.Lock()
--- a/io/bergamotfake/order.go
+++ b/io/bergamotfake/order.go
@@ -17,8 +17,8 @@
 		return http.StatusConflict
 	}
 	e.number = max(e.number, m.Number)
-	e.orders++
-	current, layers := e.orders, 0
+	e.orders = append(e.orders, m.Number)
+	current, layers := len(e.orders), 0
 	var kept []bergamotengine.HoldingMessage
 	for _, h := range m.Holdings {
 		if slices.ContainsFunc(e.holdings, func(x bergamotengine.HoldingMessage) bool { return reflect.DeepEqual(x, h) }) {
@@ -29,7 +29,7 @@
 	}
 	e.holdings = kept
 	finish := func() {
-		if e.orders == current { // otherwise another order came in between
+		if len(e.orders) == current { // otherwise another order came in between
 			e.holdings = m.Holdings
 		}
 	}
--- a/io/bergamotpeer/client.go
+++ b/io/bergamotpeer/client.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(limited{raw}, frames{}), refuse{}, quiet)
+	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(limited{raw, callTimeout}, frames{maxFrame}), refuse{}, quiet)
 	c.use(key, conn)
 	return conn, nil
 }
--- a/io/bergamotpeer/codec.go
+++ b/io/bergamotpeer/codec.go
@@ -13,7 +13,7 @@
 const maxFrame = MaxMessage/3*4 + 512
 
 // frames writes each JSON-RPC object after its length in 4 bytes, which bounds what a peer can make this one read.
-type frames struct{}
+type frames struct{ most uint32 }
 
 // WriteObject writes one object.
 func (frames) WriteObject(w io.Writer, v any) error {
@@ -26,14 +26,14 @@
 }
 
 // ReadObject reads one object.
-func (frames) ReadObject(r *bufio.Reader, v any) error {
+func (f frames) ReadObject(r *bufio.Reader, v any) error {
 	var size [4]byte
 	if _, err := io.ReadFull(r, size[:]); err != nil {
 		return err
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if n > maxFrame {
-		return oops.In("peer").Errorf("frame of %d bytes, at most %d are allowed", n, maxFrame)
+	if n > f.most {
+		return oops.In("peer").Errorf("frame of %d bytes, at most %d are allowed", n, f.most)
 	}
 	data := make([]byte, n)
 	if _, err := io.ReadFull(r, data); err != nil {
--- a/io/bergamotpeer/conn.go
+++ b/io/bergamotpeer/conn.go
@@ -15,6 +15,7 @@
 // limited sets a deadline for each read and write, so that no silent peer holds a goroutine.
 type limited struct {
 	net.Conn
+	write time.Duration // longest time of one write
 }
 
 // Read waits at most for the idle time.
@@ -25,9 +26,9 @@
 	return c.Conn.Read(p)
 }
 
-// Write waits at most for the time of a call.
+// Write waits at most for the time of one write.
 func (c limited) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(callTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.write)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
--- a/io/bergamotpeer/peer_test.go
+++ b/io/bergamotpeer/peer_test.go
@@ -2,18 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
-	"math/big"
 	"net"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -21,52 +12,25 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotmember"
+	"bergamotspur/io/bergamotfake"
 	"bergamotspur/io/bergamotpeer"
 )
 
 // authority signs certificates of peers.
-type authority struct {
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
+type authority struct{ *bergamotfake.Authority }
 
 func must[T any](v T, err error) T {
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return v
 }
 
-func writePEM(path, kind string, data []byte) string {
-	gomega.Expect(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)).To(gomega.Succeed())
-	return path
-}
-
-func newAuthority(dir string) *authority {
-	a := &authority{dir: dir, key: must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))}
-	t := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der := must(x509.CreateCertificate(rand.Reader, t, t, &a.key.PublicKey, a.key))
-	a.cert = must(x509.ParseCertificate(der))
-	writePEM(filepath.Join(a.dir, "ca"), "CERTIFICATE", der)
-	return a
-}
+func newAuthority(dir string) *authority { return &authority{must(bergamotfake.NewAuthority(dir))} }
 
 // config returns the configuration of a peer with keys from files.
 func (a *authority) config(name string) *tls.Config {
-	key := must(ecdsa.GenerateKey(elliptic.P256(), rand.Reader))
-	t := &x509.Certificate{
-		SerialNumber: big.NewInt(2), DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	der := must(x509.CreateCertificate(rand.Reader, t, a.cert, &key.PublicKey, a.key))
-	base := filepath.Join(a.dir, name)
-	return must(bergamotpeer.Keys{
-		Cert: writePEM(base+".cert", "CERTIFICATE", der),
-		Key:  writePEM(base+".key", "PRIVATE KEY", must(x509.MarshalPKCS8PrivateKey(key))),
-		CA:   filepath.Join(a.dir, "ca"),
-	}.Load())
+	cert, key, err := a.Issue(name)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return must(bergamotpeer.Keys{Cert: cert, Key: key, CA: a.CA()}.Load())
 }
 
 // inbox answers each heartbeat as member "b" and counts events.
--- a/io/bergamotpeer/server.go
+++ b/io/bergamotpeer/server.go
@@ -43,12 +43,15 @@
 	Listener net.Listener
 	TLS      *tls.Config
 	Inbox    Inbox
-	Counter  Counter // counts "peer." followed by "full", "handshake", "flood", "message" or "refused"
+	Texts    Texts   // gives bundle texts to peers; nil for none
+	Counter  Counter // counts "peer." followed by "full", "handshake", "flood", "message", "refused", "texts" or "textbusy"
 
 	mu     sync.Mutex
 	conns  map[string]*jsonrpc2.Conn
 	limits map[string]*rate.Limiter
 	total  *rate.Limiter
+	texts  *rate.Limiter
+	giving chan struct{}
 }
 
 // Run serves until ctx ends and returns when all connections are closed.
@@ -61,6 +64,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.Listener.Close() })
 	defer stop()
 	s.total = rate.NewLimiter(totalRate, totalBurst)
+	s.texts, s.giving = rate.NewLimiter(textRate, textBurst), make(chan struct{}, maxGiving)
 	slots, shaking := make(chan struct{}, maxIn), make(chan struct{}, maxHandshakes)
 	accepts := rate.NewLimiter(acceptRate, acceptBurst)
 	for {
@@ -91,26 +95,33 @@
 
 func (s *Server) serve(ctx context.Context, raw net.Conn, shaking chan struct{}) {
 	defer func() { _ = raw.Close() }() // it may be closed already
-	secure := tls.Server(raw, s.TLS)
+	cfg := s.TLS.Clone()
+	cfg.NextProtos = []string{protocolText}
+	secure := tls.Server(raw, cfg)
 	if !s.shake(ctx, secure, shaking) {
 		s.Counter.Count("peer.handshake")
 		return
 	}
-	names := secure.ConnectionState().PeerCertificates[0].DNSNames
+	state := secure.ConnectionState()
+	names := state.PeerCertificates[0].DNSNames
 	if len(names) == 0 {
 		s.Counter.Count("peer.handshake")
 		return
 	}
-	h := &handler{server: s, peer: names[0], limit: s.limit(names[0])}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(limited{secure}, frames{}), h, quiet)
-	s.replace(names[0], conn)
+	var h jsonrpc2.Handler = &handler{server: s, peer: names[0], limit: s.limit(names[0])}
+	key, write := names[0], callTimeout
+	if state.NegotiatedProtocol == protocolText {
+		h, key, write = &giver{server: s}, names[0]+" "+protocolText, TextTimeout
+	}
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(limited{secure, write}, frames{maxFrame}), h, quiet)
+	s.replace(key, conn)
 	select {
 	case <-ctx.Done():
 		_ = conn.Close()
 		<-conn.DisconnectNotify()
 	case <-conn.DisconnectNotify():
 	}
-	s.remove(names[0], conn)
+	s.remove(key, conn)
 }
 
 func (s *Server) shake(ctx context.Context, secure *tls.Conn, shaking chan struct{}) bool {
