Show members, age of the head and advice in the status

Cause: an operator could not see from the status which entries know each other, how old the head may be, or what to do for an entry that is not ready. No test ran two entries as processes.

Ruled out: a reason only at /readyz, which says nothing of an entry that serves while it is cut off.

Change: /status has "members", "limit", "short" and "next"; `bergamotspur status` prints them as AGE, ENTRIES and NEXT. `serve` prints the address for peers.

A first form of the test "killed after the service had run it" expected 409 or 502 only and failed with a stored answer (200 with Bergamot-Replay): the record of the outcome was on its way to the table when the entry was killed. The test now takes a stored answer too, and counts the calls that reached the service, at most one.

--- /dev/null
+++ b/cmd/bergamotcommand/entries_test.go
@@ -0,0 +1,186 @@
+package bergamotcommand_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamottest"
+	"bergamotspur/io/bergamotengine"
+	"bergamotspur/io/bergamotentry"
+	"bergamotspur/io/bergamotfake"
+	"bergamotspur/io/bergamotlist"
+)
+
+// pair is two entries as separate processes in front of fakes inside the test.
+type pair struct {
+	platform *bergamotfake.Platform
+	service  *bergamotfake.Service
+	engine   *bergamotfake.Engine
+	entries  [2]*process
+	callers  [2]string
+	status   [2]string
+}
+
+func eventually(f any) gomega.AsyncAssertion {
+	return gomega.Eventually(f).WithTimeout(30 * time.Second)
+}
+
+func newPair(ctx context.Context) *pair {
+	p := &pair{
+		platform: bergamotfake.NewPlatform(), service: bergamotfake.NewService(),
+		engine: bergamotfake.NewEngine(bergamotengine.HoldingMessage{Model: "care", Version: "1", From: 0, To: 12}),
+	}
+	p.engine.StepTime = time.Millisecond
+	for _, fake := range []interface {
+		Start(address string) error
+		Kill()
+	}{p.platform, p.service, p.engine} {
+		gomega.Expect(fake.Start("127.0.0.1:0")).To(gomega.Succeed())
+		ginkgo.DeferCleanup(fake.Kill)
+	}
+	rollOut(ctx, p.platform.Address(), wholeBundle)
+	p.list("pickup1", p.service.Address(), "pickup")
+	p.list("runner1", p.engine.Address(), "runner")
+	ca, err := bergamotfake.NewAuthority(ginkgo.GinkgoT().TempDir())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	for n := range p.entries {
+		name := fmt.Sprintf("entry%d", n+1)
+		cert, key, err := ca.Issue(name)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		e := start("serve", writeSettings(name, p.platform.Address(),
+			fmt.Sprintf("[peers]\nlisten = 127.0.0.1:0\ncert = %s\nkey = %s\nca = %s\n", cert, key, ca.CA())))
+		p.entries[n], p.callers[n], p.status[n] = e, e.value("callers"), e.value("operators")
+		p.list(name, e.value("peers"), "entry")
+	}
+	for n := range p.entries {
+		eventually(func() bool {
+			m := p.ask(n)
+			return m.Ready && len(m.Instances) == 4 && len(m.Members) == 2
+		}).Should(gomega.BeTrue())
+	}
+	return p
+}
+
+func (p *pair) list(name, address, role string) {
+	p.platform.Instances.Put(bergamotlist.InstanceMessage{
+		Name: name, Address: address, Centre: "tallinn", Kind: "cpu", Role: role, Memory: 12, State: "live",
+	})
+}
+
+// ask returns the status of an entry, zero when it does not answer.
+func (p *pair) ask(n int) (m bergamotentry.StatusMessage) {
+	resp, err := http.Get("http://" + p.status[n] + "/status")
+	if err != nil {
+		return m
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&m) // an entry that ends meanwhile counts as one without an answer
+	return m
+}
+
+// book sends the call "k" to an entry and returns the status and "replay" for a stored answer, empty when the entry did
+// not answer.
+func (p *pair) book(n int) string {
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.callers[n]+"/v1/services/pickup/book", strings.NewReader(`{"slot":1}`))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+wholeKey)
+	r.Header.Set("Idempotency-Key", "k")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // only the status matters
+	return strings.TrimSpace(fmt.Sprint(resp.StatusCode, " ", strings.Replace(resp.Header.Get("Bergamot-Replay"), "yes", "replay", 1)))
+}
+
+// booking starts a call at the first entry that the service holds back.
+func (p *pair) booking() chan string {
+	p.service.Faults.SetSilent(true)
+	done := make(chan string, 1)
+	go func() {
+		defer ginkgo.GinkgoRecover()
+		done <- p.book(0)
+	}()
+	eventually(func() int { return p.service.Faults.Calls("/book") }).Should(gomega.Equal(1))
+	return done
+}
+
+func (p *process) signal(s syscall.Signal) {
+	gomega.Expect(p.cmd.Process.Signal(s)).To(gomega.Succeed())
+}
+
+var _ = ginkgo.Describe("two entries as processes", func() {
+	// Guards against a second courier when an entry dies between the claim and the record of the outcome.
+	bergamottest.Entries(map[string]int{
+		"never run a call again whose entry was killed before the service ran it":    0,
+		"never run a call again whose entry was killed after the service had run it": 1,
+	}, func(runs int) {
+		p := newPair(context.Background())
+		done := p.booking()
+		if runs == 1 {
+			p.platform.Table.Faults.SetSilent(true)
+			p.service.Faults.SetSilent(false)
+			eventually(p.service.Journal).Should(gomega.HaveLen(1))
+		}
+		p.entries[0].signal(syscall.SIGKILL)
+		<-done
+		p.platform.Table.Faults.SetSilent(false)
+		p.service.Faults.SetSilent(false)
+		for range 3 {
+			gomega.Expect(p.book(1)).To(gomega.BeElementOf("409", "502", "200 replay"))
+		}
+		gomega.Expect(len(p.service.Journal())).To(gomega.BeNumerically("<=", 1))
+		gomega.Expect(p.service.Faults.Calls("/book")).To(gomega.Equal(1))
+	})
+
+	// Guards against an entry that was stopped during rolls and brings its older bundle back, to itself or to others.
+	ginkgo.It("never go back to an older bundle when one was stopped across rolls", func(ctx context.Context) {
+		p := newPair(ctx)
+		parent := p.ask(0).Digest
+		p.entries[1].signal(syscall.SIGSTOP)
+		text := strings.Replace(wholeBundle, "version = 1\n", "version = 2\nparent = "+parent+"\n", 1)
+		rollOut(ctx, p.platform.Address(), text)
+		eventually(func() int64 { return p.ask(0).Version }).Should(gomega.Equal(int64(2)))
+		eventually(func() string { return p.ask(0).Members[1].State }).Should(gomega.Equal("dead"))
+		p.entries[1].signal(syscall.SIGCONT)
+		var last [2]int64
+		eventually(func() bool {
+			done := true
+			for n := range last {
+				m := p.ask(n)
+				gomega.Expect(m.Version).To(gomega.BeNumerically(">=", last[n]))
+				last[n] = m.Version
+				done = done && m.Version == 2 && m.Ready && m.Members[1-n].State == "alive"
+			}
+			return done
+		}).Should(gomega.BeTrue())
+	})
+
+	// Guards against a shutdown that cuts off what is in flight.
+	ginkgo.It("finish streams and bookings in flight on SIGTERM", func(ctx context.Context) {
+		p := newPair(ctx)
+		resp, err := complete(p.callers[0], "long quote", 200, true)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer resp.Body.Close()
+		done := p.booking()
+		p.entries[0].terminate()
+		eventually(func() string { return p.ask(0).Next }).Should(gomega.ContainSubstring("shutting down"))
+		p.service.Faults.SetSilent(false)
+		gomega.Expect(<-done).To(gomega.Equal("200"))
+		stream, err := io.ReadAll(resp.Body)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(stream)).To(gomega.HaveSuffix("data: [DONE]\n\n"))
+		gomega.Expect(p.entries[0].wait()).To(gomega.Succeed())
+		gomega.Expect(p.service.Journal()).To(gomega.HaveLen(1))
+	})
+})
--- a/cmd/bergamotcommand/serve.go
+++ b/cmd/bergamotcommand/serve.go
@@ -26,5 +26,8 @@
 		return err
 	}
 	s.printf("callers=%s\noperators=%s\n", e.Callers(), e.Operators())
+	if e.Peers() != "" {
+		s.printf("peers=%s\n", e.Peers())
+	}
 	return e.Run(s.ctx)
 }
--- a/cmd/bergamotcommand/status.go
+++ b/cmd/bergamotcommand/status.go
@@ -23,7 +23,7 @@
 	wire := bergamotwire.NewClient()
 	defer wire.Close()
 	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "ENTRY\tCENTRE\tREADY\tVERSION\tDIGEST\tLIVE\tLEAVING\tFAILED")
+	_, _ = fmt.Fprintln(w, "ENTRY\tCENTRE\tREADY\tVERSION\tDIGEST\tAGE\tENTRIES\tLIVE\tLEAVING\tFAILED\tNEXT")
 	var all []bergamotentry.StatusMessage
 	for _, address := range c.Entries {
 		m, askErr := askStatus(s.ctx, wire, address)
@@ -36,8 +36,8 @@
 		for _, i := range m.Instances {
 			states[i.State]++
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%.12s\t%d\t%d\t%d\n", m.Entry, m.Centre, m.Ready, m.Version, m.Digest,
-			states["live"], states["leaving"], states["failed"])
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%.12s\t%s\t%s\t%d\t%d\t%d\t%s\n", m.Entry, m.Centre, m.Ready, m.Version, m.Digest,
+			age(m), entries(m), states["live"], states["leaving"], states["failed"], m.Next)
 	}
 	if c.JSON {
 		data, jsonErr := json.MarshalIndent(all, "", "  ")
@@ -53,6 +53,28 @@
 	return err
 }
 
+// age returns the time since the head was read and its limit.
+func age(m bergamotentry.StatusMessage) string {
+	if m.Confirmed < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%d of %d ms", m.Confirmed, m.Limit)
+}
+
+// entries returns how many of the known entries count as live.
+func entries(m bergamotentry.StatusMessage) string {
+	if len(m.Members) == 0 {
+		return "-"
+	}
+	live := 0
+	for _, member := range m.Members {
+		if member.State == "alive" || member.State == "suspected" {
+			live++
+		}
+	}
+	return fmt.Sprintf("%d of %d", live, len(m.Members))
+}
+
 func askStatus(ctx context.Context, wire *bergamotwire.Client, address string) (m bergamotentry.StatusMessage, err error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
--- a/core/bergamotmember/picture.go
+++ b/core/bergamotmember/picture.go
@@ -1,6 +1,7 @@
 package bergamotmember
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -107,6 +108,9 @@
 	return h, ok
 }
 
+// Members returns the names of the members of which anything was heard, this one included, in order.
+func (p *Picture) Members() []string { return slices.Sorted(maps.Keys(p.states)) }
+
 // State returns the state of a member.
 func (p *Picture) State(name string) (s State, ok bool) {
 	s, ok = p.states[name]
