--- a/core/bergamotplacement/order.go
+++ b/core/bergamotplacement/order.go
@@ -55,8 +55,17 @@
 			continue
 		}
 		// Where both fit beside each other, the old layers serve until the new ones are loaded.
-		if o, ok = beside(i, want); ok {
+		if o, ok = beside(i, i.Holdings(), want); ok {
 			out = append(out, o)
+			continue
+		}
+		// A late order at an engine without fencing can fill the memory with several old versions.
+		if rest := needed(c, i, want); len(rest) < len(i.Holdings()) {
+			if o, ok = beside(i, rest, want); ok {
+				out = append(out, o)
+				continue
+			}
+			c.add(dropped(i, newOrder(i, rest...)), 1)
 		}
 	}
 	return out
@@ -72,12 +81,22 @@
 	return o
 }
 
-// beside returns an order that adds want to what the runner holds.
-func beside(i bergamotfleet.Instance, want bergamotfleet.Holding) (o Order, fits bool) {
+// needed returns what a runner has to keep so that each pipeline stays served; the rest is no longer counted.
+func needed(c *coverage, i bergamotfleet.Instance, want bergamotfleet.Holding) (out []bergamotfleet.Holding) {
+	for _, h := range i.Holdings() {
+		if equal(h, want) || !c.without([]bergamotfleet.Holding{h}) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// beside returns an order that adds want to a part of what the runner holds.
+func beside(i bergamotfleet.Instance, part []bergamotfleet.Holding, want bergamotfleet.Holding) (o Order, fits bool) {
 	if slices.ContainsFunc(i.Holdings(), func(h bergamotfleet.Holding) bool { return equal(h, want) }) {
 		return o, false
 	}
-	o = newOrder(i, append(slices.Clone(i.Holdings()), want)...)
+	o = newOrder(i, append(slices.Clone(part), want)...)
 	layers := 0
 	for _, h := range o.holdings {
 		layers += h.To() - h.From()
