--- a/core/bergamotclaim/claims_bench_test.go
+++ b/core/bergamotclaim/claims_bench_test.go
@@ -1,13 +1,13 @@
 package bergamotclaim_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotclaim"
+	"bergamotspur/core/bergamotmemory"
 )
 
 // BenchmarkCall measures what a claimed call costs beside its dispatch: processor time, and requests to the table.
@@ -16,7 +16,6 @@
 	for name, repeats := range map[string]int{"first": 0, "with a repeat": 1} {
 		b.Run(name, func(b *testing.B) {
 			w := newWorld()
-			w.table.hook = func(context.Context, string) fate { return fateOK }
 			reply := answer("B1")
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -33,8 +32,8 @@
 					}
 				}
 			}
-			b.ReportMetric(float64(w.table.effect)/float64(b.N), "writes/op")
-			b.ReportMetric(float64(w.table.swaps-w.table.effect)/float64(b.N), "conflicts/op")
+			b.ReportMetric(float64(w.store.Writes())/float64(b.N), "writes/op")
+			b.ReportMetric(float64(w.store.Calls(bergamotmemory.Swap)-w.store.Writes())/float64(b.N), "conflicts/op")
 		})
 	}
 }
--- a/core/bergamotclaim/claims_test.go
+++ b/core/bergamotclaim/claims_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotclaim"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamottest"
 )
@@ -35,57 +36,57 @@
 	}, func(c struct{ end func(*bergamotclaim.Claim) }) {
 		w := newWorld()
 		c.end(w.claim(w.a))
-		gomega.Expect(w.table.swaps).To(gomega.Equal(2))
-		gomega.Expect(w.table.reads).To(gomega.BeZero())
+		gomega.Expect(w.store.Calls(bergamotmemory.Swap)).To(gomega.Equal(2))
+		gomega.Expect(w.store.Calls(bergamotmemory.Read)).To(gomega.BeZero())
 	})
 
 	// Each case is a fault of the table or the object store between two entries. The run state told to a caller
 	// must be true, and a repeat must not run the call a second time.
 	bergamottest.Entries(map[string]struct{ run func(w *world) }{
 		"recognise an own claim whose reply was lost": {func(w *world) {
-			w.faults = []fate{fateLost}
+			w.fail(fateLost)
 			w.claim(w.a).Done(ctx, answer("B1"))
-			gomega.Expect(w.table.swaps).To(gomega.Equal(2))
+			gomega.Expect(w.store.Calls(bergamotmemory.Swap)).To(gomega.Equal(2))
 			w.replayed(w.b, "B1")
 		}},
 		"recognise an own claim that took effect after the read": {func(w *world) {
-			w.faults = []fate{fateLate}
+			w.fail(fateLate)
 			w.onOp = func(_ context.Context, op string) {
 				if op == "swap" {
-					w.table.deliver() // the first copy arrives just before the second
+					w.store.Deliver() // the first copy arrives just before the second
 				}
 			}
 			w.claim(w.a)
-			gomega.Expect(w.table.effect).To(gomega.Equal(1))
+			gomega.Expect(w.store.Writes()).To(gomega.Equal(1))
 			w.refused(w.b, nil, bergamotrequest.ReasonProgress, runUnknown)
 		}},
 		"recognise an own conclusion whose reply was lost": {func(w *world) {
 			claim := w.claim(w.a)
-			w.faults = []fate{fateLost}
+			w.fail(fateLost)
 			claim.Done(ctx, answer("B1"))
-			gomega.Expect(w.table.swaps).To(gomega.Equal(2))
+			gomega.Expect(w.store.Calls(bergamotmemory.Swap)).To(gomega.Equal(2))
 			gomega.Expect(w.a.Waiting()).To(gomega.BeZero())
 			w.replayed(w.b, "B1")
 		}},
 		"recognise an own release whose reply was lost": {func(w *world) {
 			claim := w.claim(w.a)
-			w.faults = []fate{fateLost}
+			w.fail(fateLost)
 			claim.Release(ctx)
-			gomega.Expect(w.table.swaps).To(gomega.Equal(2))
+			gomega.Expect(w.store.Calls(bergamotmemory.Swap)).To(gomega.Equal(2))
 			w.claim(w.b)
 		}},
 		"refuse without a run when the table is down": {func(w *world) {
-			w.faults = []fate{fateDown, fateDown}
+			w.fail(fateDown, fateDown)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			w.claim(w.b)
 		}},
 		"refuse without a run when the table rejects the claim": {func(w *world) {
-			w.faults = []fate{fateReject}
+			w.fail(fateReject)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			gomega.Expect(w.a.Waiting()).To(gomega.BeZero())
 		}},
 		"free a claim that took effect before the table went down": {func(w *world) {
-			w.faults = []fate{fateLost, fateDown}
+			w.fail(fateLost, fateDown)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			gomega.Expect(w.state()).To(gomega.Equal(bergamotclaim.StateClaimed))
 			w.refused(w.b, nil, bergamotrequest.ReasonProgress, runUnknown)
@@ -93,7 +94,7 @@
 			w.claim(w.b)
 		}},
 		"take over an own claim that was never dispatched": {func(w *world) {
-			w.faults = []fate{fateLost, fateDown}
+			w.fail(fateLost, fateDown)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			claim := w.claim(w.a)
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue()) // the queued release must not free the new claim
@@ -103,7 +104,7 @@
 		}},
 		"not free a later claim by a release that was written late": {func(w *world) {
 			claim := w.claim(w.a)
-			w.faults = []fate{fateDown, fateDown}
+			w.fail(fateDown, fateDown)
 			claim.Release(ctx)
 			w.claim(w.a)
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue())
@@ -117,14 +118,14 @@
 			w.claim(w.b)
 		}},
 		"release a claim whose reply was lost when the deadline passed": {func(w *world) {
-			w.faults = []fate{fateLost}
+			w.fail(fateLost)
 			w.onOp = func(context.Context, string) { w.clock.Advance(2 * granted) }
 			w.refused(w.a, nil, bergamotrequest.ReasonDeadline, runNo)
 			gomega.Expect(w.state()).To(gomega.Equal(bergamotclaim.StateFree))
 		}},
 		"keep the answer while the table is down": {func(w *world) {
 			claim := w.claim(w.a)
-			w.faults = []fate{fateDown, fateDown}
+			w.fail(fateDown, fateDown)
 			claim.Done(ctx, answer("B1"))
 			w.replayed(w.a, "B1")
 			w.refused(w.b, nil, bergamotrequest.ReasonProgress, runUnknown)
@@ -133,29 +134,29 @@
 		}},
 		"write a conclusion once when its first copy arrives late": {func(w *world) {
 			claim := w.claim(w.a)
-			w.faults = []fate{fateLate}
+			w.fail(fateLate)
 			claim.Done(ctx, answer("B1"))
-			w.table.deliver()
-			gomega.Expect(w.table.effect).To(gomega.Equal(2))
+			w.store.Deliver()
+			gomega.Expect(w.store.Writes()).To(gomega.Equal(2))
 			w.replayed(w.b, "B1")
 		}},
 		"store a large answer before the conclusion": {func(w *world) {
 			claim := w.claim(w.a)
-			w.ops = nil
+			w.store.ClearJournal()
 			claim.Done(ctx, answer(strings.Repeat("x", limit+1)))
-			gomega.Expect(w.ops).To(gomega.Equal([]string{"put", "swap"}))
+			gomega.Expect(w.store.Journal()).To(gomega.Equal([]string{"put", "swap"}))
 			w.replayed(w.b, strings.Repeat("x", limit+1))
 		}},
 		"store an answer as an object when the table finds it too large": {func(w *world) {
 			claim := w.claim(w.a)
-			w.faults = []fate{fateReject}
+			w.fail(fateReject)
 			claim.Done(ctx, answer("B1"))
-			gomega.Expect(w.objects.data).To(gomega.HaveLen(1))
+			gomega.Expect(w.store.Objects()).To(gomega.HaveLen(1))
 			w.replayed(w.b, "B1")
 		}},
 		"conclude nothing while the object store is down": {func(w *world) {
 			claim := w.claim(w.a)
-			w.faults = []fate{fateDown}
+			w.fail(fateDown)
 			claim.Done(ctx, answer(strings.Repeat("x", limit+1)))
 			gomega.Expect(w.state()).To(gomega.Equal(bergamotclaim.StateClaimed))
 			w.replayed(w.a, strings.Repeat("x", limit+1))
@@ -164,13 +165,13 @@
 		}},
 		"tell that a call ran whose object cannot be read": {func(w *world) {
 			w.claim(w.a).Done(ctx, answer(strings.Repeat("x", limit+1)))
-			w.faults = []fate{fateOK, fateDown}
+			w.fail(fateOK, fateDown)
 			w.refused(w.b, nil, bergamotrequest.ReasonObject, runYes)
 		}},
 		"refuse an object that was damaged": {func(w *world) {
 			w.claim(w.a).Done(ctx, answer(strings.Repeat("x", limit+1)))
-			for name := range w.objects.data {
-				w.objects.data[name] = []byte("y")
+			for name := range w.store.Objects() {
+				w.store.SetObject(name, []byte("y"))
 			}
 			w.refused(w.b, nil, bergamotrequest.ReasonObject, runYes)
 		}},
@@ -219,19 +220,19 @@
 		"refuse a row that cannot be read as a record": {func(w *world) {
 			w.claim(w.a)
 			key := bergamotclaim.RowKey("kitchen", "k")
-			_, _, err := w.table.CompareAndSet(ctx, key, w.table.row(key).Revision(), []byte(`{"state":"open"}`))
+			_, _, err := w.store.CompareAndSet(ctx, key, w.store.Row(key).Revision(), []byte(`{"state":"open"}`))
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			w.refused(w.b, nil, bergamotrequest.ReasonInternal, runUnknown)
 		}},
 		"write small answers while a large one waits for the object store": {func(w *world) {
 			first := w.claim(w.a)
-			w.faults = []fate{fateDown}
+			w.fail(fateDown)
 			first.Done(ctx, answer(strings.Repeat("x", limit+1)))
 			call := bergamotclaim.NewCall("kitchen", newRequest("r", "other", "slot"), w.clock.Now().Add(granted))
 			second, _, _ := w.a.Begin(ctx, call, nil)
-			w.faults = []fate{fateDown, fateDown}
+			w.fail(fateDown, fateDown)
 			second.Done(ctx, answer("B2"))
-			w.faults = []fate{fateDown}
+			w.fail(fateDown)
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeFalse())
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue())
 			gomega.Expect(w.a.Waiting()).To(gomega.Equal(1))
--- a/core/bergamotclaim/generated_test.go
+++ b/core/bergamotclaim/generated_test.go
@@ -99,7 +99,7 @@
 // drawSettle is an operator who has checked the service's journal and that the claiming process has ended.
 func (m *model) drawSettle(t *rapid.T) {
 	key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")
-	row := m.table.row(bergamotclaim.RowKey("kitchen", key))
+	row := m.store.Row(bergamotclaim.RowKey("kitchen", key))
 	if row.Revision() == 0 || len(m.late) > 0 {
 		t.Skip("no such call, or requests are still on their way")
 	}
@@ -119,8 +119,8 @@
 
 // check compares every outcome with the service's journal.
 func (m *model) check(t *rapid.T) {
-	if m.table.most > 2 {
-		t.Fatalf("one call made %d writes to the table", m.table.most)
+	if m.most > 2 {
+		t.Fatalf("one call made %d writes to the table", m.most)
 	}
 	runs := map[string]run{}
 	for _, r := range m.journal {
@@ -156,7 +156,7 @@
 	for _, f := range late {
 		f()
 	}
-	m.table.deliver()
+	m.store.Deliver()
 }
 
 func (m *model) reap() {
--- a/core/bergamotclaim/model_test.go
+++ b/core/bergamotclaim/model_test.go
@@ -14,16 +14,17 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotretry"
-	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamottest"
 )
 
 // model is a platform, a service and entries whose every operation is scheduled by the test.
 type model struct {
 	clock     *bergamotclock.Virtual
-	table     *memTable
-	objects   *memObjects
+	store     *bergamotmemory.Store
+	most      int // most writes to the table by one process that took effect
 	bundle    *bergamotbundle.Bundle
 	fleet     *bergamotfleet.Fleet
 	entries   []*entryModel
@@ -75,8 +76,14 @@
 
 func newModel() *model {
 	m := &model{clock: bergamotclock.NewVirtual(time.Unix(0, 0))}
-	m.table = &memTable{rows: map[string]bergamotstore.Row{}, hook: stop}
-	m.objects = &memObjects{data: map[string][]byte{}, hook: stop}
+	m.store = bergamotmemory.NewStore()
+	m.store.Hook = stop
+	m.store.Written = func(ctx context.Context) {
+		if p, ok := ctx.Value(processKey{}).(*process); ok {
+			p.writes++
+			m.most = max(m.most, p.writes)
+		}
+	}
 	b, err := bergamotbundle.Parse("model", []byte(modelBundle))
 	if err != nil {
 		panic(err)
@@ -94,7 +101,7 @@
 
 func (m *model) newEntry(name string) *entryModel {
 	e := &entryModel{name: name, claims: &bergamotclaim.Claims{
-		Table: m.table, Objects: m.objects, Clock: m.clock, Counter: noCounter{}, Timeout: granted, Margin: margin, Limit: 16, Memory: 50,
+		Table: m.store, Objects: m.store, Clock: m.clock, Counter: bergamottest.NoCounter{}, Timeout: granted, Margin: margin, Limit: 16, Memory: 50,
 		Attempt: func() string { m.number++; return fmt.Sprintf("%s-%d", name, m.number) },
 	}}
 	e.claims.Init()
@@ -106,7 +113,7 @@
 		Backoff: &bergamotretry.Backoff{Rand: func() float64 { return 0 }},
 	}
 	e.chain = bergamotchain.NewChain(
-		&bergamotfilter.Call{Caller: m, Counter: noCounter{}, Clock: m.clock, Retries: retries},
+		&bergamotfilter.Call{Caller: m, Counter: bergamottest.NoCounter{}, Clock: m.clock, Retries: retries},
 		bergamotfilter.Resolve{}, &bergamotfilter.Deadline{Clock: m.clock},
 		&bergamotfilter.Claim{Claims: e.claims, Asker: m, Clock: m.clock},
 	)
@@ -152,13 +159,13 @@
 	case fateReject:
 		return reply, bergamotfilter.ErrNotSent
 	}
-	return reply, errFault
+	return reply, bergamotmemory.ErrNoReply
 }
 
 // Ask is the service's word on whether a call ran, which is true at the time of the answer.
 func (m *model) Ask(ctx context.Context, _, _, name string) (ran bool, err error) {
 	if stop(ctx, "ask") != fateOK {
-		return false, errFault
+		return false, bergamotmemory.ErrNoReply
 	}
 	return m.ran(name), nil
 }
--- a/core/bergamotclaim/queue_test.go
+++ b/core/bergamotclaim/queue_test.go
@@ -44,13 +44,13 @@
 	// Guards against a caller that waits for a table that does not answer, beyond its deadline.
 	ginkgo.It("is left to the queue once the deadline has passed", func() {
 		w := newWorld()
-		w.faults = []fate{fateLost}
+		w.fail(fateLost)
 		ended, cancel := context.WithCancel(ctx)
 		w.onOp = func(context.Context, string) { cancel() }
 		call := bergamotclaim.NewCall("kitchen", newRequest("r", "k", "slot"), w.clock.Now().Add(granted))
 		_, _, err := w.a.Begin(ended, call, nil)
 		gomega.Expect(bergamotrequest.AsRefusal(err).Run()).To(gomega.Equal(runNo))
-		gomega.Expect(w.ops).To(gomega.Equal([]string{"swap"}))
+		gomega.Expect(w.store.Journal()).To(gomega.Equal([]string{"swap"}))
 		w.onOp = func(context.Context, string) {}
 		gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue())
 		w.claim(w.b)
@@ -61,7 +61,7 @@
 		w := newWorld()
 		w.a.Memory = 1
 		claim := w.claim(w.a)
-		w.faults = []fate{fateDown, fateDown}
+		w.fail(fateDown, fateDown)
 		claim.Done(ctx, answer("B1"))
 		w.refused(w.a, nil, bergamotrequest.ReasonUnknown, runYes)
 		gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue())
@@ -72,15 +72,16 @@
 	ginkgo.It("is kept over a restart of Run", func() {
 		w := newWorld()
 		claim := w.claim(w.a)
-		w.faults = []fate{fateDown, fateDown}
+		w.fail(fateDown, fateDown)
 		claim.Done(ctx, answer("B1"))
 		gomega.Expect(w.a.Waiting()).To(gomega.Equal(1))
-		w.faults = []fate{fateDown, fateDown}
+		w.fail(fateDown, fateDown)
 		first, stop := context.WithCancel(ctx)
 		w.onOp = func(context.Context, string) { stop() } // the part ends in the middle of a write
 		gomega.Expect(w.a.Run(first)).To(gomega.MatchError(context.Canceled))
 		gomega.Expect(w.a.Waiting()).To(gomega.Equal(1))
-		w.onOp, w.faults = func(context.Context, string) {}, nil
+		w.onOp = func(context.Context, string) {}
+		w.fail()
 		second, stop := context.WithCancel(ctx)
 		done := make(chan error, 1)
 		go func() { done <- w.a.Run(second) }()
@@ -94,7 +95,7 @@
 	ginkgo.It("is kept over a panic of Run under a supervisor", func() {
 		w := newWorld()
 		claim := w.claim(w.a)
-		w.faults = []fate{fateDown, fateDown}
+		w.fail(fateDown, fateDown)
 		claim.Done(ctx, answer("B1"))
 		gomega.Expect(w.a.Waiting()).To(gomega.Equal(1))
 		panics := 0
--- a/core/bergamotclaim/settle_test.go
+++ b/core/bergamotclaim/settle_test.go
@@ -11,7 +11,7 @@
 
 // open returns the calls without an outcome.
 func (w *world) open() (out []bergamotclaim.Entry) {
-	gomega.Expect(bergamotclaim.Open(ctx, w.table, func(e bergamotclaim.Entry) { out = append(out, e) })).To(gomega.Succeed())
+	gomega.Expect(bergamotclaim.Open(ctx, w.store, func(e bergamotclaim.Entry) { out = append(out, e) })).To(gomega.Succeed())
 	return out
 }
 
@@ -52,7 +52,7 @@
 		}},
 		"recognises its own settlement whose reply was lost": {func(w *world) {
 			w.claim(w.a).Unknown(ctx)
-			w.faults = []fate{fateOK, fateLost}
+			w.fail(fateOK, fateOK, fateLost) // list, read, write
 			gomega.Expect(w.settle(asRan)).To(gomega.Succeed())
 		}},
 		"succeeds when it is repeated": {func(w *world) {
@@ -84,7 +84,7 @@
 		}},
 		"tells that a write is not confirmed": {func(w *world) {
 			w.claim(w.a).Unknown(ctx)
-			w.faults = []fate{fateOK, fateDown, fateDown}
+			w.fail(fateOK, fateOK, fateDown, fateDown) // list, read, write, read back
 			gomega.Expect(w.settle(asRan)).To(gomega.MatchError(gomega.ContainSubstring("did not confirm")))
 		}},
 	}, func(c struct{ run func(w *world) }) { c.run(newWorld()) })
--- a/core/bergamotclaim/world_test.go
+++ b/core/bergamotclaim/world_test.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotclaim"
 	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrequest"
-	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamottest"
 )
 
 const (
@@ -21,15 +20,21 @@
 	limit   = 64
 )
 
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+type fate = bergamotmemory.Fate
+
+const (
+	fateOK     = bergamotmemory.OK
+	fateDown   = bergamotmemory.Down
+	fateLost   = bergamotmemory.Lost
+	fateLate   = bergamotmemory.Late
+	fateDouble = bergamotmemory.Double
+	fateReject = bergamotmemory.Reject
+)
 
 // world is two entries a and b on one platform.
 type world struct {
 	clock    *bergamotclock.Virtual
-	table    *memTable
-	objects  *memObjects
-	faults   []fate // fates of the next operations on table and objects; fateOK when empty
-	ops      []string
+	store    *bergamotmemory.Store
 	onOp     func(ctx context.Context, op string)
 	attempts int
 	a, b     *bergamotclaim.Claims
@@ -37,23 +42,18 @@
 
 func newWorld() *world {
 	w := &world{clock: bergamotclock.NewVirtual(time.Unix(0, 0)), onOp: func(context.Context, string) {}}
-	next := func(ctx context.Context, op string) (f fate) {
-		w.ops = append(w.ops, op)
+	w.store = bergamotmemory.NewStore()
+	w.store.Hook = func(ctx context.Context, op string) fate {
 		w.onOp(ctx, op)
-		if len(w.faults) > 0 {
-			f, w.faults = w.faults[0], w.faults[1:]
-		}
-		return f
+		return fateOK
 	}
-	w.table = &memTable{rows: map[string]bergamotstore.Row{}, hook: next}
-	w.objects = &memObjects{data: map[string][]byte{}, hook: next}
 	w.a, w.b = w.entry("a"), w.entry("b")
 	return w
 }
 
 func (w *world) entry(name string) *bergamotclaim.Claims {
 	c := &bergamotclaim.Claims{
-		Table: w.table, Objects: w.objects, Clock: w.clock, Counter: noCounter{}, Timeout: granted, Margin: margin, Limit: limit, Memory: 1000,
+		Table: w.store, Objects: w.store, Clock: w.clock, Counter: bergamottest.NoCounter{}, Timeout: granted, Margin: margin, Limit: limit, Memory: 1000,
 		Attempt: func() string { w.attempts++; return fmt.Sprintf("%s-%d", name, w.attempts) },
 		Backoff: func(int) time.Duration { return time.Second },
 	}
@@ -61,6 +61,9 @@
 	return c
 }
 
+// fail sets the fates of the next operations.
+func (w *world) fail(fates ...fate) { w.store.Plan[bergamotmemory.Any] = fates }
+
 func newRequest(id, key, body string) *bergamotrequest.Request {
 	r, err := bergamotrequest.New(bergamotrequest.Spec{
 		ID: id, Kind: bergamotrequest.KindService, Service: "pickup", Call: "book", Idem: key, Body: []byte(body),
@@ -114,7 +117,7 @@
 }
 
 func (w *world) state() bergamotclaim.State {
-	record, err := bergamotclaim.DecodeRecord(w.table.row(bergamotclaim.RowKey("kitchen", "k")).Value())
+	record, err := bergamotclaim.DecodeRecord(w.store.Row(bergamotclaim.RowKey("kitchen", "k")).Value())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return record.State()
 }
--- a/core/bergamotcontrol/placement_test.go
+++ b/core/bergamotcontrol/placement_test.go
@@ -14,15 +14,14 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlease"
-	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamotmemory"
 )
 
 var errDown = errors.New("down")
 
 // platform is table, weight store and engines in one, each of which can fail.
 type platform struct {
-	row     bergamotstore.Row
-	down    bool
+	*bergamotmemory.Store
 	wait    time.Duration
 	reserve func()
 	orders  []int64
@@ -32,24 +31,6 @@
 	lose    bool // the next order takes effect, its reply is lost
 }
 
-func (p *platform) Read(context.Context, string) (bergamotstore.Row, error) {
-	if p.down {
-		return bergamotstore.Row{}, errDown
-	}
-	return p.row, nil
-}
-
-func (p *platform) CompareAndSet(_ context.Context, key string, revision int64, value []byte) (bergamotstore.Row, bool, error) {
-	if p.down {
-		return bergamotstore.Row{}, false, errDown
-	}
-	if p.row.Revision() != revision {
-		return p.row, false, nil
-	}
-	p.row = bergamotstore.NewRow(key, revision+1, value)
-	return p.row, true, nil
-}
-
 func (p *platform) Reserve(context.Context, int) (time.Duration, error) {
 	if p.reserve != nil {
 		p.reserve()
@@ -128,7 +109,7 @@
 }
 
 func newPlatform() *platform {
-	return &platform{held: map[string][]bergamotfleet.Holding{}, highest: map[string]int64{}}
+	return &platform{Store: bergamotmemory.NewStore(), held: map[string][]bergamotfleet.Holding{}, highest: map[string]int64{}}
 }
 
 var _ = ginkgo.Describe("Placement", func() {
@@ -169,7 +150,7 @@
 		p := newPlatform()
 		e := newEntry("x", p)
 		e.passes(10)
-		p.down = true
+		p.Outage = []string{bergamotmemory.Any}
 		e.passes(10)
 		p.held["b"] = nil
 		orders := len(p.orders)
@@ -177,7 +158,7 @@
 			e.pass(2 * time.Minute)
 		}
 		gomega.Expect(p.orders).To(gomega.HaveLen(orders))
-		p.down = false
+		p.Outage = nil
 		e.passes(20)
 		gomega.Expect(p.held["b"]).To(gomega.HaveLen(1))
 	})
--- a/core/bergamotfilter/claim_test.go
+++ b/core/bergamotfilter/claim_test.go
@@ -16,9 +16,9 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotretry"
-	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 )
 
@@ -38,7 +38,7 @@
 // rig is the claim filter and the call handler over a table in memory and a scripted service.
 type rig struct {
 	clock   *bergamotclock.Virtual
-	rows    map[string]bergamotstore.Row
+	store   *bergamotmemory.Store
 	script  []func(ctx context.Context) error // what each attempt does; the service runs the call on a nil error
 	sent    []string                          // addresses in the order of the attempts
 	asked   []string
@@ -49,30 +49,15 @@
 }
 
 func newRig() *rig {
-	g := &rig{clock: bergamotclock.NewVirtual(time.Unix(0, 0)), rows: map[string]bergamotstore.Row{}, reserve: 100}
+	g := &rig{clock: bergamotclock.NewVirtual(time.Unix(0, 0)), store: bergamotmemory.NewStore(), reserve: 100}
 	g.claims = &bergamotclaim.Claims{
-		Table: g, Clock: g.clock, Counter: g, Timeout: time.Hour, Margin: time.Second, Limit: 1000,
+		Table: g.store, Clock: g.clock, Counter: bergamottest.NoCounter{}, Timeout: time.Hour, Margin: time.Second, Limit: 1000,
 		Attempt: func() string { return "a-" + strings.Repeat("i", len(g.sent)+1) },
 	}
 	g.claims.Init()
 	return g
 }
 
-func (g *rig) Count(string) {}
-
-func (g *rig) Read(_ context.Context, key string) (bergamotstore.Row, error) { return g.rows[key], nil }
-
-func (g *rig) CompareAndSet(ctx context.Context, key string, revision int64, value []byte) (bergamotstore.Row, bool, error) {
-	if ctx.Err() != nil {
-		return bergamotstore.Row{}, false, ctx.Err()
-	}
-	if row := g.rows[key]; row.Revision() != revision {
-		return row, false, nil
-	}
-	g.rows[key] = bergamotstore.NewRow(key, revision+1, value)
-	return g.rows[key], true, nil
-}
-
 func (g *rig) Call(ctx context.Context, address, _ string, _ *bergamotrequest.Request) (reply bergamotrequest.Reply, err error) {
 	g.sent = append(g.sent, address)
 	if n := len(g.sent) - 1; n < len(g.script) {
@@ -107,13 +92,13 @@
 		Clock: g.clock, Workspaces: budget, Targets: &bergamotretry.Budget{Clock: g.clock, Reserve: 100, Window: time.Second, Limit: 10},
 		Backoff: &bergamotretry.Backoff{Rand: func() float64 { return 0 }},
 	}
-	dispatch := &bergamotfilter.Call{Caller: g, Counter: g, Clock: g.clock, Retries: retries}
+	dispatch := &bergamotfilter.Call{Caller: g, Counter: bergamottest.NoCounter{}, Clock: g.clock, Retries: retries}
 	chain := bergamotchain.NewChain(
 		bergamotchain.HandlerFunc(func(ctx context.Context, x *bergamotchain.Exchange) error {
 			g.clock.Advance(g.pause)
 			return dispatch.Handle(ctx, x)
 		}),
-		&bergamotfilter.Recover{Counter: g, Report: func(string, any) {}}, bergamotfilter.Resolve{},
+		&bergamotfilter.Recover{Counter: bergamottest.NoCounter{}, Report: func(string, any) {}}, bergamotfilter.Resolve{},
 		&bergamotfilter.Deadline{Clock: g.clock},
 		&bergamotfilter.Claim{Claims: g.claims, Asker: g, Clock: g.clock},
 	)
@@ -132,7 +117,7 @@
 }
 
 func (g *rig) state() bergamotclaim.State {
-	record, err := bergamotclaim.DecodeRecord(g.rows[bergamotclaim.RowKey("kitchen", "k")].Value())
+	record, err := bergamotclaim.DecodeRecord(g.store.Row(bergamotclaim.RowKey("kitchen", "k")).Value())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return record.State()
 }
@@ -171,7 +156,7 @@
 		gomega.Expect(g.sent).To(gomega.HaveLen(c.sent))
 		gomega.Expect(g.sent).NotTo(gomega.ContainElement("3"))
 		if c.state == "" {
-			gomega.Expect(g.rows).To(gomega.BeEmpty())
+			gomega.Expect(g.store.Writes()).To(gomega.BeZero())
 		} else {
 			gomega.Expect(g.state()).To(gomega.Equal(c.state))
 		}
--- a/core/bergamotlease/lease_test.go
+++ b/core/bergamotlease/lease_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -12,7 +11,7 @@
 
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotlease"
-	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamotmemory"
 )
 
 const (
@@ -20,49 +19,7 @@
 	margin = 2 * time.Second
 )
 
-var errLost = errors.New("connection lost")
-
-// table is a table service that fails as told.
-type table struct {
-	row      bergamotstore.Row
-	down     bool
-	loseRead bool
-	lose     bool   // the next write takes effect, its reply is lost
-	late     func() // takes effect when called, its reply is lost
-	delay    bool   // the next write takes effect only when late is called
-}
-
-func (t *table) Read(context.Context, string) (bergamotstore.Row, error) {
-	if t.down || t.loseRead {
-		return bergamotstore.Row{}, errLost
-	}
-	return t.row, nil
-}
-
-func (t *table) CompareAndSet(_ context.Context, key string, revision int64, value []byte) (bergamotstore.Row, bool, error) {
-	if t.down {
-		return bergamotstore.Row{}, false, errLost
-	}
-	store := func() bool {
-		if t.row.Revision() != revision {
-			return false
-		}
-		t.row = bergamotstore.NewRow(key, revision+1, value)
-		return true
-	}
-	if t.delay {
-		t.delay, t.late = false, func() { store() }
-		return bergamotstore.Row{}, false, errLost
-	}
-	ok := store()
-	if t.lose {
-		t.lose = false
-		return bergamotstore.Row{}, false, errLost
-	}
-	return t.row, ok, nil
-}
-
-func newLease(t *table, clock bergamotlease.Clock, holder string) *bergamotlease.Lease {
+func newLease(t *bergamotmemory.Store, clock bergamotlease.Clock, holder string) *bergamotlease.Lease {
 	n := 0
 	return &bergamotlease.Lease{
 		Table: t, Clock: clock, Key: "placement", Holder: holder, Term: term, Margin: margin,
@@ -74,11 +31,11 @@
 	var (
 		ctx   = context.Background()
 		clock *bergamotclock.Virtual
-		store *table
+		store *bergamotmemory.Store
 		a, b  *bergamotlease.Lease
 	)
 	ginkgo.BeforeEach(func() {
-		clock, store = bergamotclock.NewVirtual(time.Unix(1000, 0)), &table{}
+		clock, store = bergamotclock.NewVirtual(time.Unix(1000, 0)), bergamotmemory.NewStore()
 		a, b = newLease(store, clock, "a"), newLease(store, clock, "b")
 	})
 	held := func(l *bergamotlease.Lease) bergamotlease.Grant {
@@ -89,10 +46,10 @@
 
 	// Guards against a holder that takes a lost reply for a lost lease and leaves the fleet without a controller.
 	ginkgo.It("reads a lost reply of acquire and of renew back", func() {
-		store.lose = true
+		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Lost}
 		gomega.Expect(held(a).Valid(clock.Now())).To(gomega.BeTrue())
 		clock.Advance(term / 2)
-		store.lose = true
+		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Lost}
 		held(a)
 		clock.Advance(term / 2)
 		gomega.Expect(held(a).Number()).To(gomega.Equal(int64(1)))
@@ -100,14 +57,14 @@
 
 	// Guards against a term that begins when a lost write is found instead of when it was sent.
 	ginkgo.It("counts the term of a write that took effect late from when it was sent", func() {
-		store.delay = true
+		store.Clock, store.Delay = clock, term-margin
+		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Late}
 		gomega.Expect(held(a).Valid(clock.Now())).To(gomega.BeFalse())
 		clock.Advance(term - margin)
-		store.late()
-		store.loseRead = true
+		store.Outage = []string{bergamotmemory.Read}
 		_, err := a.Step(ctx)
 		gomega.Expect(err).To(gomega.HaveOccurred())
-		store.loseRead = false
+		store.Outage = nil
 		gomega.Expect(held(a).Valid(clock.Now())).To(gomega.BeFalse())
 	})
 
@@ -126,13 +83,13 @@
 	// Guards against a holder that keeps its lease through an outage of the table.
 	ginkgo.It("ends during an outage of hours and is acquired again with a higher number", func() {
 		g := held(a)
-		store.down = true
+		store.Outage = []string{bergamotmemory.Any}
 		for range 3 * 360 {
 			clock.Advance(10 * time.Second)
 			g, _ = a.Step(ctx)
 			gomega.Expect(g.Valid(clock.Now())).To(gomega.BeFalse())
 		}
-		store.down = false
+		store.Outage = nil
 		gomega.Expect(held(a).Number()).To(gomega.Equal(int64(2)))
 	})
 
@@ -147,7 +104,7 @@
 	ginkgo.It("never gives a number twice and never has two valid holders", func() {
 		rapid.Check(ginkgo.GinkgoTB(), func(t *rapid.T) {
 			suspended := rapid.Bool().Draw(t, "suspended")
-			store := &table{}
+			store := bergamotmemory.NewStore()
 			clocks := []*bergamotclock.Virtual{}
 			leases := []*bergamotlease.Lease{}
 			grants := make([]bergamotlease.Grant, 3)
@@ -158,14 +115,24 @@
 			owners := map[int64]int{}
 			for range rapid.IntRange(10, 120).Draw(t, "steps") {
 				n := rapid.IntRange(0, 2).Draw(t, "holder")
-				store.lose = rapid.IntRange(0, 4).Draw(t, "lose") == 0
-				store.delay = rapid.IntRange(0, 6).Draw(t, "delay") == 0
-				store.down = rapid.IntRange(0, 6).Draw(t, "down") == 0
-				store.loseRead = rapid.IntRange(0, 6).Draw(t, "read") == 0
+				lose := rapid.IntRange(0, 4).Draw(t, "lose") == 0
+				delay := rapid.IntRange(0, 6).Draw(t, "delay") == 0
+				store.Plan[bergamotmemory.Swap], store.Outage = nil, nil
+				if delay {
+					store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Late}
+				}
+				if lose {
+					store.Plan[bergamotmemory.Swap] = append(store.Plan[bergamotmemory.Swap], bergamotmemory.Lost)
+				}
+				if rapid.IntRange(0, 6).Draw(t, "down") == 0 {
+					store.Outage = []string{bergamotmemory.Any}
+				}
+				if rapid.IntRange(0, 6).Draw(t, "read") == 0 {
+					store.Outage = append(store.Outage, bergamotmemory.Read)
+				}
 				grants[n], _ = leases[n].Step(ctx)
-				if store.late != nil && rapid.Bool().Draw(t, "late") {
-					store.late()
-					store.late = nil
+				if rapid.Bool().Draw(t, "late") {
+					store.Deliver()
 				}
 				valid := 0
 				for k, g := range grants {
--- /dev/null
+++ b/core/bergamotmemory/store.go
@@ -0,0 +1,170 @@
+package bergamotmemory
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"bergamotspur/core/bergamotstore"
+)
+
+// Store is a table service and an object store in memory.
+type Store struct {
+	Faults
+	Written func(ctx context.Context) // called for each write to the table that takes effect, may be nil
+
+	mu      sync.Mutex
+	rows    map[string]bergamotstore.Row
+	objects map[string][]byte
+}
+
+// NewStore returns an empty store without faults.
+func NewStore() *Store {
+	return &Store{
+		Faults: Faults{Plan: map[string][]Fate{}},
+		rows:   map[string]bergamotstore.Row{}, objects: map[string][]byte{},
+	}
+}
+
+// Clone returns a store with the same content and without faults.
+func (s *Store) Clone() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := NewStore()
+	out.rows, out.objects = maps.Clone(s.rows), maps.Clone(s.objects)
+	return out
+}
+
+// Read returns a row, with revision 0 when it does not exist, or ErrNoReply.
+func (s *Store) Read(ctx context.Context, key string) (bergamotstore.Row, error) {
+	if s.next(ctx, Read) != OK {
+		return bergamotstore.Row{}, ErrNoReply
+	}
+	return s.Row(key), nil
+}
+
+// CompareAndSet writes a row of the given revision and returns the stored row, ErrNoReply or ErrRejected.
+func (s *Store) CompareAndSet(ctx context.Context, key string, revision int64, value []byte) (row bergamotstore.Row, ok bool, err error) {
+	fate := s.next(ctx, Swap)
+	if fate == Reject {
+		return row, false, bergamotstore.ErrRejected
+	}
+	err = s.write(fate, func() { row, ok = s.swap(ctx, key, revision, value) })
+	if err != nil {
+		return bergamotstore.Row{}, false, err
+	}
+	return row, ok, nil
+}
+
+// Page returns rows with a prefix in the order of their keys, or ErrNoReply.
+func (s *Store) Page(ctx context.Context, prefix, after string, limit int) (rows []bergamotstore.Row, err error) {
+	if s.next(ctx, Page) != OK {
+		return nil, ErrNoReply
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
+			rows = append(rows, s.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+// Put stores an object, or returns ErrNoReply or ErrRejected.
+func (s *Store) Put(ctx context.Context, name string, data []byte) error {
+	fate := s.next(ctx, Put)
+	if fate == Reject {
+		return bergamotstore.ErrRejected
+	}
+	return s.write(fate, func() { s.SetObject(name, data) })
+}
+
+// Fetch returns an object, ErrNotFound or ErrNoReply.
+func (s *Store) Fetch(ctx context.Context, name string) ([]byte, error) {
+	if s.next(ctx, Fetch) != OK {
+		return nil, ErrNoReply
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[name]
+	if !ok {
+		return nil, bergamotstore.ErrNotFound
+	}
+	return data, nil
+}
+
+// Row returns a row without an operation.
+func (s *Store) Row(key string) bergamotstore.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.row(key)
+}
+
+// SetRow writes a row of any revision without an operation.
+func (s *Store) SetRow(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows[key] = bergamotstore.NewRow(key, s.row(key).Revision()+1, bytes.Clone(value))
+}
+
+// ClearRows removes all rows.
+func (s *Store) ClearRows() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.rows)
+}
+
+// Writes returns how many writes to the table took effect.
+func (s *Store) Writes() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range s.rows {
+		n += int(row.Revision())
+	}
+	return n
+}
+
+// SetObject stores an object without an operation.
+func (s *Store) SetObject(name string, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = bytes.Clone(data)
+}
+
+// Objects returns a copy of the objects by name.
+func (s *Store) Objects() map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.objects)
+}
+
+// ClearObjects removes all objects.
+func (s *Store) ClearObjects() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.objects)
+}
+
+func (s *Store) swap(ctx context.Context, key string, revision int64, value []byte) (bergamotstore.Row, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if row := s.row(key); row.Revision() != revision {
+		return row, false
+	}
+	s.rows[key] = bergamotstore.NewRow(key, revision+1, bytes.Clone(value))
+	if s.Written != nil {
+		s.Written(ctx)
+	}
+	return s.rows[key], true
+}
+
+func (s *Store) row(key string) bergamotstore.Row {
+	if row, ok := s.rows[key]; ok {
+		return row
+	}
+	return bergamotstore.NewRow(key, 0, nil)
+}
--- /dev/null
+++ b/core/bergamotmemory/store_test.go
@@ -0,0 +1,57 @@
+package bergamotmemory_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotmemory"
+	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamottest"
+)
+
+func TestMemory(t *testing.T) { bergamottest.Run(t, "memory") }
+
+type fateCase struct {
+	fate  bergamotmemory.Fate
+	err   error
+	now   string // content after the write
+	later string // content after the delay
+}
+
+// Guards against an injected failure without effect, with which the tests of other packages would pass for nothing.
+var _ = ginkgo.Describe("a write to the store", func() {
+	bergamottest.Entries(map[string]fateCase{
+		"takes effect": {bergamotmemory.OK, nil, "new", "new"},
+		"has no effect while the service is down":     {bergamotmemory.Down, bergamotmemory.ErrNoReply, "old", "old"},
+		"takes effect although its reply is lost":     {bergamotmemory.Lost, bergamotmemory.ErrNoReply, "new", "new"},
+		"takes effect late":                           {bergamotmemory.Late, bergamotmemory.ErrNoReply, "old", "new"},
+		"of which a copy arrives late has one effect": {bergamotmemory.Double, nil, "new", "new"},
+		"is rejected": {bergamotmemory.Reject, bergamotstore.ErrRejected, "old", "old"},
+		"meets the write of another one that is first": {bergamotmemory.Race, nil, "rival", "rival"},
+	}, func(c fateCase) {
+		ctx, clock, s := context.Background(), bergamotclock.NewVirtual(time.Unix(0, 0)), bergamotmemory.NewStore()
+		s.Clock, s.Delay, s.Rival = clock, time.Second, func() { s.SetRow("k", []byte("rival")) }
+		s.SetRow("k", []byte("old"))
+		s.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{c.fate}
+		_, ok, err := s.CompareAndSet(ctx, "k", 1, []byte("new"))
+		gomega.Expect(ok).To(gomega.Equal(err == nil && c.now == "new"))
+		if c.err == nil {
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		} else {
+			gomega.Expect(err).To(gomega.MatchError(c.err))
+		}
+		for _, want := range []string{c.now, c.later} {
+			row, err := s.Read(ctx, "k")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(string(row.Value())).To(gomega.Equal(want))
+			clock.Advance(time.Second)
+		}
+		gomega.Expect(s.Writes()).To(gomega.BeNumerically("<=", 2))
+		gomega.Expect(s.Journal()).To(gomega.Equal([]string{bergamotmemory.Swap, bergamotmemory.Read, bergamotmemory.Read}))
+	})
+})
--- a/core/bergamotrollout/change_bench_test.go
+++ b/core/bergamotrollout/change_bench_test.go
@@ -38,7 +38,7 @@
 					b.Fatal(err)
 				}
 			}
-			b.ReportMetric(float64(len(s.objects[bergamotrollout.ObjectName(two.Digest())])), "fetched-B")
+			b.ReportMetric(float64(len(s.Objects()[bergamotrollout.ObjectName(two.Digest())])), "fetched-B")
 			b.ReportMetric(float64(len(two.Text())), "text-B")
 		})
 	}
--- a/core/bergamotrollout/property_test.go
+++ b/core/bergamotrollout/property_test.go
@@ -8,12 +8,13 @@
 	"pgregory.net/rapid"
 
 	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrollout"
 )
 
 // world is a rollout with entries and operators that do random things on a store with random faults.
 type world struct {
-	store    *store
+	store    *bergamotmemory.Store
 	children map[string]string // parent to the child that was in force
 	approved map[string]bool   // digests that mari signed
 	entries  [3]*bergamotbundle.Bundle
@@ -21,12 +22,12 @@
 	count    int
 }
 
-var faultNames = []fault{none, none, none, down, lost, late}
+var faultNames = []fate{none, none, none, down, lost, late}
 
 // act does one random thing.
 func (w *world) act(t *rapid.T) {
 	for _, call := range []string{"read", "swap", "fetch", "put"} {
-		w.store.plan[call] = rapid.SliceOfN(rapid.SampledFrom(faultNames), 0, 5).Draw(t, call)
+		w.store.Plan[call] = rapid.SliceOfN(rapid.SampledFrom(faultNames), 0, 5).Draw(t, call)
 	}
 	r := newRollout(w.store)
 	ctx := context.Background()
--- a/core/bergamotrollout/share_test.go
+++ b/core/bergamotrollout/share_test.go
@@ -25,7 +25,7 @@
 		s := newStore()
 		digests := chain(s)
 		four, three := bundleOf(s, digests[3]), bundleOf(s, digests[2])
-		clear(s.objects)
+		s.ClearObjects()
 		source := &bergamotrollout.Source{Table: s, Objects: s, Trust: trust(1, "juhan"), Peers: sharing{four}}
 		b, err := source.Head(ctx, nil)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/core/bergamotrollout/source_test.go
+++ b/core/bergamotrollout/source_test.go
@@ -8,22 +8,23 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 )
 
 type sourceCase struct {
-	change  func(s *store, digests []string) // what happens before the entry reads
-	current int                              // version in force at the entry, 0 for a new entry
-	trust   []string                         // operators in the settings of the entry
-	peers   bool                             // another entry has the text in force
-	want    int64                            // version that the entry takes, 0 for none
+	change  func(s *bergamotmemory.Store, digests []string) // what happens before the entry reads
+	current int                                             // version in force at the entry, 0 for a new entry
+	trust   []string                                        // operators in the settings of the entry
+	peers   bool                                            // another entry has the text in force
+	want    int64                                           // version that the entry takes, 0 for none
 	err     string
 }
 
 // chain rolls version 1 (mari), 2 (operators juhan and mari), 3 (juhan), which juhan alone approves, and 4.
-func chain(s *store) (digests []string) {
+func chain(s *bergamotmemory.Store) (digests []string) {
 	operators := [][]string{{"mari", "juhan"}, {"mari", "juhan"}, {"juhan"}, {"juhan"}}
 	approver := []string{"mari", "mari", "juhan", "juhan"}
 	parent := ""
@@ -37,18 +38,18 @@
 }
 
 // forge writes a head without asking anybody, as someone with access to the table can.
-func forge(s *store, version int64, digest, parent string, signers ...string) {
+func forge(s *bergamotmemory.Store, version int64, digest, parent string, signers ...string) {
 	var approvals []bergamotrollout.Approval
 	for _, name := range signers {
 		approvals = append(approvals, bergamotrollout.Sign(name, digest, seedKey(name)))
 	}
 	value, _ := bergamotrollout.NewHead(version, digest, parent, "eve", approvals...).Encode()
-	s.row = bergamotstore.NewRow("head", s.row.Revision()+1, value)
+	s.SetRow(bergamotrollout.HeadKey, value)
 }
 
-func put(s *store, text []byte) string {
+func put(s *bergamotmemory.Store, text []byte) string {
 	digest := bergamotbundle.Digest(text)
-	s.objects[bergamotrollout.ObjectName(digest)] = text
+	s.SetObject(bergamotrollout.ObjectName(digest), text)
 	return digest
 }
 
@@ -61,83 +62,91 @@
 		"starts from [trust] over changes of operators":    {trust: []string{"mari"}, want: 4},
 		"starts from [trust] that names the new operators": {trust: []string{"juhan"}, want: 4},
 		"starts from nothing that [trust] does not name":   {trust: []string{"eve"}, err: "not approved"},
-		"starts with nothing when none was rolled out": {trust: []string{"mari"}, change: func(s *store, _ []string) {
-			s.row = bergamotstore.Row{}
+		"starts with nothing when none was rolled out": {trust: []string{"mari"}, change: func(s *bergamotmemory.Store, _ []string) {
+			s.ClearRows()
 		}},
 		"keeps its version when the table lost the head": {
 			current: 4, err: "the table has no head",
-			change: func(s *store, _ []string) { s.row = bergamotstore.Row{} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.ClearRows() },
 		},
 		"keeps its version when the table is down": {
 			current: 3, err: "no reply",
-			change: func(s *store, _ []string) { s.plan["read"] = []fault{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["read"] = []fate{down} },
 		},
 		"keeps its version when the object store is down": {
 			current: 3, err: "no reply",
-			change: func(s *store, _ []string) { s.plan["fetch"] = []fault{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fate{down} },
 		},
 		"asks a peer when the object store is down": {
 			current: 3, peers: true, want: 4,
-			change: func(s *store, _ []string) { s.plan["fetch"] = []fault{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fate{down} },
 		},
 		"starts with the text of a peer when the object store is down": {
 			trust: []string{"juhan"}, peers: true, want: 4,
-			change: func(s *store, _ []string) { s.plan["fetch"] = []fault{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fate{down} },
 		},
 		"asks a peer when the object is damaged": {
 			current: 3, peers: true, want: 4,
-			change: func(s *store, d []string) { s.objects[bergamotrollout.ObjectName(d[3])] = []byte("[bundle]") },
+			change: func(s *bergamotmemory.Store, d []string) {
+				s.SetObject(bergamotrollout.ObjectName(d[3]), []byte("[bundle]"))
+			},
 		},
 		"rejects a damaged object": {
 			current: 3, err: "does not match digest",
-			change: func(s *store, d []string) { s.objects[bergamotrollout.ObjectName(d[3])] = []byte("[bundle]") },
+			change: func(s *bergamotmemory.Store, d []string) {
+				s.SetObject(bergamotrollout.ObjectName(d[3]), []byte("[bundle]"))
+			},
 		},
 		"rejects an older head": {
 			current: 4, err: "version 4 with digest",
-			change: func(s *store, d []string) { forge(s, 3, d[2], d[1], "juhan") },
+			change: func(s *bergamotmemory.Store, d []string) { forge(s, 3, d[2], d[1], "juhan") },
 		},
 		"rejects another bundle of its version": {
 			current: 4, err: "version 4 with digest",
-			change: func(s *store, d []string) {
+			change: func(s *bergamotmemory.Store, d []string) {
 				forge(s, 4, put(s, bundleText(4, d[2], "x", 1, "juhan")), d[2], "juhan")
 			},
 		},
 		"rejects a head without approval": {
 			current: 4, err: "not approved",
-			change: func(s *store, d []string) { forge(s, 5, put(s, bundleText(5, d[3], "x", 1, "eve")), d[3], "eve") },
+			change: func(s *bergamotmemory.Store, d []string) {
+				forge(s, 5, put(s, bundleText(5, d[3], "x", 1, "eve")), d[3], "eve")
+			},
 		},
 		"rejects a signature by another key in the name of an operator": {
 			current: 4, err: "not approved",
-			change: func(s *store, d []string) {
+			change: func(s *bergamotmemory.Store, d []string) {
 				five := put(s, bundleText(5, d[3], "x", 1, "eve"))
 				value, _ := bergamotrollout.NewHead(5, five, d[3], "juhan",
 					bergamotrollout.Sign("juhan", five, seedKey("eve"))).Encode()
-				s.row = bergamotstore.NewRow("head", s.row.Revision()+1, value)
+				s.SetRow(bergamotrollout.HeadKey, value)
 			},
 		},
 		"rejects an operator who was removed": {
 			current: 4, err: "not approved",
-			change: func(s *store, d []string) {
+			change: func(s *bergamotmemory.Store, d []string) {
 				forge(s, 5, put(s, bundleText(5, d[3], "x", 1, "mari")), d[3], "mari")
 			},
 		},
 		"rejects a chain of versions that nobody approved": {
 			current: 4, err: "not approved",
-			change: func(s *store, d []string) {
+			change: func(s *bergamotmemory.Store, d []string) {
 				five := put(s, bundleText(5, d[3], "x", 1, "eve"))
 				forge(s, 6, put(s, bundleText(6, five, "x", 1, "eve")), five, "eve")
 			},
 		},
 		"rejects a head whose version is not that of the text": {
 			current: 4, err: "another parent",
-			change: func(s *store, d []string) { forge(s, 9, put(s, bundleText(5, d[3], "x", 1, "juhan")), d[3], "juhan") },
+			change: func(s *bergamotmemory.Store, d []string) {
+				forge(s, 9, put(s, bundleText(5, d[3], "x", 1, "juhan")), d[3], "juhan")
+			},
 		},
 	}, func(c sourceCase) {
 		s := newStore()
 		digests := chain(s)
-		var peer *store
+		var peer *bergamotmemory.Store
 		if c.peers {
-			peer = s.restore()
+			peer = s.Clone()
 		}
 		c.apply(s, digests, peer)
 	})
@@ -148,13 +157,13 @@
 		digests := chain(s)
 		four := bundleOf(s, digests[3])
 		forge(s, 5, put(s, bundleText(5, digests[3], "x", 1, "eve")), digests[3], "eve")
-		clear(s.calls)
+		s.ClearJournal()
 		source := &bergamotrollout.Source{Table: s, Objects: s}
 		for range 3 {
 			_, err := source.Head(ctx, four)
 			gomega.Expect(err).To(gomega.HaveOccurred())
 		}
-		gomega.Expect(s.calls["fetch"]).To(gomega.Equal(1))
+		gomega.Expect(s.Calls(bergamotmemory.Fetch)).To(gomega.Equal(1))
 	})
 
 	// Guards against a silent connection to the table that takes the time in which another would answer.
@@ -168,10 +177,10 @@
 		s := newStore()
 		digests := chain(s)
 		three := bundleOf(s, digests[2])
-		clear(s.calls)
+		s.ClearJournal()
 		_, err := (&bergamotrollout.Source{Table: s, Objects: s}).Head(ctx, three)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		gomega.Expect(s.calls).To(gomega.Equal(map[string]int{"read": 1, "fetch": 1}))
+		gomega.Expect(s.Journal()).To(gomega.Equal([]string{bergamotmemory.Read, bergamotmemory.Fetch}))
 	})
 })
 
@@ -183,13 +192,13 @@
 	return bergamotstore.Row{}, ctx.Err()
 }
 
-func bundleOf(s *store, digest string) *bergamotbundle.Bundle {
-	b, err := newRollout(s.restore()).Bundle(context.Background(), digest)
+func bundleOf(s *bergamotmemory.Store, digest string) *bergamotbundle.Bundle {
+	b, err := newRollout(s.Clone()).Bundle(context.Background(), digest)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return b
 }
 
-func (c sourceCase) apply(s *store, digests []string, peer *store) {
+func (c sourceCase) apply(s *bergamotmemory.Store, digests []string, peer *bergamotmemory.Store) {
 	var current *bergamotbundle.Bundle
 	if c.current > 0 {
 		current = bundleOf(s, digests[c.current-1])
--- a/core/bergamotrollout/suite_test.go
+++ b/core/bergamotrollout/suite_test.go
@@ -6,14 +6,28 @@
 	"encoding/base64"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrollout"
 	"bergamotspur/core/bergamottest"
 )
 
+type fate = bergamotmemory.Fate
+
+const (
+	none   = bergamotmemory.OK
+	down   = bergamotmemory.Down
+	lost   = bergamotmemory.Lost
+	late   = bergamotmemory.Late
+	race   = bergamotmemory.Race
+	reject = bergamotmemory.Reject
+)
+
 func TestRollout(t *testing.T) { bergamottest.Run(t, "rollout") }
 
 func seedKey(name string) ed25519.PrivateKey {
@@ -44,12 +58,19 @@
 	return bergamotbundle.NewAuthority(needed, out...)
 }
 
-func newRollout(s *store) *bergamotrollout.Rollout {
-	return &bergamotrollout.Rollout{Table: s, Objects: s, Clock: instant{}, Trust: trust(1, "mari")}
+// newStore returns a store in which a late request takes effect when the next operation arrives.
+func newStore() *bergamotmemory.Store {
+	s := bergamotmemory.NewStore()
+	s.Clock = bergamotclock.NewVirtual(time.Unix(0, 0))
+	return s
+}
+
+func newRollout(s *bergamotmemory.Store) *bergamotrollout.Rollout {
+	return &bergamotrollout.Rollout{Table: s, Objects: s, Clock: bergamottest.Instant{}, Trust: trust(1, "mari")}
 }
 
 // propose stores a bundle with approvals and returns its digest.
-func propose(s *store, text []byte, approvers ...string) string {
+func propose(s *bergamotmemory.Store, text []byte, approvers ...string) string {
 	r := newRollout(s)
 	ctx := context.Background()
 	b, err := r.Propose(ctx, "test", text)
@@ -63,16 +84,16 @@
 
 // inForce rolls a first version with operators mari and juhan, of whom needed must approve the next, and
 // returns its digest.
-func inForce(s *store, needed int) string {
+func inForce(s *bergamotmemory.Store, needed int) string {
 	digest := propose(s, bundleText(1, "", "a", needed, "mari", "juhan"), "mari")
 	_, err := newRollout(s).Roll(context.Background(), digest, "mari")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	clear(s.calls)
+	s.ClearJournal()
 	return digest
 }
 
-func headOf(s *store) bergamotrollout.Head {
-	h, _, err := newRollout(s.restore()).Head(context.Background())
+func headOf(s *bergamotmemory.Store) bergamotrollout.Head {
+	h, _, err := newRollout(s.Clone()).Head(context.Background())
 	if err != nil {
 		panic(err) // The copy of the store has no faults.
 	}
