Build bundles, requests and runners for tests in one place

Cause: many test files parsed the text of a small bundle each, with the same head and the same check of the error, and several had their own sink, retries without a budget or counter that does nothing.

Change: bergamottest has BundleHead, Bundle, BundleOf, Request, Runner, Must, Faults, Discard and FreeRetries. The session simulation and the rig of the engine client share them. Set-up that cannot fail unless the test is wrong panics through Must; checks of an outcome under test stay expectations.

Ruled out: one engine for core/bergamotsession and io/bergamotengine. The first injects failures into interface calls from a seeded source, the second runs servers; both guard different levels.

--- a/core/bergamotadmission/limiter_test.go
+++ b/core/bergamotadmission/limiter_test.go
@@ -19,9 +19,7 @@
 var start = time.Unix(1e9, 0)
 
 func workspace() bergamotbundle.Workspace {
-	b, err := bergamotbundle.Parse("test", []byte("[bundle]\nversion=1\n[operator mari]\nkey=11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n"+
-		"[workspace a]\nkeys="+bergamotbundle.HashKey("k")+"\nrate=20\ntokens=200\n"))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b := bergamottest.Bundle(bergamottest.BundleHead + "[workspace a]\nkeys=" + bergamotbundle.HashKey("k") + "\nrate=20\ntokens=200\n")
 	w, _ := b.Workspace("a")
 	return w
 }
@@ -104,12 +102,11 @@
 
 func BenchmarkAdmit(b *testing.B) {
 	gomega.RegisterTestingT(b)
-	text := "[bundle]\nversion=1\n[operator mari]\nkey=11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n"
+	text := bergamottest.BundleHead
 	for n := range 11000 {
 		text += fmt.Sprintf("[workspace w%d]\nkeys=%s\nrate=1000000\ntokens=1000000000\n", n, bergamotbundle.HashKey(fmt.Sprint(n)))
 	}
-	bundle, err := bergamotbundle.Parse("test", []byte(text))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	bundle := bergamottest.Bundle(text)
 	for _, workspaces := range []int{10, 1000, 11000} {
 		b.Run(fmt.Sprint("workspaces=", workspaces), func(b *testing.B) {
 			var list []bergamotbundle.Workspace
--- a/core/bergamotbundle/bundle_test.go
+++ b/core/bergamotbundle/bundle_test.go
@@ -100,13 +100,7 @@
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			return
 		}
-		var faults bergamotini.Faults
-		gomega.Expect(errors.As(err, &faults)).To(gomega.BeTrue())
-		var got []string
-		for _, f := range faults {
-			got = append(got, f.String())
-		}
-		gomega.Expect(got).To(gomega.ConsistOf(c.want))
+		gomega.Expect(bergamottest.Faults(err)).To(gomega.ConsistOf(c.want))
 	})
 
 	// Guards against faults that depend on how many sections stand between the two parts of one that appears twice.
--- a/core/bergamotclaim/model_test.go
+++ b/core/bergamotclaim/model_test.go
@@ -59,13 +59,9 @@
 	ended bool
 }
 
-const modelBundle = `[bundle]
-version = 1
-[service pickup]
+const modelBundle = bergamottest.BundleHead + `[service pickup]
 once = book
 ask = outcome
-[operator mari]
-key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 [workspace kitchen]
 keys = 0000000000000000000000000000000000000000000000000000000000000000
 services = *
@@ -84,10 +80,7 @@
 			m.most = max(m.most, p.writes)
 		}
 	}
-	b, err := bergamotbundle.Parse("model", []byte(modelBundle))
-	if err != nil {
-		panic(err)
-	}
+	b := bergamottest.Bundle(modelBundle)
 	m.bundle = b
 	m.fleet = bergamotfleet.NewFleet([]bergamotfleet.Instance{
 		bergamotfleet.NewInstance(bergamotfleet.Spec{Name: "pickup-1", Address: "1", Role: "pickup"}),
@@ -124,13 +117,10 @@
 func (m *model) start(e *entryModel, workspace, key string) {
 	m.number++
 	id := fmt.Sprintf("r%d", m.number)
-	r, err := bergamotrequest.New(bergamotrequest.Spec{
+	r := bergamottest.Request(bergamotrequest.Spec{
 		ID: id, Kind: bergamotrequest.KindService, Service: "pickup", Call: "book", Idem: key, Body: []byte(key),
 		Arrival: m.clock.Now(), Deadline: granted,
 	})
-	if err != nil {
-		panic(err)
-	}
 	c := &callModel{id: id, name: workspace + "/" + key}
 	m.calls = append(m.calls, c)
 	m.processes = append(m.processes, spawn(e, func(ctx context.Context) {
--- a/core/bergamotclaim/world_test.go
+++ b/core/bergamotclaim/world_test.go
@@ -65,11 +65,9 @@
 func (w *world) fail(fates ...fate) { w.store.Plan[bergamotmemory.Any] = fates }
 
 func newRequest(id, key, body string) *bergamotrequest.Request {
-	r, err := bergamotrequest.New(bergamotrequest.Spec{
+	return bergamottest.Request(bergamotrequest.Spec{
 		ID: id, Kind: bergamotrequest.KindService, Service: "pickup", Call: "book", Idem: key, Body: []byte(body),
 	})
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return r
 }
 
 // begin claims the call "k" of the workspace "kitchen".
@@ -117,7 +115,6 @@
 }
 
 func (w *world) state() bergamotclaim.State {
-	record, err := bergamotclaim.DecodeRecord(w.store.Row(bergamotclaim.RowKey("kitchen", "k")).Value())
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	record := bergamottest.Must(bergamotclaim.DecodeRecord(w.store.Row(bergamotclaim.RowKey("kitchen", "k")).Value()))
 	return record.State()
 }
--- a/core/bergamotcontrol/heads_bench_test.go
+++ b/core/bergamotcontrol/heads_bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotspur/core/bergamotbundle"
+	"bergamotspur/core/bergamottest"
 )
 
 // tableHead is a source whose head moves to version 2 at a time that the benchmark sets.
@@ -31,7 +32,7 @@
 func converge(period time.Duration, hints bool, seed uint64) (c convergence) {
 	const entries, step, rolled, end = 840, 10 * time.Millisecond, 20 * time.Second, 40 * time.Second
 	random := rand.New(rand.NewPCG(seed, 7))
-	one, two := testBundle(1), testBundle(2)
+	one, two := bergamottest.BundleOf(1), bergamottest.BundleOf(2)
 	source := &tableHead{bundle: one}
 	heads, states, contact := make([]*Heads, entries), make([]*State, entries), make([]time.Duration, entries)
 	for n := range entries {
--- a/core/bergamotcontrol/heads_test.go
+++ b/core/bergamotcontrol/heads_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -14,19 +13,6 @@
 	"bergamotspur/core/bergamottest"
 )
 
-func testBundle(version int64) *bergamotbundle.Bundle {
-	parent := ""
-	if version > 1 {
-		parent = bergamotbundle.Digest([]byte(fmt.Sprint(version - 1)))
-	}
-	b, err := bergamotbundle.Parse("test", fmt.Appendf(nil,
-		"[bundle]\nversion = %d\nparent = %s\n[operator mari]\nkey = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n", version, parent))
-	if err != nil {
-		panic(err) // The text is fixed.
-	}
-	return b
-}
-
 // headAnswer is a source that always gives the same answer.
 type headAnswer struct {
 	bundle *bergamotbundle.Bundle
@@ -54,7 +40,7 @@
 	s := NewState()
 	s.now = time.Unix(1000, 0).Add(after)
 	if version > 0 {
-		s.bundle = testBundle(version)
+		s.bundle = bergamottest.BundleOf(version)
 	}
 	return s
 }
@@ -79,7 +65,7 @@
 		"ends a read that gets no answer":        {version: 3, source: headAnswer{wait: true}, want: 3},
 	}, func(c readCase) {
 		if c.newest > 0 {
-			c.source.bundle = testBundle(c.newest)
+			c.source.bundle = bergamottest.BundleOf(c.newest)
 		}
 		s := stateAt(0, c.version)
 		tasks := newHeads(&c.source).Reconcile(s)
@@ -96,10 +82,10 @@
 	// Guards against a read that was paused, over a restart of the loop, and ends after a later one: it must not
 	// bring its version back.
 	ginkgo.It("ignores the result of a read that was paused", func(ctx context.Context) {
-		source := &headAnswer{bundle: testBundle(2)}
+		source := &headAnswer{bundle: bergamottest.BundleOf(2)}
 		c, s := newHeads(source), stateAt(0, 1)
 		paused := c.Reconcile(s)[0].run(ctx)
-		source.bundle = testBundle(3)
+		source.bundle = bergamottest.BundleOf(3)
 		s = stateAt(3*time.Second, 1)
 		c.Reconcile(s)[0].run(ctx).Apply(s)
 		at := s.confirmed
--- a/core/bergamotcontrol/loop_test.go
+++ b/core/bergamotcontrol/loop_test.go
@@ -2,30 +2,18 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamottest"
 )
 
-func bundle(version int) *bergamotbundle.Bundle {
-	parent := ""
-	if version > 1 {
-		parent = "parent = " + bergamotbundle.Digest([]byte("parent")) + "\n"
-	}
-	text := fmt.Sprintf("[bundle]\nversion = %d\n%s[operator mari]\nkey = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n", version, parent)
-	b, err := bergamotbundle.Parse("test", []byte(text))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return b
-}
-
 // controllerFunc is a controller made of a function.
 type controllerFunc func(s *bergamotcontrol.State) []bergamotcontrol.Task
 
@@ -54,8 +42,8 @@
 	ginkgo.It("never puts an older bundle in force", func() {
 		l := newLoop()
 		defer run(l)()
-		for _, v := range []int{1, 3, 2} {
-			l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bundle(v)) }))
+		for _, v := range []int64{1, 3, 2} {
+			l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bergamottest.BundleOf(v)) }))
 		}
 		applied := make(chan struct{})
 		l.Post(bergamotcontrol.EventFunc(func(*bergamotcontrol.State) { close(applied) }))
@@ -67,11 +55,11 @@
 	ginkgo.It("keeps the bundle in force through a restart", func() {
 		l := newLoop()
 		stop := run(l)
-		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bundle(5)) }))
+		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bergamottest.BundleOf(5)) }))
 		gomega.Eventually(func() int64 { return version(l) }).Should(gomega.Equal(int64(5)))
 		stop()
 		defer run(l)()
-		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bundle(4)) }))
+		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { s.SetBundle(bergamottest.BundleOf(4)) }))
 		seen := make(chan int64, 1)
 		l.Post(bergamotcontrol.EventFunc(func(s *bergamotcontrol.State) { seen <- s.Bundle().Version() }))
 		gomega.Eventually(seen).Should(gomega.Receive(gomega.Equal(int64(5))))
--- a/core/bergamotcontrol/members_test.go
+++ b/core/bergamotcontrol/members_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -13,6 +12,7 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotmember"
+	"bergamotspur/core/bergamottest"
 )
 
 // silent is a link to peers that never answer.
@@ -98,9 +98,7 @@
 		h := &bergamotcontrol.Heads{
 			Source: reads, Period: 4 * time.Second, Timeout: time.Minute, Random: func() float64 { return 0.5 }, Report: func(error) {},
 		}
-		b, err := bergamotbundle.Parse("test", []byte("[bundle]\nversion = 1\n[operator o]\nkey = "+strings.Repeat("A", 43)+"=\n"))
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		s.SetBundle(b)
+		s.SetBundle(bergamottest.BundleOf(1))
 		due := func(after time.Duration) int {
 			s.SetNow(base.Add(after))
 			c.Reconcile(s)
@@ -115,7 +113,7 @@
 		m, _ := bergamotmember.NewMessage(bergamotmember.MessageSpec{
 			From: "b", Incarnation: 1, Head: bergamotmember.NewHead(2, "d"),
 		})
-		_, err = c.Heartbeat(context.Background(), "b", m)
+		_, err := c.Heartbeat(context.Background(), "b", m)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(due(2300 * time.Millisecond)).To(gomega.Equal(1))
 		gomega.Expect(due(2800 * time.Millisecond)).To(gomega.Equal(0))
--- a/core/bergamotcontrol/placement_test.go
+++ b/core/bergamotcontrol/placement_test.go
@@ -9,12 +9,12 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlease"
 	"bergamotspur/core/bergamotmemory"
+	"bergamotspur/core/bergamottest"
 )
 
 var errDown = errors.New("down")
@@ -74,9 +74,8 @@
 		Engine: p, Weights: p, Clock: e.clock, Renew: 3 * time.Second, Period: time.Second, Settle: 2 * time.Second,
 		Loading: time.Minute, Loads: 2, Report: func(error) {}, Count: func(name string) { e.count[name]++ },
 	}
-	text := "[bundle]\nversion = 1\n[operator o]\nkey = " + strings.Repeat("A", 43) + "=\n[model m]\nlayers = 8\nversion = " + version + "\n[pipeline p]\nmodel = m\nreplicas = 3\n"
-	b, err := bergamotbundle.Parse("test", []byte(text))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	text := bergamottest.BundleHead + "[model m]\nlayers = 8\nversion = " + version + "\n[pipeline p]\nmodel = m\nreplicas = 3\n"
+	b := bergamottest.Bundle(text)
 	e.state.SetBundle(b)
 	return e
 }
--- a/core/bergamotfilter/bound_test.go
+++ b/core/bergamotfilter/bound_test.go
@@ -12,11 +12,10 @@
 
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotroute"
+	"bergamotspur/core/bergamottest"
 )
 
-var loadBundle = fmt.Sprintf(`[bundle]
-version = 1
-[kind fast]
+var loadBundle = bergamottest.BundleHead + fmt.Sprintf(`[kind fast]
 step = 100
 slope = 20
 [kind mid]
@@ -31,19 +30,13 @@
 model = care
 limit = 1000
 deadline = 20s
-[operator mari]
-key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 [workspace kitchen]
 keys = %s
 pipelines = *
 `, bergamotbundle.HashKey("kitchen-key"))
 
 func parseLoad(text string) *bergamotbundle.Bundle {
-	b, err := bergamotbundle.Parse("load", []byte(text))
-	if err != nil {
-		panic(err)
-	}
-	return b
+	return bergamottest.Bundle(text)
 }
 
 // flightBound returns the best rate of a site with a number of sequences in flight, in tokens a second. A sequence is
--- a/core/bergamotfilter/claim_test.go
+++ b/core/bergamotfilter/claim_test.go
@@ -9,7 +9,6 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotclaim"
 	"bergamotspur/core/bergamotclock"
@@ -22,14 +21,10 @@
 	"bergamotspur/core/bergamottest"
 )
 
-const callBundle = `[bundle]
-version = 1
-[service pickup]
+const callBundle = bergamottest.BundleHead + `[service pickup]
 once = book
 repeat = look
 ask = outcome
-[operator mari]
-key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 [workspace kitchen]
 keys = 0000000000000000000000000000000000000000000000000000000000000000
 services = *
@@ -80,8 +75,7 @@
 
 // do sends a call and returns its refusal, nil when it was answered.
 func (g *rig) do(ctx context.Context, call, idem string) *bergamotrequest.Refusal {
-	b, err := bergamotbundle.Parse("b", []byte(callBundle))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b := bergamottest.Bundle(callBundle)
 	fleet := bergamotfleet.NewFleet([]bergamotfleet.Instance{
 		bergamotfleet.NewInstance(bergamotfleet.Spec{Name: "p1", Address: "1", Role: "pickup"}),
 		bergamotfleet.NewInstance(bergamotfleet.Spec{Name: "p2", Address: "2", Role: "pickup"}),
@@ -102,23 +96,21 @@
 		&bergamotfilter.Deadline{Clock: g.clock},
 		&bergamotfilter.Claim{Claims: g.claims, Asker: g, Clock: g.clock},
 	)
-	r, err := bergamotrequest.New(bergamotrequest.Spec{
+	r := bergamottest.Request(bergamotrequest.Spec{
 		ID: "r", Kind: bergamotrequest.KindService, Service: "pickup", Call: call, Idem: idem,
 		Arrival: g.clock.Now(), Deadline: time.Hour,
 	})
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	x := bergamotchain.NewExchange(r, bergamotcontrol.NewView(g.clock.Now(), b, fleet), g)
 	w, _ := b.Workspace("kitchen")
 	x.SetWorkspace(w)
-	if err = chain.Handle(ctx, x); err != nil {
+	if err := chain.Handle(ctx, x); err != nil {
 		return bergamotrequest.AsRefusal(err)
 	}
 	return nil
 }
 
 func (g *rig) state() bergamotclaim.State {
-	record, err := bergamotclaim.DecodeRecord(g.store.Row(bergamotclaim.RowKey("kitchen", "k")).Value())
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	record := bergamottest.Must(bergamotclaim.DecodeRecord(g.store.Row(bergamotclaim.RowKey("kitchen", "k")).Value()))
 	return record.State()
 }
 
--- a/core/bergamotfilter/demand_test.go
+++ b/core/bergamotfilter/demand_test.go
@@ -16,6 +16,7 @@
 	"bergamotspur/core/bergamotqueue"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
+	"bergamotspur/core/bergamottest"
 )
 
 // crowd is the requests of some workspaces at one entry and what became of them.
@@ -119,10 +120,7 @@
 		c.pump()
 		return
 	}
-	request, err := bergamotrequest.New(bergamotrequest.Spec{ID: "r", Model: "advice", Limit: 1000, Arrival: now})
-	if err != nil {
-		panic(err)
-	}
+	request := bergamottest.Request(bergamotrequest.Spec{ID: "r", Model: "advice", Limit: 1000, Arrival: now})
 	x := bergamotchain.NewExchange(request, c.view, nil)
 	w, _ := c.bundle.Workspace(workspace)
 	p, _ := c.bundle.Pipeline("advice")
--- a/core/bergamotfilter/exchange_test.go
+++ b/core/bergamotfilter/exchange_test.go
@@ -5,18 +5,15 @@
 	"fmt"
 	"time"
 
-	"github.com/onsi/gomega"
-
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamottest"
 )
 
-var baseBundle = fmt.Sprintf(`[bundle]
-version = 1
-[model care]
+var baseBundle = bergamottest.BundleHead + fmt.Sprintf(`[model care]
 layers = 12
 [pipeline advice]
 model = care
@@ -29,8 +26,6 @@
 deadline = 5s
 [service ledger]
 once = payout
-[operator mari]
-key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 [workspace kitchen]
 keys = %s
 pipelines = advice
@@ -41,8 +36,7 @@
 
 // baseView returns a view with baseBundle in force and no instances.
 func baseView() *bergamotcontrol.View {
-	b, err := bergamotbundle.Parse("base", []byte(baseBundle))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b := bergamottest.Bundle(baseBundle)
 	return newView(b)
 }
 
@@ -60,8 +54,7 @@
 
 // newExchange returns an exchange for spec.
 func newExchange(spec bergamotrequest.Spec) *bergamotchain.Exchange {
-	r, err := bergamotrequest.New(spec)
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	r := bergamottest.Request(spec)
 	return bergamotchain.NewExchange(r, baseView(), nil)
 }
 
--- a/core/bergamotfilter/queue_test.go
+++ b/core/bergamotfilter/queue_test.go
@@ -51,17 +51,11 @@
 	})
 }
 
-// discard takes every token.
-type discard struct{}
-
-func (discard) Token(context.Context, bergamotrequest.Token) error { return nil }
-func (discard) Reply(context.Context, bergamotrequest.Reply) error { return nil }
-
 func sinkExchange(change func(s *bergamotrequest.Spec)) *bergamotchain.Exchange {
 	spec := baseSpec()
 	change(&spec)
 	x := newExchange(spec)
-	x.SetSink(discard{})
+	x.SetSink(bergamottest.Discard{})
 	return x
 }
 
--- a/core/bergamotfilter/resolve_test.go
+++ b/core/bergamotfilter/resolve_test.go
@@ -55,10 +55,9 @@
 	})
 
 	ginkgo.It("reject every request before a bundle is in force", func() {
-		r, err := bergamotrequest.New(baseSpec())
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		r := bergamottest.Request(baseSpec())
 		view := newView(nil)
-		err = bergamotfilter.Identify{}.Filter(context.Background(), bergamotchain.NewExchange(r, view, nil), nil)
+		err := bergamotfilter.Identify{}.Filter(context.Background(), bergamotchain.NewExchange(r, view, nil), nil)
 		gomega.Expect(bergamotrequest.AsRefusal(err).Reason()).To(gomega.Equal(bergamotrequest.ReasonBundle))
 	})
 })
--- a/core/bergamotfilter/version_test.go
+++ b/core/bergamotfilter/version_test.go
@@ -13,14 +13,11 @@
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotplacement"
-	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamottest"
 )
 
 func runner(name, version string, from, to int) bergamotfleet.Instance {
-	return bergamotfleet.NewInstance(bergamotfleet.Spec{
-		Name: name, Role: bergamotfleet.RoleRunner, Holdings: []bergamotfleet.Holding{bergamotfleet.NewHolding("care", version, from, to)},
-	})
+	return bergamottest.Runner(name, "care", version, from, to)
 }
 
 type versionCase struct {
@@ -35,8 +32,7 @@
 		"takes an older version until then":          {[]bergamotfleet.Instance{runner("a", "0", 0, 12), runner("b", "1", 0, 6)}, "0"},
 		"takes the declared version when none is":    {[]bergamotfleet.Instance{runner("a", "0", 0, 6)}, "1"},
 	}, func(c versionCase) {
-		r, err := bergamotrequest.New(baseSpec())
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		r := bergamottest.Request(baseSpec())
 		view := bergamotcontrol.NewView(epoch, baseView().Bundle(), bergamotfleet.NewFleet(c.fleet))
 		x := bergamotchain.NewExchange(r, view, nil)
 		versions := &bergamotplacement.Versions{Clock: bergamotclock.NewVirtual(epoch), Age: time.Second}
--- a/core/bergamotplacement/placement_test.go
+++ b/core/bergamotplacement/placement_test.go
@@ -12,6 +12,7 @@
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotplacement"
+	"bergamotspur/core/bergamottest"
 )
 
 // bundle returns a bundle with models of the given layers, each with a pipeline of that many replicas; the first
@@ -24,11 +25,7 @@
 		fmt.Fprintf(&text, "[pipeline p%d]\nmodel = m%d\nreplicas = %d\n", n, n, replicas)
 	}
 	text.WriteString("[adapter a]\nmodel = m0\n[pipeline a]\nmodel = m0\nadapter = a\n")
-	b, err := bergamotbundle.Parse("test", []byte(text.String()))
-	if err != nil {
-		panic(err)
-	}
-	return b
+	return bergamottest.Bundle(text.String())
 }
 
 func runner(name string, memory int, h ...bergamotfleet.Holding) bergamotfleet.Instance {
--- a/core/bergamotrollout/source_test.go
+++ b/core/bergamotrollout/source_test.go
@@ -193,9 +193,7 @@
 }
 
 func bundleOf(s *bergamotmemory.Store, digest string) *bergamotbundle.Bundle {
-	b, err := newRollout(s.Clone()).Bundle(context.Background(), digest)
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return b
+	return bergamottest.Must(newRollout(s.Clone()).Bundle(context.Background(), digest))
 }
 
 func (c sourceCase) apply(s *bergamotmemory.Store, digests []string, peer *bergamotmemory.Store) {
--- a/core/bergamotroute/route_test.go
+++ b/core/bergamotroute/route_test.go
@@ -22,11 +22,8 @@
 var start = time.Unix(1e9, 0)
 
 func bundle() *bergamotbundle.Bundle {
-	b, err := bergamotbundle.Parse("test", []byte("[bundle]\nversion=1\n[model m]\nlayers=12\n[pipeline p]\nmodel=m\n"+
-		"[kind fast]\nstep=100\nslope=20\n[kind slow]\nstep=400\nslope=80\n"+
-		"[operator mari]\nkey=11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n"))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return b
+	return bergamottest.Bundle(bergamottest.BundleHead + "[model m]\nlayers=12\n[pipeline p]\nmodel=m\n" +
+		"[kind fast]\nstep=100\nslope=20\n[kind slow]\nstep=400\nslope=80\n")
 }
 
 func runner(name, kind string, from, to int, l bergamotfleet.Load) bergamotfleet.Instance {
--- a/core/bergamotsession/sim_test.go
+++ b/core/bergamotsession/sim_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
@@ -15,6 +14,7 @@
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 	"bergamotspur/core/bergamotsession"
+	"bergamotspur/core/bergamottest"
 )
 
 // simTokens is the length of an answer.
@@ -215,34 +215,28 @@
 	)
 }
 
-var simBundle = func() *bergamotbundle.Bundle {
-	b, err := bergamotbundle.Parse("sim", []byte("[bundle]\nversion = 1\n[model care]\nversion = 1\nlayers = 12\n"+
-		"[pipeline advice]\nmodel = care\nlimit = 500\n[operator mari]\nkey = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\n"))
-	if err != nil {
-		panic(err)
-	}
-	return b
-}()
+var simBundle = bergamottest.Bundle(bergamottest.BundleHead +
+	"[model care]\nversion = 1\nlayers = 12\n[pipeline advice]\nmodel = care\nlimit = 500\n")
 
 // world is what a session needs beside its engine; every runner holds all layers.
-type world struct{ view *bergamotcontrol.View }
+type world struct {
+	bergamottest.FreeRetries
+	bergamottest.NoCounter
+	view *bergamotcontrol.View
+}
 
 func newWorld(runners int) *world {
 	var list []bergamotfleet.Instance
 	for n := range runners {
 		name := "runner" + string(rune('a'+n))
-		list = append(list, bergamotfleet.NewInstance(bergamotfleet.Spec{
-			Name: name, Address: name, Role: bergamotfleet.RoleRunner,
-			Holdings: []bergamotfleet.Holding{bergamotfleet.NewHolding("care", "1", 0, 12)},
-		}))
+		list = append(list, bergamottest.Runner(name, "care", "1", 0, 12))
 	}
-	return &world{bergamotcontrol.NewView(time.Time{}, simBundle, bergamotfleet.NewFleet(list))}
+	return &world{view: bergamotcontrol.NewView(time.Time{}, simBundle, bergamotfleet.NewFleet(list))}
 }
 
 func (w *world) View() *bergamotcontrol.View                         { return w.view }
 func (*world) Refused(string)                                        {}
 func (*world) Leaving(string)                                        {}
-func (*world) Count(string)                                          {}
 func (*world) Suspect([32]byte) bool                                 { return false }
 func (*world) Confirmed([32]byte) bool                               { return false }
 func (*world) Strike([32]byte, string, bool)                         {}
@@ -250,11 +244,6 @@
 func (*world) Held() map[string]bool                                 { return nil }
 func (*world) Enter(context.Context, []string, bool) (func(), error) { return func() {}, nil }
 
-func (*world) First(string, ...string) {}
-func (*world) Next(context.Context, string, int, time.Time, ...string) error {
-	return nil
-}
-
 func (w *world) session(e bergamotsession.Engine) *bergamotsession.Session {
 	return &bergamotsession.Session{
 		Engine: e, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: w, Observer: w, Suspects: w, Isolation: w, Retries: w, Counter: w,
@@ -265,6 +254,7 @@
 
 // collector is the caller.
 type collector struct {
+	bergamottest.Discard
 	got  []int
 	each func(position int)
 }
@@ -277,13 +267,8 @@
 	return nil
 }
 
-func (*collector) Reply(context.Context, bergamotrequest.Reply) error { return nil }
-
 func newExchange(w *world, id string, limit int, out bergamotchain.Sink) *bergamotchain.Exchange {
-	r, err := bergamotrequest.New(bergamotrequest.Spec{ID: id, Model: "advice", Prompt: "oil", Limit: limit})
-	if err != nil {
-		panic(err)
-	}
+	r := bergamottest.Request(bergamotrequest.Spec{ID: id, Model: "advice", Prompt: "oil", Limit: limit})
 	x := bergamotchain.NewExchange(r, w.view, out)
 	p, _ := simBundle.Pipeline("advice")
 	x.SetPipeline(p)
--- a/core/bergamotsetting/setting_test.go
+++ b/core/bergamotsetting/setting_test.go
@@ -113,19 +113,12 @@
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			return
 		}
-		var faults bergamotini.Faults
-		gomega.Expect(errors.As(err, &faults)).To(gomega.BeTrue())
-		var got []string
-		for _, f := range faults {
-			got = append(got, f.String())
-		}
-		gomega.Expect(got).To(gomega.ConsistOf(c.want))
+		gomega.Expect(bergamottest.Faults(err)).To(gomega.ConsistOf(c.want))
 	})
 
 	// Guards against defaults that differ from the documented ones.
 	ginkgo.It("have the documented defaults", func() {
-		s, err := bergamotsetting.Parse("f", []byte(valid))
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		s := bergamottest.Must(bergamotsetting.Parse("f", []byte(valid)))
 		gomega.Expect([]time.Duration{s.Drain(), s.Stall(), s.Probe(), s.Head(), s.Poll()}).To(gomega.Equal(
 			[]time.Duration{30 * time.Second, 3 * time.Second, time.Second, 2 * time.Second, time.Second}))
 		gomega.Expect(s.Attempts()).To(gomega.Equal(5))
--- a/io/bergamotengine/rig_test.go
+++ b/io/bergamotengine/rig_test.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
@@ -20,6 +19,7 @@
 	"bergamotspur/core/bergamotroute"
 	"bergamotspur/core/bergamotsession"
 	"bergamotspur/core/bergamotsuspect"
+	"bergamotspur/core/bergamottest"
 	"bergamotspur/io/bergamotengine"
 	"bergamotspur/io/bergamotfake"
 	"bergamotspur/io/bergamotmetric"
@@ -33,36 +33,27 @@
 // slowLink makes every import slower than recomputing.
 var slowLink = bergamotsession.NewEstimate(1, time.Hour, time.Nanosecond)
 
-var rigBundle = func() *bergamotbundle.Bundle {
-	b, err := bergamotbundle.Parse("rig", []byte(`[bundle]
-version = 1
-[model care]
+var rigBundle = bergamottest.Bundle(bergamottest.BundleHead + `[model care]
 version = 1
 layers = 12
 width = 8192
 [pipeline advice]
 model = care
 limit = 500
-[operator mari]
-key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
-`))
-	if err != nil {
-		panic(err)
-	}
-	return b
-}()
+`)
 
 // rig is a session with fake engines, three stages with as many replicas as asked for.
 type rig struct {
-	engines  map[string]*bergamotfake.Engine
-	fleet    atomic.Pointer[bergamotcontrol.View]
-	client   *bergamotengine.Client
-	metrics  *bergamotmetric.Registry
-	suspects *bergamotsuspect.Ledger
-	session  *bergamotsession.Session
-	release  chan struct{} // closed at the end
-	retried  chan struct{} // closed at the first retry
-	once     sync.Once
+	bergamottest.FreeRetries // the budgets have tests of their own
+	engines                  map[string]*bergamotfake.Engine
+	fleet                    atomic.Pointer[bergamotcontrol.View]
+	client                   *bergamotengine.Client
+	metrics                  *bergamotmetric.Registry
+	suspects                 *bergamotsuspect.Ledger
+	session                  *bergamotsession.Session
+	release                  chan struct{} // closed at the end
+	retried                  chan struct{} // closed at the first retry
+	once                     sync.Once
 
 	mu      sync.Mutex
 	leaving []string
@@ -94,12 +85,6 @@
 	return bergamotengine.HoldingMessage{Model: "care", Version: "1", From: 4 * stage, To: 4*stage + 4}
 }
 
-// First counts nothing: the budgets have tests of their own.
-func (r *rig) First(string, ...string) {}
-
-// Next allows every retry.
-func (r *rig) Next(context.Context, string, int, time.Time, ...string) error { return nil }
-
 // newSession returns the session of one entry with records of its own.
 func (r *rig) newSession(l *bergamotsuspect.Ledger) *bergamotsession.Session {
 	return &bergamotsession.Session{
@@ -206,6 +191,7 @@
 
 // sink collects an answer and notes a token out of order.
 type sink struct {
+	bergamottest.Discard
 	text strings.Builder
 	next int
 	err  error
@@ -219,5 +205,3 @@
 	s.text.WriteString(t.Text())
 	return nil
 }
-
-func (s *sink) Reply(context.Context, bergamotrequest.Reply) error { return nil }
--- a/io/bergamotfake/order_test.go
+++ b/io/bergamotfake/order_test.go
@@ -82,8 +82,7 @@
 	ginkgo.It("gives the right to load once in the time that its rate allows", func() {
 		w := bergamotfake.NewWeights()
 		w.SetRate(0.001)
-		s, err := bergamotfake.Listen("127.0.0.1:0", w.Handler())
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		s := bergamottest.Must(bergamotfake.Listen("127.0.0.1:0", w.Handler()))
 		ginkgo.DeferCleanup(s.Kill)
 		c := bergamotweight.NewClient(s.Address())
 		ginkgo.DeferCleanup(c.Close)
--- a/io/bergamotservice/client_test.go
+++ b/io/bergamotservice/client_test.go
@@ -22,11 +22,9 @@
 func TestService(t *testing.T) { bergamottest.Run(t, "service") }
 
 func newCall(body string) *bergamotrequest.Request {
-	r, err := bergamotrequest.New(bergamotrequest.Spec{
+	return bergamottest.Request(bergamotrequest.Spec{
 		ID: "r", Kind: bergamotrequest.KindService, Service: "pickup", Call: "book", Idem: "k", Body: []byte(body),
 	})
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return r
 }
 
 // serve runs h and returns its address and how many requests reached it.
