Name the case types of tables and share checks of refusals

Change: each table has a named case type. bergamottest.ExpectRefusal checks that there is an error, its reason and its run state, which is one check more than before. NoSuspects and tokenLine stand once. Outside tests, Client.Scan of the table is Client.Page from the first key; the request now carries an empty "after", as the first Page did already.

Ruled out: one base type for the clients of table, objects, weights and instance list. They share a constructor and Close; an embedded type would export Post and Get on each of them.

--- a/core/bergamotclaim/claims_test.go
+++ b/core/bergamotclaim/claims_test.go
@@ -252,7 +252,6 @@
 		w := newWorld()
 		c.end(w.claim(w.a))
 		_, _, refusal := w.beginBody(w.b, "other slot", nil)
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(bergamotrequest.ReasonDigest))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(runNo))
+		bergamottest.ExpectRefusal(refusal, bergamotrequest.ReasonDigest, runNo)
 	})
 })
--- a/core/bergamotclaim/queue_test.go
+++ b/core/bergamotclaim/queue_test.go
@@ -12,12 +12,14 @@
 	"bergamotspur/core/bergamottest"
 )
 
+type endCase struct {
+	end  func(context.Context, *bergamotclaim.Claim)
+	want bergamotclaim.State
+}
+
 var _ = ginkgo.Describe("a conclusion", func() {
 	// Guards against an outcome that is not written because the deadline has passed or the caller has gone away.
-	bergamottest.Entries(map[string]struct {
-		end  func(context.Context, *bergamotclaim.Claim)
-		want bergamotclaim.State
-	}{
+	bergamottest.Entries(map[string]endCase{
 		"of an answer is written after the end of the context": {
 			func(ctx context.Context, c *bergamotclaim.Claim) { c.Done(ctx, answer("B1")) }, bergamotclaim.StateDone,
 		},
@@ -27,11 +29,7 @@
 		"of an undispatched call is written after the end of the context": {
 			func(ctx context.Context, c *bergamotclaim.Claim) { c.Release(ctx) }, bergamotclaim.StateFree,
 		},
-	}, func(c struct {
-		end  func(context.Context, *bergamotclaim.Claim)
-		want bergamotclaim.State
-	},
-	) {
+	}, func(c endCase) {
 		w := newWorld()
 		claim := w.claim(w.a)
 		w.onOp = func(ctx context.Context, _ string) { gomega.Expect(ctx.Err()).NotTo(gomega.HaveOccurred()) }
--- a/core/bergamotclaim/world_test.go
+++ b/core/bergamotclaim/world_test.go
@@ -96,8 +96,7 @@
 func (w *world) refused(c *bergamotclaim.Claims, ask bergamotclaim.Ask, reason bergamotrequest.Reason, run bergamotrequest.Run) {
 	_, _, refusal := w.begin(c, ask)
 	gomega.Expect(refusal).NotTo(gomega.BeNil())
-	gomega.Expect(refusal.Reason()).To(gomega.Equal(reason))
-	gomega.Expect(refusal.Run()).To(gomega.Equal(run))
+	bergamottest.ExpectRefusal(refusal, reason, run)
 }
 
 // replayed expects that a repeat gets the stored answer.
--- a/core/bergamotcontrol/observer_test.go
+++ b/core/bergamotcontrol/observer_test.go
@@ -50,26 +50,22 @@
 	return bergamotcontrol.NewReport(0, 0, l.leave, nil), nil
 }
 
+type returnCase struct {
+	observe func(o *bergamotcontrol.Observer)
+	fails   bool
+	leave   bool
+	back    bool
+}
+
 var _ = ginkgo.Describe("Observer", func() {
 	// Guards against new work for an instance that this entry has seen refuse it while the list still calls
 	// it live, and against an instance that is shut out for good although it is back.
-	bergamottest.Entries(map[string]struct {
-		observe func(o *bergamotcontrol.Observer)
-		fails   bool
-		leave   bool
-		back    bool
-	}{
+	bergamottest.Entries(map[string]returnCase{
 		"stops work after a refused connection until a report": {func(o *bergamotcontrol.Observer) { o.Refused("a") }, false, false, true},
 		"stops work after a refused connection for good":       {func(o *bergamotcontrol.Observer) { o.Refused("a") }, true, false, false},
 		"stops work at a leaving instance until it restarts":   {func(o *bergamotcontrol.Observer) { o.Leaving("a") }, false, false, true},
 		"stops work at a leaving instance that keeps leaving":  {func(o *bergamotcontrol.Observer) { o.Leaving("a") }, false, true, false},
-	}, func(c struct {
-		observe func(o *bergamotcontrol.Observer)
-		fails   bool
-		leave   bool
-		back    bool
-	},
-	) {
+	}, func(c returnCase) {
 		clock := bergamotclock.NewVirtual(time.Unix(100, 0))
 		source := &lagging{}
 		loop := &bergamotcontrol.Loop{Clock: clock, Period: time.Second, Controllers: []bergamotcontrol.Controller{
--- a/core/bergamotfilter/claim_test.go
+++ b/core/bergamotfilter/claim_test.go
@@ -156,8 +156,7 @@
 			gomega.Expect(refusal).To(gomega.BeNil())
 			return
 		}
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.reason))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(c.run))
+		bergamottest.ExpectRefusal(refusal, c.reason, c.run)
 	})
 
 	// Guards against a call that is cut off, or an outcome that is lost, when its caller disconnects or the listener is
@@ -181,8 +180,7 @@
 		g := newRig()
 		g.pause = 2 * time.Hour // the timer of the context does not fire, as right after a pause of the process
 		refusal := g.do(context.Background(), "book", "k")
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(bergamotrequest.ReasonDeadline))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(refusal, bergamotrequest.ReasonDeadline, bergamotrequest.RunNo)
 		gomega.Expect(g.sent).To(gomega.BeEmpty())
 		gomega.Expect(g.state()).To(gomega.Equal(bergamotclaim.StateFree))
 	})
--- a/core/bergamotfilter/deadline_test.go
+++ b/core/bergamotfilter/deadline_test.go
@@ -38,8 +38,7 @@
 		err := h.Handle(context.Background(), x)
 		if c.left == 0 {
 			gomega.Expect(called).To(gomega.BeFalse())
-			gomega.Expect(bergamotrequest.AsRefusal(err).Reason()).To(gomega.Equal(bergamotrequest.ReasonDeadline))
-			gomega.Expect(bergamotrequest.AsRefusal(err).Run()).To(gomega.Equal(bergamotrequest.RunNo))
+			bergamottest.ExpectRefusal(err, bergamotrequest.ReasonDeadline, bergamotrequest.RunNo)
 			return
 		}
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/core/bergamotfilter/quarantine_test.go
+++ b/core/bergamotfilter/quarantine_test.go
@@ -47,8 +47,7 @@
 		called, _, err = pass(spec)
 		gomega.Expect(called).To(gomega.Equal(!c.rejected))
 		if c.rejected {
-			gomega.Expect(bergamotrequest.AsRefusal(err).Reason()).To(gomega.Equal(bergamotrequest.ReasonSuspect))
-			gomega.Expect(bergamotrequest.AsRefusal(err).Run()).To(gomega.Equal(bergamotrequest.RunNo))
+			bergamottest.ExpectRefusal(err, bergamotrequest.ReasonSuspect, bergamotrequest.RunNo)
 		}
 	})
 })
--- a/core/bergamotfilter/queue_test.go
+++ b/core/bergamotfilter/queue_test.go
@@ -105,9 +105,7 @@
 			gomega.Eventually(func() int { return q.Waiting("care") }).Should(gomega.Equal(1))
 			cancel()
 		}
-		refusal := bergamotrequest.AsRefusal(<-done)
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.want))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(<-done, c.want, bergamotrequest.RunNo)
 		gomega.Expect(ran).To(gomega.BeFalse())
 		gomega.Expect(q.Waiting("care")).To(gomega.BeZero())
 		close(release)
@@ -161,8 +159,7 @@
 			return
 		}
 		refusal := bergamotrequest.AsRefusal(err)
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.want))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(refusal, c.want, bergamotrequest.RunNo)
 		gomega.Expect(refusal.After()).To(gomega.BeNumerically(">", 0))
 	})
 })
--- a/core/bergamotfilter/recover_test.go
+++ b/core/bergamotfilter/recover_test.go
@@ -38,9 +38,7 @@
 		f := &bergamotfilter.Recover{Counter: counts, Report: func(string, any) {}}
 		err := f.Filter(context.Background(), newExchange(baseSpec()), bergamotchain.HandlerFunc(
 			func(context.Context, *bergamotchain.Exchange) error { return c.next() }))
-		refusal := bergamotrequest.AsRefusal(err)
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.reason))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(c.run))
+		bergamottest.ExpectRefusal(err, c.reason, c.run)
 		gomega.Expect(counts).To(gomega.Equal(names{"refusal." + string(c.reason): 1}))
 	})
 })
--- a/core/bergamotfilter/resolve_test.go
+++ b/core/bergamotfilter/resolve_test.go
@@ -50,8 +50,7 @@
 			return
 		}
 		gomega.Expect(called).To(gomega.BeFalse())
-		gomega.Expect(bergamotrequest.AsRefusal(err).Reason()).To(gomega.Equal(c.reason))
-		gomega.Expect(bergamotrequest.AsRefusal(err).Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(err, c.reason, bergamotrequest.RunNo)
 	})
 
 	ginkgo.It("reject every request before a bundle is in force", func() {
--- a/core/bergamotretry/retries_test.go
+++ b/core/bergamotretry/retries_test.go
@@ -29,25 +29,22 @@
 	return taken
 }
 
+type budgetCase struct {
+	firsts int
+	pause  time.Duration
+	want   int
+}
+
 var _ = ginkgo.Describe("Budget", func() {
 	// Guards against retries that exceed their share of the recent first attempts.
-	bergamottest.Entries(map[string]struct {
-		firsts int
-		pause  time.Duration
-		want   int
-	}{
+	bergamottest.Entries(map[string]budgetCase{
 		"allows the reserve without first attempts":               {firsts: 0, want: 3},
 		"allows a ratio of first attempts and the reserve":        {firsts: 100, want: 13},
 		"counts the window before in part":                        {firsts: 100, pause: window * 3 / 2, want: 8},
 		"forgets first attempts of two windows ago":               {firsts: 100, pause: 2 * window, want: 3},
 		"forgets first attempts of a much longer time ago":        {firsts: 100, pause: 9 * window, want: 3},
 		"allows no more retries at the beginning of a new window": {firsts: 100, pause: window, want: 13},
-	}, func(c struct {
-		firsts int
-		pause  time.Duration
-		want   int
-	},
-	) {
+	}, func(c budgetCase) {
 		clock := bergamotclock.NewVirtual(time.Unix(0, 0))
 		b := newBudget(clock, 0.1, 3)
 		for range c.firsts {
@@ -70,24 +67,21 @@
 	})
 })
 
+type waitCase struct {
+	n    int
+	part float64
+	want time.Duration
+}
+
 var _ = ginkgo.Describe("Backoff", func() {
 	// Guards against waits outside the full range of the jitter, also for counts that overflow a shift.
-	bergamottest.Entries(map[string]struct {
-		n    int
-		part float64
-		want time.Duration
-	}{
+	bergamottest.Entries(map[string]waitCase{
 		"begins at zero":               {1, 0, 0},
 		"waits up to the base":         {1, 0.5, 50 * time.Millisecond},
 		"doubles with each retry":      {3, 0.5, 200 * time.Millisecond},
 		"stops at the longest wait":    {9, 0.5, 500 * time.Millisecond},
 		"stops at the longest wait, n": {1 << 40, 0.5, 500 * time.Millisecond},
-	}, func(c struct {
-		n    int
-		part float64
-		want time.Duration
-	},
-	) {
+	}, func(c waitCase) {
 		b := &bergamotretry.Backoff{Base: 100 * time.Millisecond, Max: time.Second, Rand: func() float64 { return c.part }}
 		gomega.Expect(b.Wait(c.n)).To(gomega.Equal(c.want))
 	})
--- a/core/bergamotsession/sim_test.go
+++ b/core/bergamotsession/sim_test.go
@@ -222,6 +222,7 @@
 type world struct {
 	bergamottest.FreeRetries
 	bergamottest.NoCounter
+	bergamottest.NoSuspects
 	view *bergamotcontrol.View
 }
 
@@ -237,10 +238,6 @@
 func (w *world) View() *bergamotcontrol.View                         { return w.view }
 func (*world) Refused(string)                                        {}
 func (*world) Leaving(string)                                        {}
-func (*world) Suspect([32]byte) bool                                 { return false }
-func (*world) Confirmed([32]byte) bool                               { return false }
-func (*world) Strike([32]byte, string, bool)                         {}
-func (*world) Clear([32]byte)                                        {}
 func (*world) Held() map[string]bool                                 { return nil }
 func (*world) Enter(context.Context, []string, bool) (func(), error) { return func() {}, nil }
 
--- a/core/bergamotsuspect/ledger_test.go
+++ b/core/bergamotsuspect/ledger_test.go
@@ -16,20 +16,23 @@
 	return bergamotsuspect.NewDigest("care", "1", "", prompt)
 }
 
+type strike struct {
+	instance string
+	alone    bool
+	after    time.Duration
+}
+
+type ledgerCase struct {
+	strikes   []strike
+	clear     bool
+	wait      time.Duration
+	suspect   bool
+	confirmed bool
+}
+
 var _ = ginkgo.Describe("Ledger", func() {
-	type strike struct {
-		instance string
-		alone    bool
-		after    time.Duration
-	}
 	// Guards against rejecting an innocent prompt, and against a toxic one that is never rejected.
-	bergamottest.Entries(map[string]struct {
-		strikes   []strike
-		clear     bool
-		wait      time.Duration
-		suspect   bool
-		confirmed bool
-	}{
+	bergamottest.Entries(map[string]ledgerCase{
 		"suspects after one failure":                          {strikes: []strike{{"a", false, 0}}, suspect: true},
 		"confirms after a second failure alone":               {strikes: []strike{{"a", false, 0}, {"b", true, 0}}, suspect: true, confirmed: true},
 		"confirms a second failure of the same instance":      {strikes: []strike{{"a", false, 0}, {"a", true, 0}}, suspect: true, confirmed: true},
@@ -40,14 +43,7 @@
 		"expires a suspect":                                   {strikes: []strike{{"a", false, 0}}, wait: time.Hour},
 		"expires a confirmed content":                         {strikes: []strike{{"a", false, 0}, {"b", true, 0}}, wait: time.Hour},
 		"does not add a failure to one that expired long ago": {strikes: []strike{{"a", false, 0}, {"b", true, time.Hour}}, suspect: true},
-	}, func(c struct {
-		strikes   []strike
-		clear     bool
-		wait      time.Duration
-		suspect   bool
-		confirmed bool
-	},
-	) {
+	}, func(c ledgerCase) {
 		clock := bergamotclock.NewVirtual(time.Unix(0, 0))
 		l := bergamotsuspect.NewLedger(clock)
 		for _, s := range c.strikes {
--- /dev/null
+++ b/core/bergamottest/suspects.go
@@ -0,0 +1,16 @@
+package bergamottest
+
+// NoSuspects attributes no failure to a request.
+type NoSuspects struct{}
+
+// Suspect returns false.
+func (NoSuspects) Suspect([32]byte) bool { return false }
+
+// Confirmed returns false.
+func (NoSuspects) Confirmed([32]byte) bool { return false }
+
+// Strike records nothing.
+func (NoSuspects) Strike([32]byte, string, bool) {}
+
+// Clear has nothing to remove.
+func (NoSuspects) Clear([32]byte) {}
--- a/io/bergamotengine/failure_test.go
+++ b/io/bergamotengine/failure_test.go
@@ -81,7 +81,7 @@
 		if second != "" {
 			// Two crashes with the request alone at the second one are what a request that crashes targets
 			// looks like, and are tested as such; here the answer has to survive both.
-			r.session.Suspects = blind{}
+			r.session.Suspects = bergamottest.NoSuspects{}
 			failures[second].arm(r, hooks, then, 6)
 		}
 		for name, list := range hooks {
@@ -113,14 +113,6 @@
 	return out
 }
 
-// blind attributes no failure to a request.
-type blind struct{}
-
-func (blind) Suspect([32]byte) bool         { return false }
-func (blind) Confirmed([32]byte) bool       { return false }
-func (blind) Strike([32]byte, string, bool) {}
-func (blind) Clear([32]byte)                {}
-
 // parallel is how many scenarios run at the same time; most of their time is spent in waiting for limits.
 const parallel = 8
 
--- a/io/bergamotengine/path_bench_test.go
+++ b/io/bergamotengine/path_bench_test.go
@@ -59,7 +59,7 @@
 	}
 	plan := bergamotroute.NewPlan(stages...)
 	v := bergamotsession.NewVerifier("entry-session", 1, 0, plan)
-	line := tokenLine(b, plan, 0)
+	line := tokenLine(b, plan, TokenMessage{Session: "entry-session", Attempt: 1, Token: 17, Text: "linseed "})
 	conn := pipe(b)
 	ends := make(chan error, 1)
 	go func() { ends <- produce(conn.far, line) }()
@@ -82,13 +82,12 @@
 	<-ends
 }
 
-// tokenLine returns the line that the last stage sends for the token at a position.
-func tokenLine(tb testing.TB, plan bergamotroute.Plan, position int) []byte {
-	m := TokenMessage{Session: "entry-session", Attempt: 1, Position: position, Token: 17, Text: "linseed "}
-	digest := bergamotsession.FirstDigest(m.Session, m.Attempt, position)
+// tokenLine returns the line that the last stage of a plan sends for a token, with receipts and digest.
+func tokenLine(tb testing.TB, plan bergamotroute.Plan, m TokenMessage) []byte {
+	digest := bergamotsession.FirstDigest(m.Session, m.Attempt, m.Position)
 	for _, s := range plan.Stages() {
-		m.Receipts = append(m.Receipts, ReceiptMessage{From: s.From(), To: s.To(), Steps: position + 1})
-		digest = bergamotsession.NextDigest(digest, bergamotsession.NewReceipt(s.From(), s.To(), position+1))
+		m.Receipts = append(m.Receipts, ReceiptMessage{From: s.From(), To: s.To(), Steps: m.Position + 1})
+		digest = bergamotsession.NextDigest(digest, bergamotsession.NewReceipt(s.From(), s.To(), m.Position+1))
 	}
 	m.Digest = bergamotsession.LastDigest(digest, m.Token)
 	var buf bytes.Buffer
--- a/io/bergamotengine/recovery_test.go
+++ b/io/bergamotengine/recovery_test.go
@@ -22,6 +22,18 @@
 	}
 }
 
+type importCase struct {
+	cheap   bool
+	imports bool
+}
+
+type blameCase struct {
+	failure string
+	run     bergamotrequest.Run
+	refused bool
+	leaving bool
+}
+
 var _ = ginkgo.Describe("recovery", func() {
 	// Guards against blaming a target for a connection whose state was lost: there is no other path.
 	ginkgo.It("replaces a silent connection and keeps the target", func() {
@@ -35,14 +47,10 @@
 	})
 
 	// Guards against recomputing what live stages still hold; the recomputing case shows that the estimate decides.
-	bergamottest.Entries(map[string]struct {
-		cheap   bool
-		imports bool
-	}{
+	bergamottest.Entries(map[string]importCase{
 		"imports KV cache when that is faster": {imports: true},
 		"recomputes when that is faster":       {cheap: true},
-	}, func(c struct{ cheap, imports bool },
-	) {
+	}, func(c importCase) {
 		r := newRig(2)
 		defer r.close()
 		if c.cheap {
@@ -70,12 +78,7 @@
 
 	// Guards against "not run" for a request of which an engine ran a step, and against a normal end of an
 	// answer that is not whole: there is no second path.
-	bergamottest.Entries(map[string]struct {
-		failure string
-		run     bergamotrequest.Run
-		refused bool
-		leaving bool
-	}{
+	bergamottest.Entries(map[string]blameCase{
 		"reports not run when the layers are gone":         {failure: "holds other layers than reported"},
 		"reports not run when the target is leaving":       {failure: "is leaving", leaving: true},
 		"reports not run when the target refuses":          {failure: "refuses connections", refused: true},
@@ -85,13 +88,7 @@
 		"reports run after a step that was applied twice":  {failure: "runs a step twice", run: bergamotrequest.RunYes},
 		"reports run after a step that got lost":           {failure: "loses a step", run: bergamotrequest.RunYes},
 		"reports run when the last stage hangs mid-answer": {failure: "hangs with heartbeat", run: bergamotrequest.RunYes},
-	}, func(c struct {
-		failure string
-		run     bergamotrequest.Run
-		refused bool
-		leaving bool
-	},
-	) {
+	}, func(c blameCase) {
 		r := newRig(1)
 		defer r.close()
 		r.session.Attempts = 1
--- a/io/bergamotengine/stream_bench_test.go
+++ b/io/bergamotengine/stream_bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"runtime"
 	"testing"
@@ -57,16 +56,7 @@
 	b.Helper()
 	var out bytes.Buffer
 	for position := range length {
-		m := TokenMessage{Session: "session", Attempt: 1, Position: position, Token: position, Text: "board "}
-		digest := bergamotsession.FirstDigest("session", 1, position)
-		for _, s := range benchmarkPlan().Stages() {
-			m.Receipts = append(m.Receipts, ReceiptMessage{From: s.From(), To: s.To(), Steps: position + 1})
-			digest = bergamotsession.NextDigest(digest, bergamotsession.NewReceipt(s.From(), s.To(), position+1))
-		}
-		m.Digest = bergamotsession.LastDigest(digest, position)
-		if err := json.NewEncoder(&out).Encode(m); err != nil {
-			b.Fatal(err)
-		}
+		out.Write(tokenLine(b, benchmarkPlan(), TokenMessage{Session: "session", Attempt: 1, Position: position, Token: position, Text: "board "}))
 	}
 	return out.Bytes()
 }
--- a/io/bergamotfake/order_test.go
+++ b/io/bergamotfake/order_test.go
@@ -26,27 +26,24 @@
 	return e, c
 }
 
+type openCase struct {
+	model, version, adapter string
+	to                      int
+	ok                      bool
+}
+
 var _ = ginkgo.Describe("Engine", func() {
 	ctx := context.Background()
 
 	// Each case is a span that a runner would answer wrongly if it took it.
-	bergamottest.Entries(map[string]struct {
-		model, version, adapter string
-		to                      int
-		ok                      bool
-	}{
+	bergamottest.Entries(map[string]openCase{
 		"opens what it holds":                    {"m", "1", "", 4, true},
 		"opens what it holds with an adapter":    {"m", "1", "a", 4, true},
 		"refuses an adapter that it lacks":       {"m", "1", "b", 4, false},
 		"refuses another version":                {"m", "2", "", 4, false},
 		"refuses another model":                  {"n", "1", "", 4, false},
 		"refuses layers beyond those it has got": {"m", "1", "", 5, false},
-	}, func(c struct {
-		model, version, adapter string
-		to                      int
-		ok                      bool
-	},
-	) {
+	}, func(c openCase) {
 		e, client := startEngine(true)
 		s := bergamotsession.NewSpan(bergamotsession.SpanSpec{
 			Session: "s", Attempt: 1, Model: c.model, Version: c.version, Adapter: c.adapter,
--- a/io/bergamotservice/client_test.go
+++ b/io/bergamotservice/client_test.go
@@ -38,6 +38,11 @@
 	return strings.TrimPrefix(s.URL, "http://"), count
 }
 
+type codeCase struct {
+	code   int
+	answer bool
+}
+
 var _ = ginkgo.Describe("Client", func() {
 	// Guards against net/http sending a request again by itself after a kept-alive connection broke, which it does for
 	// requests with GetBody or an Idempotency-Key header.
@@ -98,18 +103,11 @@
 	})
 
 	// Guards against an answer of the service, such as "slot taken", that is treated as a failure.
-	bergamottest.Entries(map[string]struct {
-		code   int
-		answer bool
-	}{
+	bergamottest.Entries(map[string]codeCase{
 		"takes a success for the answer":                        {http.StatusOK, true},
 		"takes a rejection by the service for the answer":       {http.StatusConflict, true},
 		"takes a failure of the service for an unknown outcome": {http.StatusServiceUnavailable, false},
-	}, func(c struct {
-		code   int
-		answer bool
-	},
-	) {
+	}, func(c codeCase) {
 		address, _ := serve(func(w http.ResponseWriter, r *http.Request) {
 			w.WriteHeader(c.code)
 			_, _ = w.Write([]byte(r.Header.Get("Bergamot-Call")))
--- a/io/bergamottable/client.go
+++ b/io/bergamottable/client.go
@@ -50,12 +50,7 @@
 
 // Scan returns the rows whose keys begin with prefix, in order, at most limit.
 func (c *Client) Scan(ctx context.Context, prefix string, limit int) (rows []bergamotstore.Row, err error) {
-	var m []RowMessage
-	err = c.wire.Post(ctx, c.address, "/table/scan", map[string]any{"prefix": prefix, "limit": limit}, &m)
-	for _, r := range m {
-		rows = append(rows, r.Row())
-	}
-	return rows, err
+	return c.Page(ctx, prefix, "", limit)
 }
 
 // Page returns the rows whose keys begin with prefix and come after a key, in order, at most limit.
