Share the first filters and the asking job between specs

Change: pass and ask. No expectation changed.

Ruled out: a builder for messages of a member, which made the file longer.

`go test` of the two packages passed.

--- a/core/bergamotfilter/deadline_test.go
+++ b/core/bergamotfilter/deadline_test.go
@@ -1,13 +1,11 @@
 package bergamotfilter_test
 
 import (
-	"context"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotrequest"
@@ -33,9 +31,7 @@
 		c.change(&spec)
 		x := newExchange(spec)
 		clock := bergamotclock.NewVirtual(epoch.Add(c.spent))
-		called := false
-		h := bergamotchain.NewChain(reached(&called), bergamotfilter.Identify{}, bergamotfilter.Resolve{}, &bergamotfilter.Deadline{Clock: clock})
-		err := h.Handle(context.Background(), x)
+		called, err := pass(x, &bergamotfilter.Deadline{Clock: clock})
 		if c.left == 0 {
 			gomega.Expect(called).To(gomega.BeFalse())
 			bergamottest.ExpectRefusal(err, bergamotrequest.ReasonDeadline, bergamotrequest.RunNo)
--- a/core/bergamotfilter/exchange_test.go
+++ b/core/bergamotfilter/exchange_test.go
@@ -8,6 +8,7 @@
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotcontrol"
+	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamottest"
@@ -58,6 +59,13 @@
 	return bergamotchain.NewExchange(r, baseView(), nil)
 }
 
+// pass sends an exchange through identify, resolve and more filters and tells whether it came to the end.
+func pass(x *bergamotchain.Exchange, filters ...bergamotchain.Filter) (called bool, err error) {
+	filters = append([]bergamotchain.Filter{bergamotfilter.Identify{}, bergamotfilter.Resolve{}}, filters...)
+	err = bergamotchain.NewChain(reached(&called), filters...).Handle(context.Background(), x)
+	return called, err
+}
+
 // reached returns a handler that notes its call.
 func reached(called *bool) bergamotchain.Handler {
 	return bergamotchain.HandlerFunc(func(context.Context, *bergamotchain.Exchange) error {
--- a/core/bergamotfilter/quarantine_test.go
+++ b/core/bergamotfilter/quarantine_test.go
@@ -1,12 +1,9 @@
 package bergamotfilter_test
 
 import (
-	"context"
-
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotrequest"
@@ -31,20 +28,15 @@
 	}, func(c quarantineCase) {
 		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(epoch))
 		quarantine := &bergamotfilter.Quarantine{Suspects: l}
-		pass := func(spec bergamotrequest.Spec) (called bool, content [32]byte, err error) {
-			x := newExchange(spec)
-			h := bergamotchain.NewChain(reached(&called), bergamotfilter.Identify{}, bergamotfilter.Resolve{}, quarantine)
-			err = h.Handle(context.Background(), x)
-			return called, x.Content(), err
-		}
-		called, content, err := pass(baseSpec())
+		first := newExchange(baseSpec())
+		called, err := pass(first, quarantine)
 		gomega.Expect(called).To(gomega.BeTrue())
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		l.Strike(content, "a", false)
-		l.Strike(content, "b", true)
+		l.Strike(first.Content(), "a", false)
+		l.Strike(first.Content(), "b", true)
 		spec := baseSpec()
 		c.change(&spec)
-		called, _, err = pass(spec)
+		called, err = pass(newExchange(spec), quarantine)
 		gomega.Expect(called).To(gomega.Equal(!c.rejected))
 		if c.rejected {
 			bergamottest.ExpectRefusal(err, bergamotrequest.ReasonSuspect, bergamotrequest.RunNo)
--- a/core/bergamotfilter/resolve_test.go
+++ b/core/bergamotfilter/resolve_test.go
@@ -41,9 +41,7 @@
 	}, func(c resolveCase) {
 		spec := baseSpec()
 		c.change(&spec)
-		called := false
-		h := bergamotchain.NewChain(reached(&called), bergamotfilter.Identify{}, bergamotfilter.Resolve{})
-		err := h.Handle(context.Background(), newExchange(spec))
+		called, err := pass(newExchange(spec))
 		if c.reason == "" {
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(called).To(gomega.BeTrue())
--- a/core/bergamotfilter/version_test.go
+++ b/core/bergamotfilter/version_test.go
@@ -1,7 +1,6 @@
 package bergamotfilter_test
 
 import (
-	"context"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -36,9 +35,8 @@
 		view := bergamotcontrol.NewView(epoch, baseView().Bundle(), bergamotfleet.NewFleet(c.fleet))
 		x := bergamotchain.NewExchange(r, view, nil)
 		versions := &bergamotplacement.Versions{Clock: bergamotclock.NewVirtual(epoch), Age: time.Second}
-		called := false
-		h := bergamotchain.NewChain(reached(&called), bergamotfilter.Identify{}, bergamotfilter.Resolve{}, &bergamotfilter.Version{Versions: versions})
-		gomega.Expect(h.Handle(context.Background(), x)).To(gomega.Succeed())
+		called, err := pass(x, &bergamotfilter.Version{Versions: versions})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(called).To(gomega.BeTrue())
 		gomega.Expect(x.Pipeline().Model().Version()).To(gomega.Equal(c.want))
 	})
--- a/core/bergamotqueue/gate_test.go
+++ b/core/bergamotqueue/gate_test.go
@@ -32,6 +32,16 @@
 	return g, c
 }
 
+// ask lets a new job that the gate must take ask for a slot.
+func ask(g *bergamotqueue.Gate, workspace string, class bergamotqueue.Class, arrived time.Time) *bergamotqueue.Job {
+	j := job(workspace, 1, class, 0, arrived)
+	gomega.ExpectWithOffset(1, g.Ask(j)).To(gomega.Succeed())
+	return j
+}
+
+// slow is one slot that takes a millisecond for a token.
+var slow = bergamotqueue.Pace{Slots: 1, Token: time.Millisecond, Margin: 1}
+
 // state returns "run", "wait" or the error of a job.
 func state(g *bergamotqueue.Gate, j *bergamotqueue.Job) string {
 	select {
@@ -109,25 +119,19 @@
 		g, _ := newGate(100, pace)
 		var long []*bergamotqueue.Job
 		for range 4 {
-			j := job("a", 1, bergamotqueue.ClassLong, 0, start)
-			gomega.Expect(g.Ask(j)).To(gomega.Succeed())
-			long = append(long, j)
+			long = append(long, ask(g, "a", bergamotqueue.ClassLong, start))
 		}
 		gomega.Expect([]string{state(g, long[1]), state(g, long[2])}).To(gomega.Equal([]string{"run", "wait"}))
-		short := job("b", 1, bergamotqueue.ClassShort, 0, start)
-		gomega.Expect(g.Ask(short)).To(gomega.Succeed())
+		short := ask(g, "b", bergamotqueue.ClassShort, start)
 		gomega.Expect(state(g, short)).To(gomega.Equal("run"))
 	})
 
 	// Guards against long work that never runs while short work keeps coming.
 	ginkgo.It("serves a long job that has aged before short ones", func() {
-		g, c := newGate(100, bergamotqueue.Pace{Slots: 1, Token: time.Millisecond, Margin: 1})
-		first, long := job("a", 1, bergamotqueue.ClassShort, 0, start), job("a", 1, bergamotqueue.ClassLong, 0, start)
-		gomega.Expect(g.Ask(first)).To(gomega.Succeed())
-		gomega.Expect(g.Ask(long)).To(gomega.Succeed())
+		g, c := newGate(100, slow)
+		first, long := ask(g, "a", bergamotqueue.ClassShort, start), ask(g, "a", bergamotqueue.ClassLong, start)
 		c.Advance(11 * time.Second)
-		short := job("b", 1, bergamotqueue.ClassShort, 0, c.Now())
-		gomega.Expect(g.Ask(short)).To(gomega.Succeed())
+		short := ask(g, "b", bergamotqueue.ClassShort, c.Now())
 		g.Leave(first, 10)
 		gomega.Expect([]string{state(g, long), state(g, short)}).To(gomega.Equal([]string{"run", "wait"}))
 	})
@@ -146,9 +150,8 @@
 
 	// Guards against a start after the latest time when the estimate of the wait was too short.
 	ginkgo.It("drops a waiting job whose latest time has passed", func() {
-		g, c := newGate(100, bergamotqueue.Pace{Slots: 1, Token: time.Millisecond, Margin: 1})
-		first := job("a", 1, bergamotqueue.ClassShort, 0, start)
-		gomega.Expect(g.Ask(first)).To(gomega.Succeed())
+		g, c := newGate(100, slow)
+		first := ask(g, "a", bergamotqueue.ClassShort, start)
 		hasty := bergamotqueue.NewJob(bergamotqueue.Spec{Workspace: "a", Weight: 1, Cost: 10, Arrived: start, Latest: start.Add(time.Second)})
 		gomega.Expect(g.Ask(hasty)).To(gomega.Succeed())
 		c.Advance(2 * time.Second)
@@ -162,9 +165,7 @@
 		g, _ := newGate(10, pace)
 		var jobs []*bergamotqueue.Job
 		for range 14 {
-			j := job("large", 1, bergamotqueue.ClassShort, 0, start)
-			gomega.Expect(g.Ask(j)).To(gomega.Succeed())
-			jobs = append(jobs, j)
+			jobs = append(jobs, ask(g, "large", bergamotqueue.ClassShort, start))
 		}
 		gomega.Expect(g.Ask(job("large", 1, bergamotqueue.ClassShort, 0, start))).To(gomega.MatchError(bergamotqueue.ErrFull))
 		gomega.Expect(g.Ask(job("small", 1, bergamotqueue.ClassShort, 0, start))).To(gomega.Succeed())
@@ -174,7 +175,7 @@
 
 	// Guards against a slot that is lost, or given twice, when a caller disconnects while it is granted.
 	ginkgo.It("takes a disconnected caller out of the queue", func() {
-		g, _ := newGate(100, bergamotqueue.Pace{Slots: 1, Token: time.Millisecond, Margin: 1})
+		g, _ := newGate(100, slow)
 		first := job("a", 1, bergamotqueue.ClassShort, 0, start)
 		gomega.Expect(g.Enter(context.Background(), first)).To(gomega.Succeed())
 		ctx, cancel := context.WithCancel(context.Background())
