Use the shared bundle head in two more test packages

Cause: the front end and the placement specs still spelled it out.

`go test` of the two packages passed.

--- a/io/bergamotfront/suite_test.go
+++ b/io/bergamotfront/suite_test.go
@@ -35,22 +35,14 @@
 func (fixedClock) Now() time.Time { return time.Unix(1000, 0) }
 
 func testBundle() *bergamotbundle.Bundle {
-	b, err := bergamotbundle.Parse("test", fmt.Appendf(nil, `[bundle]
-version = 1
-[model care]
+	return bergamottest.Bundle(bergamottest.BundleHead + fmt.Sprintf(`[model care]
 layers = 2
 [pipeline shop/advice]
 model = care
-[operator mari]
-key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 [workspace kitchen]
 keys = %s
 pipelines = *
 `, bergamotbundle.HashKey(testKey)))
-	if err != nil {
-		panic(err) // The text is fixed.
-	}
-	return b
 }
 
 // answer is a last handler that gives tokens and then an error.
