--- a/core/bergamotcontrol/placement_test.go
+++ b/core/bergamotcontrol/placement_test.go
@@ -9,20 +9,19 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlease"
-	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamotmemory"
+	"bergamotspur/core/bergamottest"
 )
 
 var errDown = errors.New("down")
 
 // platform is table, weight store and engines in one, each of which can fail.
 type platform struct {
-	row     bergamotstore.Row
-	down    bool
+	*bergamotmemory.Store
 	wait    time.Duration
 	reserve func()
 	orders  []int64
@@ -32,24 +31,6 @@
 	lose    bool // the next order takes effect, its reply is lost
 }
 
-func (p *platform) Read(context.Context, string) (bergamotstore.Row, error) {
-	if p.down {
-		return bergamotstore.Row{}, errDown
-	}
-	return p.row, nil
-}
-
-func (p *platform) CompareAndSet(_ context.Context, key string, revision int64, value []byte) (bergamotstore.Row, bool, error) {
-	if p.down {
-		return bergamotstore.Row{}, false, errDown
-	}
-	if p.row.Revision() != revision {
-		return p.row, false, nil
-	}
-	p.row = bergamotstore.NewRow(key, revision+1, value)
-	return p.row, true, nil
-}
-
 func (p *platform) Reserve(context.Context, int) (time.Duration, error) {
 	if p.reserve != nil {
 		p.reserve()
@@ -93,9 +74,8 @@
 		Engine: p, Weights: p, Clock: e.clock, Renew: 3 * time.Second, Period: time.Second, Settle: 2 * time.Second,
 		Loading: time.Minute, Loads: 2, Report: func(error) {}, Count: func(name string) { e.count[name]++ },
 	}
-	text := "[bundle]\nversion = 1\n[operator o]\nkey = " + strings.Repeat("A", 43) + "=\n[model m]\nlayers = 8\nversion = " + version + "\n[pipeline p]\nmodel = m\nreplicas = 3\n"
-	b, err := bergamotbundle.Parse("test", []byte(text))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	text := bergamottest.BundleHead + "[model m]\nlayers = 8\nversion = " + version + "\n[pipeline p]\nmodel = m\nreplicas = 3\n"
+	b := bergamottest.Bundle(text)
 	e.state.SetBundle(b)
 	return e
 }
@@ -128,7 +108,7 @@
 }
 
 func newPlatform() *platform {
-	return &platform{held: map[string][]bergamotfleet.Holding{}, highest: map[string]int64{}}
+	return &platform{Store: bergamotmemory.NewStore(), held: map[string][]bergamotfleet.Holding{}, highest: map[string]int64{}}
 }
 
 var _ = ginkgo.Describe("Placement", func() {
@@ -169,7 +149,7 @@
 		p := newPlatform()
 		e := newEntry("x", p)
 		e.passes(10)
-		p.down = true
+		p.Outage = []string{bergamotmemory.Any}
 		e.passes(10)
 		p.held["b"] = nil
 		orders := len(p.orders)
@@ -177,7 +157,7 @@
 			e.pass(2 * time.Minute)
 		}
 		gomega.Expect(p.orders).To(gomega.HaveLen(orders))
-		p.down = false
+		p.Outage = nil
 		e.passes(20)
 		gomega.Expect(p.held["b"]).To(gomega.HaveLen(1))
 	})
--- a/core/bergamotfilter/claim_test.go
+++ b/core/bergamotfilter/claim_test.go
@@ -9,27 +9,22 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotclaim"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotmemory"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotretry"
-	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 )
 
-const callBundle = `[bundle]
-version = 1
-[service pickup]
+const callBundle = bergamottest.BundleHead + `[service pickup]
 once = book
 repeat = look
 ask = outcome
-[operator mari]
-key = 11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
 [workspace kitchen]
 keys = 0000000000000000000000000000000000000000000000000000000000000000
 services = *
@@ -38,7 +33,7 @@
 // rig is the claim filter and the call handler over a table in memory and a scripted service.
 type rig struct {
 	clock   *bergamotclock.Virtual
-	rows    map[string]bergamotstore.Row
+	store   *bergamotmemory.Store
 	script  []func(ctx context.Context) error // what each attempt does; the service runs the call on a nil error
 	sent    []string                          // addresses in the order of the attempts
 	asked   []string
@@ -49,30 +44,15 @@
 }
 
 func newRig() *rig {
-	g := &rig{clock: bergamotclock.NewVirtual(time.Unix(0, 0)), rows: map[string]bergamotstore.Row{}, reserve: 100}
+	g := &rig{clock: bergamotclock.NewVirtual(time.Unix(0, 0)), store: bergamotmemory.NewStore(), reserve: 100}
 	g.claims = &bergamotclaim.Claims{
-		Table: g, Clock: g.clock, Counter: g, Timeout: time.Hour, Margin: time.Second, Limit: 1000,
+		Table: g.store, Clock: g.clock, Counter: bergamottest.NoCounter{}, Timeout: time.Hour, Margin: time.Second, Limit: 1000,
 		Attempt: func() string { return "a-" + strings.Repeat("i", len(g.sent)+1) },
 	}
 	g.claims.Init()
 	return g
 }
 
-func (g *rig) Count(string) {}
-
-func (g *rig) Read(_ context.Context, key string) (bergamotstore.Row, error) { return g.rows[key], nil }
-
-func (g *rig) CompareAndSet(ctx context.Context, key string, revision int64, value []byte) (bergamotstore.Row, bool, error) {
-	if ctx.Err() != nil {
-		return bergamotstore.Row{}, false, ctx.Err()
-	}
-	if row := g.rows[key]; row.Revision() != revision {
-		return row, false, nil
-	}
-	g.rows[key] = bergamotstore.NewRow(key, revision+1, value)
-	return g.rows[key], true, nil
-}
-
 func (g *rig) Call(ctx context.Context, address, _ string, _ *bergamotrequest.Request) (reply bergamotrequest.Reply, err error) {
 	g.sent = append(g.sent, address)
 	if n := len(g.sent) - 1; n < len(g.script) {
@@ -95,8 +75,7 @@
 
 // do sends a call and returns its refusal, nil when it was answered.
 func (g *rig) do(ctx context.Context, call, idem string) *bergamotrequest.Refusal {
-	b, err := bergamotbundle.Parse("b", []byte(callBundle))
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b := bergamottest.Bundle(callBundle)
 	fleet := bergamotfleet.NewFleet([]bergamotfleet.Instance{
 		bergamotfleet.NewInstance(bergamotfleet.Spec{Name: "p1", Address: "1", Role: "pickup"}),
 		bergamotfleet.NewInstance(bergamotfleet.Spec{Name: "p2", Address: "2", Role: "pickup"}),
@@ -107,33 +86,31 @@
 		Clock: g.clock, Workspaces: budget, Targets: &bergamotretry.Budget{Clock: g.clock, Reserve: 100, Window: time.Second, Limit: 10},
 		Backoff: &bergamotretry.Backoff{Rand: func() float64 { return 0 }},
 	}
-	dispatch := &bergamotfilter.Call{Caller: g, Counter: g, Clock: g.clock, Retries: retries}
+	dispatch := &bergamotfilter.Call{Caller: g, Counter: bergamottest.NoCounter{}, Clock: g.clock, Retries: retries}
 	chain := bergamotchain.NewChain(
 		bergamotchain.HandlerFunc(func(ctx context.Context, x *bergamotchain.Exchange) error {
 			g.clock.Advance(g.pause)
 			return dispatch.Handle(ctx, x)
 		}),
-		&bergamotfilter.Recover{Counter: g, Report: func(string, any) {}}, bergamotfilter.Resolve{},
+		&bergamotfilter.Recover{Counter: bergamottest.NoCounter{}, Report: func(string, any) {}}, bergamotfilter.Resolve{},
 		&bergamotfilter.Deadline{Clock: g.clock},
 		&bergamotfilter.Claim{Claims: g.claims, Asker: g, Clock: g.clock},
 	)
-	r, err := bergamotrequest.New(bergamotrequest.Spec{
+	r := bergamottest.Request(bergamotrequest.Spec{
 		ID: "r", Kind: bergamotrequest.KindService, Service: "pickup", Call: call, Idem: idem,
 		Arrival: g.clock.Now(), Deadline: time.Hour,
 	})
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	x := bergamotchain.NewExchange(r, bergamotcontrol.NewView(g.clock.Now(), b, fleet), g)
 	w, _ := b.Workspace("kitchen")
 	x.SetWorkspace(w)
-	if err = chain.Handle(ctx, x); err != nil {
+	if err := chain.Handle(ctx, x); err != nil {
 		return bergamotrequest.AsRefusal(err)
 	}
 	return nil
 }
 
 func (g *rig) state() bergamotclaim.State {
-	record, err := bergamotclaim.DecodeRecord(g.rows[bergamotclaim.RowKey("kitchen", "k")].Value())
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	record := bergamottest.Must(bergamotclaim.DecodeRecord(g.store.Row(bergamotclaim.RowKey("kitchen", "k")).Value()))
 	return record.State()
 }
 
@@ -171,7 +148,7 @@
 		gomega.Expect(g.sent).To(gomega.HaveLen(c.sent))
 		gomega.Expect(g.sent).NotTo(gomega.ContainElement("3"))
 		if c.state == "" {
-			gomega.Expect(g.rows).To(gomega.BeEmpty())
+			gomega.Expect(g.store.Writes()).To(gomega.BeZero())
 		} else {
 			gomega.Expect(g.state()).To(gomega.Equal(c.state))
 		}
@@ -179,8 +156,7 @@
 			gomega.Expect(refusal).To(gomega.BeNil())
 			return
 		}
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.reason))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(c.run))
+		bergamottest.ExpectRefusal(refusal, c.reason, c.run)
 	})
 
 	// Guards against a call that is cut off, or an outcome that is lost, when its caller disconnects or the listener is
@@ -204,8 +180,7 @@
 		g := newRig()
 		g.pause = 2 * time.Hour // the timer of the context does not fire, as right after a pause of the process
 		refusal := g.do(context.Background(), "book", "k")
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(bergamotrequest.ReasonDeadline))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(refusal, bergamotrequest.ReasonDeadline, bergamotrequest.RunNo)
 		gomega.Expect(g.sent).To(gomega.BeEmpty())
 		gomega.Expect(g.state()).To(gomega.Equal(bergamotclaim.StateFree))
 	})
--- a/core/bergamotfilter/queue_test.go
+++ b/core/bergamotfilter/queue_test.go
@@ -51,17 +51,11 @@
 	})
 }
 
-// discard takes every token.
-type discard struct{}
-
-func (discard) Token(context.Context, bergamotrequest.Token) error { return nil }
-func (discard) Reply(context.Context, bergamotrequest.Reply) error { return nil }
-
 func sinkExchange(change func(s *bergamotrequest.Spec)) *bergamotchain.Exchange {
 	spec := baseSpec()
 	change(&spec)
 	x := newExchange(spec)
-	x.SetSink(discard{})
+	x.SetSink(bergamottest.Discard{})
 	return x
 }
 
@@ -111,9 +105,7 @@
 			gomega.Eventually(func() int { return q.Waiting("care") }).Should(gomega.Equal(1))
 			cancel()
 		}
-		refusal := bergamotrequest.AsRefusal(<-done)
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.want))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(<-done, c.want, bergamotrequest.RunNo)
 		gomega.Expect(ran).To(gomega.BeFalse())
 		gomega.Expect(q.Waiting("care")).To(gomega.BeZero())
 		close(release)
@@ -167,8 +159,7 @@
 			return
 		}
 		refusal := bergamotrequest.AsRefusal(err)
-		gomega.Expect(refusal.Reason()).To(gomega.Equal(c.want))
-		gomega.Expect(refusal.Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(refusal, c.want, bergamotrequest.RunNo)
 		gomega.Expect(refusal.After()).To(gomega.BeNumerically(">", 0))
 	})
 })
--- a/core/bergamotfilter/resolve_test.go
+++ b/core/bergamotfilter/resolve_test.go
@@ -41,24 +41,20 @@
 	}, func(c resolveCase) {
 		spec := baseSpec()
 		c.change(&spec)
-		called := false
-		h := bergamotchain.NewChain(reached(&called), bergamotfilter.Identify{}, bergamotfilter.Resolve{})
-		err := h.Handle(context.Background(), newExchange(spec))
+		called, err := pass(newExchange(spec))
 		if c.reason == "" {
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(called).To(gomega.BeTrue())
 			return
 		}
 		gomega.Expect(called).To(gomega.BeFalse())
-		gomega.Expect(bergamotrequest.AsRefusal(err).Reason()).To(gomega.Equal(c.reason))
-		gomega.Expect(bergamotrequest.AsRefusal(err).Run()).To(gomega.Equal(bergamotrequest.RunNo))
+		bergamottest.ExpectRefusal(err, c.reason, bergamotrequest.RunNo)
 	})
 
 	ginkgo.It("reject every request before a bundle is in force", func() {
-		r, err := bergamotrequest.New(baseSpec())
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		r := bergamottest.Request(baseSpec())
 		view := newView(nil)
-		err = bergamotfilter.Identify{}.Filter(context.Background(), bergamotchain.NewExchange(r, view, nil), nil)
+		err := bergamotfilter.Identify{}.Filter(context.Background(), bergamotchain.NewExchange(r, view, nil), nil)
 		gomega.Expect(bergamotrequest.AsRefusal(err).Reason()).To(gomega.Equal(bergamotrequest.ReasonBundle))
 	})
 })
--- a/core/bergamotplacement/placement_test.go
+++ b/core/bergamotplacement/placement_test.go
@@ -12,23 +12,20 @@
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotplacement"
+	"bergamotspur/core/bergamottest"
 )
 
 // bundle returns a bundle with models of the given layers, each with a pipeline of that many replicas; the first
 // also has one with an adapter.
 func bundle(version string, replicas int, layers ...int) *bergamotbundle.Bundle {
 	var text strings.Builder
-	text.WriteString("[bundle]\nversion = 1\n[operator o]\nkey = " + strings.Repeat("A", 43) + "=\n")
+	text.WriteString(bergamottest.BundleHead)
 	for n, l := range layers {
 		fmt.Fprintf(&text, "[model m%d]\nversion = %s\nlayers = %d\n", n, version, l)
 		fmt.Fprintf(&text, "[pipeline p%d]\nmodel = m%d\nreplicas = %d\n", n, n, replicas)
 	}
 	text.WriteString("[adapter a]\nmodel = m0\n[pipeline a]\nmodel = m0\nadapter = a\n")
-	b, err := bergamotbundle.Parse("test", []byte(text.String()))
-	if err != nil {
-		panic(err)
-	}
-	return b
+	return bergamottest.Bundle(text.String())
 }
 
 func runner(name string, memory int, h ...bergamotfleet.Holding) bergamotfleet.Instance {
