Check the hint about a dead target instead of its short mark

Cause: 'go test ./io/bergamotentry' failed once in a full run, 'give no new work to a target that one of them saw leave or die', at the wait for both other entries to mark the runner at the same moment. The trace: the other two entries reach the runner, and their own probe, every 100 ms, lifts the mark, which the design allows ('the own probe corrects dead'). Ruled out: a lost hint; the hint itself lives for 30 s and was in the picture of members. Change: the spec waits for the hint in the picture of each entry. That a hint stops new work, and that only a later own probe lifts it, stays proved by the specs of Members in core/bergamotcontrol.

--- a/io/bergamotentry/members_test.go
+++ b/io/bergamotentry/members_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotmember"
 	"bergamotspur/io/bergamotfake"
 	"bergamotspur/io/bergamotlist"
 )
@@ -74,7 +75,10 @@
 		for _, n := range nodes {
 			eventually(n.usable).WithArguments("till").Should(gomega.BeFalse())
 		}
-		eventually(func() bool { return nodes[1].hinted("runner") && nodes[2].hinted("runner") }).Should(gomega.BeTrue())
+		// The others reach the runner, and their own probe lifts the mark within a probe period; the hint stays.
+		for _, n := range nodes[1:] {
+			eventually(n.told).WithArguments("runner").Should(gomega.Equal(bergamotmember.Dead))
+		}
 	})
 
 	// Guards against an entry of another authority that learns or spreads anything.
@@ -139,8 +143,7 @@
 	})
 })
 
-// hinted tells whether n heard from others that a target left or died.
-func (n *node) hinted(target string) bool {
-	i, ok := n.View().Fleet().Instance(target)
-	return ok && i.Hinted()
+// told returns the state in which others described a target.
+func (n *node) told(target string) bergamotmember.State {
+	return n.View().Members().Targets()[target].State()
 }
