Bound the time of a control task

Cause: only one task of a name runs at a time, and lease steps, commands to engines and reservations at the weight store had no time limit: on a silent connection the task never ended and none of its name started again. Ruled out: a limit in each adapter, which the next adapter would lack again. Change: the loop ends each task after 15 s, longer than the longest one (a fetch of a text, 10 s). Result: the new spec of Loop times out without the limit and passes with it.

--- a/core/bergamotcontrol/loop.go
+++ b/core/bergamotcontrol/loop.go
@@ -1,6 +1,7 @@
 package bergamotcontrol
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,8 @@
 	// A controller whose time has passed but that cannot act yet must not make the loop spin.
 	minWait = 5 * time.Millisecond
 	maxWait = time.Second // a view is at most this old
+	// taskTime bounds a task when Timeout is not set; the longest one, a fetch of a bundle text, gives up after 10 s.
+	taskTime = 15 * time.Second
 )
 
 // Clock tells the time and wakes the loop.
@@ -28,7 +31,8 @@
 	Clock       Clock
 	Period      time.Duration // time between two passes for controllers that are no Scheduler
 	Controllers []Controller
-	Drops       func() // called when an event is dropped because the inbox is full
+	Timeout     time.Duration // longest time of a task, 15 s when it is 0
+	Drops       func()        // called when an event is dropped because the inbox is full
 
 	inbox chan Event
 	done  chan result
@@ -91,7 +95,12 @@
 		return
 	}
 	running[t.name] = true
-	go func() { l.done <- result{name: t.name, event: t.run(ctx)} }()
+	go func() {
+		// A task that waits on a silent connection for good would keep all later ones of its name from starting.
+		bounded, cancel := context.WithTimeout(ctx, cmp.Or(l.Timeout, taskTime))
+		defer cancel()
+		l.done <- result{name: t.name, event: t.run(bounded)}
+	}()
 }
 
 // wait blocks for one input or the period, then takes all other inputs that are ready.
--- a/core/bergamotcontrol/loop_test.go
+++ b/core/bergamotcontrol/loop_test.go
@@ -89,6 +89,22 @@
 		close(release)
 	})
 
+	// Guards against a task on a silent connection that keeps all later ones of its name from starting, such as the
+	// renewal of the lease.
+	ginkgo.It("ends a task that gets no answer and starts it again", func() {
+		var starts atomic.Int32
+		l := newLoop(controllerFunc(func(*bergamotcontrol.State) []bergamotcontrol.Task {
+			return []bergamotcontrol.Task{bergamotcontrol.NewTask("silent", func(ctx context.Context) bergamotcontrol.Event {
+				starts.Add(1)
+				<-ctx.Done()
+				return nil
+			})}
+		}))
+		l.Timeout = time.Millisecond
+		defer run(l)()
+		gomega.Eventually(starts.Load).Should(gomega.BeNumerically(">", 1))
+	})
+
 	// Guards against traffic that blocks when the control goroutine is busy.
 	ginkgo.It("drops events instead of blocking when the inbox is full", func() {
 		drops := 0
