Use the field's terms for injected faults and the text handler

Cause: 'fate' and 'giver' are names of our own; the usual terms are fault and handler. Ruled out: keeping fate beside fault, one name for one thing.

--- a/core/bergamotclaim/claims_test.go
+++ b/core/bergamotclaim/claims_test.go
@@ -44,13 +44,13 @@
 	// must be true, and a repeat must not run the call a second time.
 	bergamottest.Entries(map[string]struct{ run func(w *world) }{
 		"recognise an own claim whose reply was lost": {func(w *world) {
-			w.fail(fateLost)
+			w.fail(faultLost)
 			w.claim(w.a).Done(ctx, answer("B1"))
 			gomega.Expect(w.store.Calls(bergamotmemory.Swap)).To(gomega.Equal(2))
 			w.replayed(w.b, "B1")
 		}},
 		"recognise an own claim that took effect after the read": {func(w *world) {
-			w.fail(fateLate)
+			w.fail(faultLate)
 			w.onOp = func(_ context.Context, op string) {
 				if op == "swap" {
 					w.store.Deliver() // the first copy arrives just before the second
@@ -62,7 +62,7 @@
 		}},
 		"recognise an own conclusion whose reply was lost": {func(w *world) {
 			claim := w.claim(w.a)
-			w.fail(fateLost)
+			w.fail(faultLost)
 			claim.Done(ctx, answer("B1"))
 			gomega.Expect(w.store.Calls(bergamotmemory.Swap)).To(gomega.Equal(2))
 			gomega.Expect(w.a.Waiting()).To(gomega.BeZero())
@@ -70,23 +70,23 @@
 		}},
 		"recognise an own release whose reply was lost": {func(w *world) {
 			claim := w.claim(w.a)
-			w.fail(fateLost)
+			w.fail(faultLost)
 			claim.Release(ctx)
 			gomega.Expect(w.store.Calls(bergamotmemory.Swap)).To(gomega.Equal(2))
 			w.claim(w.b)
 		}},
 		"refuse without a run when the table is down": {func(w *world) {
-			w.fail(fateDown, fateDown)
+			w.fail(faultDown, faultDown)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			w.claim(w.b)
 		}},
 		"refuse without a run when the table rejects the claim": {func(w *world) {
-			w.fail(fateReject)
+			w.fail(faultReject)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			gomega.Expect(w.a.Waiting()).To(gomega.BeZero())
 		}},
 		"free a claim that took effect before the table went down": {func(w *world) {
-			w.fail(fateLost, fateDown)
+			w.fail(faultLost, faultDown)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			gomega.Expect(w.state()).To(gomega.Equal(bergamotclaim.StateClaimed))
 			w.refused(w.b, nil, bergamotrequest.ReasonProgress, runUnknown)
@@ -94,7 +94,7 @@
 			w.claim(w.b)
 		}},
 		"take over an own claim that was never dispatched": {func(w *world) {
-			w.fail(fateLost, fateDown)
+			w.fail(faultLost, faultDown)
 			w.refused(w.a, nil, bergamotrequest.ReasonTable, runNo)
 			claim := w.claim(w.a)
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue()) // the queued release must not free the new claim
@@ -104,7 +104,7 @@
 		}},
 		"not free a later claim by a release that was written late": {func(w *world) {
 			claim := w.claim(w.a)
-			w.fail(fateDown, fateDown)
+			w.fail(faultDown, faultDown)
 			claim.Release(ctx)
 			w.claim(w.a)
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue())
@@ -118,14 +118,14 @@
 			w.claim(w.b)
 		}},
 		"release a claim whose reply was lost when the deadline passed": {func(w *world) {
-			w.fail(fateLost)
+			w.fail(faultLost)
 			w.onOp = func(context.Context, string) { w.clock.Advance(2 * granted) }
 			w.refused(w.a, nil, bergamotrequest.ReasonDeadline, runNo)
 			gomega.Expect(w.state()).To(gomega.Equal(bergamotclaim.StateFree))
 		}},
 		"keep the answer while the table is down": {func(w *world) {
 			claim := w.claim(w.a)
-			w.fail(fateDown, fateDown)
+			w.fail(faultDown, faultDown)
 			claim.Done(ctx, answer("B1"))
 			w.replayed(w.a, "B1")
 			w.refused(w.b, nil, bergamotrequest.ReasonProgress, runUnknown)
@@ -134,7 +134,7 @@
 		}},
 		"write a conclusion once when its first copy arrives late": {func(w *world) {
 			claim := w.claim(w.a)
-			w.fail(fateLate)
+			w.fail(faultLate)
 			claim.Done(ctx, answer("B1"))
 			w.store.Deliver()
 			gomega.Expect(w.store.Writes()).To(gomega.Equal(2))
@@ -149,14 +149,14 @@
 		}},
 		"store an answer as an object when the table finds it too large": {func(w *world) {
 			claim := w.claim(w.a)
-			w.fail(fateReject)
+			w.fail(faultReject)
 			claim.Done(ctx, answer("B1"))
 			gomega.Expect(w.store.Objects()).To(gomega.HaveLen(1))
 			w.replayed(w.b, "B1")
 		}},
 		"conclude nothing while the object store is down": {func(w *world) {
 			claim := w.claim(w.a)
-			w.fail(fateDown)
+			w.fail(faultDown)
 			claim.Done(ctx, answer(strings.Repeat("x", limit+1)))
 			gomega.Expect(w.state()).To(gomega.Equal(bergamotclaim.StateClaimed))
 			w.replayed(w.a, strings.Repeat("x", limit+1))
@@ -165,7 +165,7 @@
 		}},
 		"tell that a call ran whose object cannot be read": {func(w *world) {
 			w.claim(w.a).Done(ctx, answer(strings.Repeat("x", limit+1)))
-			w.fail(fateOK, fateDown)
+			w.fail(faultOK, faultDown)
 			w.refused(w.b, nil, bergamotrequest.ReasonObject, runYes)
 		}},
 		"refuse an object that was damaged": {func(w *world) {
@@ -226,13 +226,13 @@
 		}},
 		"write small answers while a large one waits for the object store": {func(w *world) {
 			first := w.claim(w.a)
-			w.fail(fateDown)
+			w.fail(faultDown)
 			first.Done(ctx, answer(strings.Repeat("x", limit+1)))
 			call := bergamotclaim.NewCall("kitchen", newRequest("r", "other", "slot"), w.clock.Now().Add(granted))
 			second, _, _ := w.a.Begin(ctx, call, nil)
-			w.fail(fateDown, fateDown)
+			w.fail(faultDown, faultDown)
 			second.Done(ctx, answer("B2"))
-			w.fail(fateDown)
+			w.fail(faultDown)
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeFalse())
 			gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue())
 			gomega.Expect(w.a.Waiting()).To(gomega.Equal(1))
--- a/core/bergamotclaim/generated_test.go
+++ b/core/bergamotclaim/generated_test.go
@@ -51,14 +51,14 @@
 		t.Skip("no process")
 	}
 	p := rapid.SampledFrom(m.processes).Draw(t, "process")
-	fates := []fate{fateOK, fateOK, fateOK, fateDown, fateLost, fateLate}
+	faults := []fault{faultOK, faultOK, faultOK, faultDown, faultLost, faultLate}
 	switch p.op {
 	case "call":
-		fates = append(fates, fateReject)
+		faults = append(faults, faultReject)
 	case "swap":
-		fates = append(fates, fateDouble)
+		faults = append(faults, faultDouble)
 	}
-	p.next(rapid.SampledFrom(fates).Draw(t, "fate of "+p.op))
+	p.next(rapid.SampledFrom(faults).Draw(t, "fault of "+p.op))
 }
 
 // drawFinish lets one process go on to its end without a fault.
@@ -68,7 +68,7 @@
 		t.Skip("no process")
 	}
 	for p := rapid.SampledFrom(m.processes).Draw(t, "process"); !p.ended; {
-		p.next(fateOK)
+		p.next(faultOK)
 	}
 }
 
@@ -167,7 +167,7 @@
 	e.killed = true
 	for _, p := range m.processes {
 		if p.entry == e && !p.ended {
-			p.next(fateOK)
+			p.next(faultOK)
 		}
 	}
 	m.reap()
--- a/core/bergamotclaim/model_test.go
+++ b/core/bergamotclaim/model_test.go
@@ -139,14 +139,14 @@
 	body := r.ID() + strings.Repeat(".", len(m.journal)%2*20)
 	apply := func() { m.journal = append(m.journal, run{name: name, id: r.ID(), answer: body}) }
 	switch f {
-	case fateOK:
+	case faultOK:
 		apply()
 		return bergamotrequest.NewReply(200, "text/plain", []byte(body)), nil
-	case fateLost:
+	case faultLost:
 		apply()
-	case fateLate:
+	case faultLate:
 		m.late = append(m.late, apply)
-	case fateReject:
+	case faultReject:
 		return reply, bergamotfilter.ErrNotSent
 	}
 	return reply, bergamotmemory.ErrNoReply
@@ -154,7 +154,7 @@
 
 // Ask is the service's word on whether a call ran, which is true at the time of the answer.
 func (m *model) Ask(ctx context.Context, _, _, name string) (ran bool, err error) {
-	if stop(ctx, "ask") != fateOK {
+	if stop(ctx, "ask") != faultOK {
 		return false, bergamotmemory.ErrNoReply
 	}
 	return m.ran(name), nil
--- a/core/bergamotclaim/queue_test.go
+++ b/core/bergamotclaim/queue_test.go
@@ -42,7 +42,7 @@
 	// Guards against a caller that waits for a table that does not answer, beyond its deadline.
 	ginkgo.It("is left to the queue once the deadline has passed", func() {
 		w := newWorld()
-		w.fail(fateLost)
+		w.fail(faultLost)
 		ended, cancel := context.WithCancel(ctx)
 		w.onOp = func(context.Context, string) { cancel() }
 		call := bergamotclaim.NewCall("kitchen", newRequest("r", "k", "slot"), w.clock.Now().Add(granted))
@@ -59,7 +59,7 @@
 		w := newWorld()
 		w.a.Memory = 1
 		claim := w.claim(w.a)
-		w.fail(fateDown, fateDown)
+		w.fail(faultDown, faultDown)
 		claim.Done(ctx, answer("B1"))
 		w.refused(w.a, nil, bergamotrequest.ReasonUnknown, runYes)
 		gomega.Expect(w.a.Step(ctx)).To(gomega.BeTrue())
@@ -70,10 +70,10 @@
 	ginkgo.It("is kept over a restart of Run", func() {
 		w := newWorld()
 		claim := w.claim(w.a)
-		w.fail(fateDown, fateDown)
+		w.fail(faultDown, faultDown)
 		claim.Done(ctx, answer("B1"))
 		gomega.Expect(w.a.Waiting()).To(gomega.Equal(1))
-		w.fail(fateDown, fateDown)
+		w.fail(faultDown, faultDown)
 		first, stop := context.WithCancel(ctx)
 		w.onOp = func(context.Context, string) { stop() } // the part ends in the middle of a write
 		gomega.Expect(w.a.Run(first)).To(gomega.MatchError(context.Canceled))
@@ -93,7 +93,7 @@
 	ginkgo.It("is kept over a panic of Run under a supervisor", func() {
 		w := newWorld()
 		claim := w.claim(w.a)
-		w.fail(fateDown, fateDown)
+		w.fail(faultDown, faultDown)
 		claim.Done(ctx, answer("B1"))
 		gomega.Expect(w.a.Waiting()).To(gomega.Equal(1))
 		panics := 0
--- a/core/bergamotclaim/scheduler_test.go
+++ b/core/bergamotclaim/scheduler_test.go
@@ -10,7 +10,7 @@
 type process struct {
 	entry   *entryModel
 	op      string // operation at which the process stands
-	resume  chan fate
+	resume  chan fault
 	stopped chan struct{} // the process stands at an operation or has ended
 	ended   bool
 	queue   bool // it writes a queued conclusion
@@ -20,10 +20,10 @@
 type processKey struct{}
 
 // stop waits at an operation; a process whose entry was killed goes no further.
-func stop(ctx context.Context, op string) fate {
+func stop(ctx context.Context, op string) fault {
 	p, ok := ctx.Value(processKey{}).(*process)
 	if !ok {
-		return fateOK // the test itself
+		return faultOK // the test itself
 	}
 	if p.entry.killed {
 		runtime.Goexit()
@@ -39,7 +39,7 @@
 
 // spawn starts a process and waits until it stands at its first operation.
 func spawn(e *entryModel, run func(ctx context.Context)) *process {
-	p := &process{entry: e, resume: make(chan fate), stopped: make(chan struct{})}
+	p := &process{entry: e, resume: make(chan fault), stopped: make(chan struct{})}
 	go func() {
 		defer func() {
 			p.ended = true
@@ -51,8 +51,8 @@
 	return p
 }
 
-// next lets the process go on with a fate for its operation until it stops again.
-func (p *process) next(f fate) {
+// next lets the process go on with a fault for its operation until it stops again.
+func (p *process) next(f fault) {
 	p.resume <- f
 	<-p.stopped
 }
--- a/core/bergamotclaim/settle_test.go
+++ b/core/bergamotclaim/settle_test.go
@@ -52,7 +52,7 @@
 		}},
 		"recognises its own settlement whose reply was lost": {func(w *world) {
 			w.claim(w.a).Unknown(ctx)
-			w.fail(fateOK, fateOK, fateLost) // list, read, write
+			w.fail(faultOK, faultOK, faultLost) // list, read, write
 			gomega.Expect(w.settle(asRan)).To(gomega.Succeed())
 		}},
 		"succeeds when it is repeated": {func(w *world) {
@@ -84,7 +84,7 @@
 		}},
 		"tells that a write is not confirmed": {func(w *world) {
 			w.claim(w.a).Unknown(ctx)
-			w.fail(fateOK, fateOK, fateDown, fateDown) // list, read, write, read back
+			w.fail(faultOK, faultOK, faultDown, faultDown) // list, read, write, read back
 			gomega.Expect(w.settle(asRan)).To(gomega.MatchError(gomega.ContainSubstring("did not confirm")))
 		}},
 	}, func(c struct{ run func(w *world) }) { c.run(newWorld()) })
--- a/core/bergamotclaim/world_test.go
+++ b/core/bergamotclaim/world_test.go
@@ -20,15 +20,15 @@
 	limit   = 64
 )
 
-type fate = bergamotmemory.Fate
+type fault = bergamotmemory.Fault
 
 const (
-	fateOK     = bergamotmemory.OK
-	fateDown   = bergamotmemory.Down
-	fateLost   = bergamotmemory.Lost
-	fateLate   = bergamotmemory.Late
-	fateDouble = bergamotmemory.Double
-	fateReject = bergamotmemory.Reject
+	faultOK     = bergamotmemory.OK
+	faultDown   = bergamotmemory.Down
+	faultLost   = bergamotmemory.Lost
+	faultLate   = bergamotmemory.Late
+	faultDouble = bergamotmemory.Double
+	faultReject = bergamotmemory.Reject
 )
 
 // world is two entries a and b on one platform.
@@ -43,9 +43,9 @@
 func newWorld() *world {
 	w := &world{clock: bergamotclock.NewVirtual(time.Unix(0, 0)), onOp: func(context.Context, string) {}}
 	w.store = bergamotmemory.NewStore()
-	w.store.Hook = func(ctx context.Context, op string) fate {
+	w.store.Hook = func(ctx context.Context, op string) fault {
 		w.onOp(ctx, op)
-		return fateOK
+		return faultOK
 	}
 	w.a, w.b = w.entry("a"), w.entry("b")
 	return w
@@ -61,8 +61,8 @@
 	return c
 }
 
-// fail sets the fates of the next operations.
-func (w *world) fail(fates ...fate) { w.store.Plan[bergamotmemory.Any] = fates }
+// fail sets the faults of the next operations.
+func (w *world) fail(faults ...fault) { w.store.Plan[bergamotmemory.Any] = faults }
 
 func newRequest(id, key, body string) *bergamotrequest.Request {
 	return bergamottest.Request(bergamotrequest.Spec{
--- a/core/bergamotfilter/demand_test.go
+++ b/core/bergamotfilter/demand_test.go
@@ -104,8 +104,8 @@
 	c.after(time.Duration(c.random.ExpFloat64()/rate*float64(time.Second)), next)
 }
 
-// brief draws lengths from 10 to 30 tokens.
-func (c *crowd) brief() int { return 10 + c.random.IntN(21) }
+// shortLength draws lengths from 10 to 30 tokens.
+func (c *crowd) shortLength() int { return 10 + c.random.IntN(21) }
 
 func (c *crowd) submit(workspace string, tokens int) {
 	now := c.clock.Now()
--- a/core/bergamotfilter/load_test.go
+++ b/core/bergamotfilter/load_test.go
@@ -16,7 +16,7 @@
 func goodput(seed uint64, fifo bool, times float64) (c *crowd, rate float64) {
 	c = newCrowd(seed, fifo)
 	for n := range 10 {
-		c.arrivals(fmt.Sprint("w", n), times*c.bound()/20/10, c.brief)
+		c.arrivals(fmt.Sprint("w", n), times*c.bound()/20/10, c.shortLength)
 	}
 	c.run(loadTime)
 	for _, tokens := range c.served {
@@ -28,7 +28,7 @@
 // blocking has 2 % of the requests 50 times longer than the rest, at 0.9 of the capacity.
 func blocking(seed uint64, fifo bool) *crowd {
 	c := newCrowd(seed, fifo)
-	c.arrivals("w0", 0.9*c.bound()/20/1.98*0.98, c.brief)
+	c.arrivals("w0", 0.9*c.bound()/20/1.98*0.98, c.shortLength)
 	c.arrivals("w1", 0.9*c.bound()/20/1.98*0.02, func() int { return 1000 })
 	c.run(3 * loadTime)
 	return c
@@ -39,9 +39,9 @@
 func flood(seed uint64, fifo bool) float64 {
 	c := newCrowd(seed, fifo)
 	share := c.bound() / 10
-	c.arrivals("w0", 10*share/20, c.brief)
+	c.arrivals("w0", 10*share/20, c.shortLength)
 	for n := 1; n < 10; n++ {
-		c.arrivals(fmt.Sprint("w", n), 0.8*share/20, c.brief)
+		c.arrivals(fmt.Sprint("w", n), 0.8*share/20, c.shortLength)
 	}
 	c.run(loadTime)
 	sum := 0.0
@@ -58,7 +58,7 @@
 		c.paths = newWalk(c.site, "random")
 	}
 	for n := range 10 {
-		c.arrivals(fmt.Sprint("w", n), 0.9*c.bound()/20/10, c.brief)
+		c.arrivals(fmt.Sprint("w", n), 0.9*c.bound()/20/10, c.shortLength)
 	}
 	c.after(death, func() { c.kill(c.order[2]) })
 	c.run(loadTime)
--- a/core/bergamotlease/lease_test.go
+++ b/core/bergamotlease/lease_test.go
@@ -46,10 +46,10 @@
 
 	// Guards against a holder that takes a lost reply for a lost lease and leaves the fleet without a controller.
 	ginkgo.It("reads a lost reply of acquire and of renew back", func() {
-		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Lost}
+		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fault{bergamotmemory.Lost}
 		gomega.Expect(held(a).Valid(clock.Now())).To(gomega.BeTrue())
 		clock.Advance(term / 2)
-		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Lost}
+		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fault{bergamotmemory.Lost}
 		held(a)
 		clock.Advance(term / 2)
 		gomega.Expect(held(a).Number()).To(gomega.Equal(int64(1)))
@@ -58,7 +58,7 @@
 	// Guards against a term that begins when a lost write is found instead of when it was sent.
 	ginkgo.It("counts the term of a write that took effect late from when it was sent", func() {
 		store.Clock, store.Delay = clock, term-margin
-		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Late}
+		store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fault{bergamotmemory.Late}
 		gomega.Expect(held(a).Valid(clock.Now())).To(gomega.BeFalse())
 		clock.Advance(term - margin)
 		store.Outage = []string{bergamotmemory.Read}
@@ -119,7 +119,7 @@
 				delay := rapid.IntRange(0, 6).Draw(t, "delay") == 0
 				store.Plan[bergamotmemory.Swap], store.Outage = nil, nil
 				if delay {
-					store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{bergamotmemory.Late}
+					store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fault{bergamotmemory.Late}
 				}
 				if lose {
 					store.Plan[bergamotmemory.Swap] = append(store.Plan[bergamotmemory.Swap], bergamotmemory.Lost)
--- a/core/bergamotmemory/faults.go
+++ b/core/bergamotmemory/faults.go
@@ -16,15 +16,15 @@
 	Now() time.Time
 }
 
-// Faults decides the fate of each operation and keeps a journal of them. The exported fields must not be changed while
+// Faults decides the fault of each operation and keeps a journal of them. The exported fields must not be changed while
 // an operation runs on another goroutine.
 type Faults struct {
-	Plan   map[string][]Fate                         // fates of the next operations by name, OK after the last one
-	Outage []string                                  // operations that are down; they use up no fate of the plan
-	Hook   func(ctx context.Context, op string) Fate // called first at each operation, may be nil; the plan applies when it returns OK
-	Rival  func()                                    // what another writer does on Race
-	Clock  Clock                                     // of late requests, nil when they wait for Deliver
-	Delay  time.Duration                             // from the operation to the effect of a late request
+	Plan   map[string][]Fault                         // faults of the next operations by name, OK after the last one
+	Outage []string                                   // operations that are down; they use up no fault of the plan
+	Hook   func(ctx context.Context, op string) Fault // called first at each operation, may be nil; the plan applies when it returns OK
+	Rival  func()                                     // what another writer does on Race
+	Clock  Clock                                      // of late requests, nil when they wait for Deliver
+	Delay  time.Duration                              // from the operation to the effect of a late request
 
 	mu      sync.Mutex
 	journal []string
@@ -63,8 +63,8 @@
 // Deliver applies all late requests.
 func (f *Faults) Deliver() { f.deliver(func(lateRequest) bool { return true }) }
 
-// next records an operation and returns its fate. An operation whose context had ended is not sent.
-func (f *Faults) next(ctx context.Context, op string) Fate {
+// next records an operation and returns its fault. An operation whose context had ended is not sent.
+func (f *Faults) next(ctx context.Context, op string) Fault {
 	f.mu.Lock()
 	f.journal = append(f.journal, op)
 	f.mu.Unlock()
@@ -74,8 +74,8 @@
 	}
 	ended := ctx.Err() != nil
 	if f.Hook != nil {
-		if fate := f.Hook(ctx, op); fate != OK {
-			return fate
+		if fault := f.Hook(ctx, op); fault != OK {
+			return fault
 		}
 	}
 	if ended || slices.Contains(f.Outage, op) || slices.Contains(f.Outage, Any) {
@@ -90,9 +90,9 @@
 	return OK
 }
 
-// write lets a write meet its fate; apply makes it take effect.
-func (f *Faults) write(fate Fate, apply func()) error {
-	switch fate {
+// write lets a write meet its fault; apply makes it take effect.
+func (f *Faults) write(fault Fault, apply func()) error {
+	switch fault {
 	case Down:
 		return ErrNoReply
 	case Lost:
--- a/core/bergamotmemory/store.go
+++ b/core/bergamotmemory/store.go
@@ -24,7 +24,7 @@
 // NewStore returns an empty store without faults.
 func NewStore() *Store {
 	return &Store{
-		Faults: Faults{Plan: map[string][]Fate{}},
+		Faults: Faults{Plan: map[string][]Fault{}},
 		rows:   map[string]bergamotstore.Row{}, objects: map[string][]byte{},
 	}
 }
@@ -48,11 +48,11 @@
 
 // CompareAndSet writes a row of the given revision and returns the stored row, ErrNoReply or ErrRejected.
 func (s *Store) CompareAndSet(ctx context.Context, key string, revision int64, value []byte) (row bergamotstore.Row, ok bool, err error) {
-	fate := s.next(ctx, Swap)
-	if fate == Reject {
+	fault := s.next(ctx, Swap)
+	if fault == Reject {
 		return row, false, bergamotstore.ErrRejected
 	}
-	err = s.write(fate, func() { row, ok = s.swap(ctx, key, revision, value) })
+	err = s.write(fault, func() { row, ok = s.swap(ctx, key, revision, value) })
 	if err != nil {
 		return bergamotstore.Row{}, false, err
 	}
@@ -76,11 +76,11 @@
 
 // Put stores an object, or returns ErrNoReply or ErrRejected.
 func (s *Store) Put(ctx context.Context, name string, data []byte) error {
-	fate := s.next(ctx, Put)
-	if fate == Reject {
+	fault := s.next(ctx, Put)
+	if fault == Reject {
 		return bergamotstore.ErrRejected
 	}
-	return s.write(fate, func() { s.SetObject(name, data) })
+	return s.write(fault, func() { s.SetObject(name, data) })
 }
 
 // Fetch returns an object, ErrNotFound or ErrNoReply.
--- a/core/bergamotmemory/store_test.go
+++ b/core/bergamotmemory/store_test.go
@@ -16,8 +16,8 @@
 
 func TestMemory(t *testing.T) { bergamottest.Run(t, "memory") }
 
-type fateCase struct {
-	fate  bergamotmemory.Fate
+type faultCase struct {
+	fault bergamotmemory.Fault
 	err   error
 	now   string // content after the write
 	later string // content after the delay
@@ -25,7 +25,7 @@
 
 // Guards against an injected failure without effect, with which the tests of other packages would pass for nothing.
 var _ = ginkgo.Describe("a write to the store", func() {
-	bergamottest.Entries(map[string]fateCase{
+	bergamottest.Entries(map[string]faultCase{
 		"takes effect": {bergamotmemory.OK, nil, "new", "new"},
 		"has no effect while the service is down":     {bergamotmemory.Down, bergamotmemory.ErrNoReply, "old", "old"},
 		"takes effect although its reply is lost":     {bergamotmemory.Lost, bergamotmemory.ErrNoReply, "new", "new"},
@@ -33,11 +33,11 @@
 		"of which a copy arrives late has one effect": {bergamotmemory.Double, nil, "new", "new"},
 		"is rejected": {bergamotmemory.Reject, bergamotstore.ErrRejected, "old", "old"},
 		"meets the write of another one that is first": {bergamotmemory.Race, nil, "rival", "rival"},
-	}, func(c fateCase) {
+	}, func(c faultCase) {
 		ctx, clock, s := context.Background(), bergamotclock.NewVirtual(time.Unix(0, 0)), bergamotmemory.NewStore()
 		s.Clock, s.Delay, s.Rival = clock, time.Second, func() { s.SetRow("k", []byte("rival")) }
 		s.SetRow("k", []byte("old"))
-		s.Plan[bergamotmemory.Swap] = []bergamotmemory.Fate{c.fate}
+		s.Plan[bergamotmemory.Swap] = []bergamotmemory.Fault{c.fault}
 		_, ok, err := s.CompareAndSet(ctx, "k", 1, []byte("new"))
 		gomega.Expect(ok).To(gomega.Equal(err == nil && c.now == "new"))
 		if c.err == nil {
--- a/core/bergamotrollout/property_test.go
+++ b/core/bergamotrollout/property_test.go
@@ -22,7 +22,7 @@
 	count    int
 }
 
-var faultNames = []fate{none, none, none, down, lost, late}
+var faultNames = []fault{none, none, none, down, lost, late}
 
 // act does one random thing.
 func (w *world) act(t *rapid.T) {
--- a/core/bergamotrollout/roll_test.go
+++ b/core/bergamotrollout/roll_test.go
@@ -12,7 +12,7 @@
 )
 
 type rollCase struct {
-	plan   map[string][]fate
+	plan   map[string][]fault
 	needed int      // approvals that version 1 asks for
 	names  []string // who approves version 2
 	by     string
@@ -31,38 +31,38 @@
 		"needs as many approvals as the parent says":   {needed: 2, names: []string{"mari"}, err: "1 of 2 approvals (mari)", advice: "by one of: juhan"},
 		"takes enough approvals":                       {needed: 2, names: []string{"juhan", "mari"}, moved: true},
 		"needs an operator of the parent":              {names: []string{"mari"}, by: "eve", err: "operator eve may not roll", advice: "juhan, mari"},
-		"survives a write without effect":              {names: []string{"mari"}, plan: map[string][]fate{"swap": {down, down}}, moved: true},
-		"finds its write after a lost reply":           {names: []string{"mari"}, plan: map[string][]fate{"swap": {lost}}, moved: true},
-		"finds its write when reading back fails once": {names: []string{"mari"}, plan: map[string][]fate{"swap": {lost}, "read": {none, down}}, moved: true},
-		"finds its write when it was late":             {names: []string{"mari"}, plan: map[string][]fate{"swap": {late}, "read": {none, down}}, moved: true},
+		"survives a write without effect":              {names: []string{"mari"}, plan: map[string][]fault{"swap": {down, down}}, moved: true},
+		"finds its write after a lost reply":           {names: []string{"mari"}, plan: map[string][]fault{"swap": {lost}}, moved: true},
+		"finds its write when reading back fails once": {names: []string{"mari"}, plan: map[string][]fault{"swap": {lost}, "read": {none, down}}, moved: true},
+		"finds its write when it was late":             {names: []string{"mari"}, plan: map[string][]fault{"swap": {late}, "read": {none, down}}, moved: true},
 		"finds its write by reading back while writes are down": {
-			names: []string{"mari"}, plan: map[string][]fate{"swap": {lost, down, down, down}}, moved: true,
+			names: []string{"mari"}, plan: map[string][]fault{"swap": {lost, down, down, down}}, moved: true,
 		},
 		"cannot tell while the table stays down": {
-			names: []string{"mari"}, plan: map[string][]fate{"swap": {lost, down, down, down}, "read": {none, down, down, down, down}},
+			names: []string{"mari"}, plan: map[string][]fault{"swap": {lost, down, down, down}, "read": {none, down, down, down, down}},
 			err: "may or may not be in force", advice: "cannot roll twice", moved: true,
 		},
 		"stops when the table is down at the start": {
-			names: []string{"mari"}, plan: map[string][]fate{"read": {down}}, err: "table did not tell", advice: "nothing was changed",
+			names: []string{"mari"}, plan: map[string][]fault{"read": {down}}, err: "table did not tell", advice: "nothing was changed",
 		},
 		"stops when the text cannot be read": {
-			names: []string{"mari"}, plan: map[string][]fate{"fetch": {down}}, err: "cannot be read", advice: "nothing was changed",
+			names: []string{"mari"}, plan: map[string][]fault{"fetch": {down}}, err: "cannot be read", advice: "nothing was changed",
 		},
 		"stops when the parent cannot be read": {
-			names: []string{"mari"}, plan: map[string][]fate{"fetch": {none, down}}, err: "cannot be read", advice: "nothing was changed",
+			names: []string{"mari"}, plan: map[string][]fault{"fetch": {none, down}}, err: "cannot be read", advice: "nothing was changed",
 		},
 		"stops when approvals cannot be read": {
-			names: []string{"mari"}, plan: map[string][]fate{"fetch": {none, none, down}}, err: "approvals cannot be read", advice: "nothing was changed",
+			names: []string{"mari"}, plan: map[string][]fault{"fetch": {none, none, down}}, err: "approvals cannot be read", advice: "nothing was changed",
 		},
 		"stops when the table rejects the write": {
-			names: []string{"mari"}, plan: map[string][]fate{"swap": {reject}}, err: "rejected the new head", advice: "stays in force",
+			names: []string{"mari"}, plan: map[string][]fault{"swap": {reject}}, err: "rejected the new head", advice: "stays in force",
 		},
 		"tells who won a race": {
-			names: []string{"mari"}, plan: map[string][]fate{"swap": {race}}, rival: "c",
+			names: []string{"mari"}, plan: map[string][]fault{"swap": {race}}, rival: "c",
 			err: "operator juhan rolled version 2", advice: "set version = 3 and parent = ",
 		},
 		"succeeds when the other operator rolled the same bundle": {
-			names: []string{"mari"}, plan: map[string][]fate{"swap": {race}}, rival: "b", moved: true,
+			names: []string{"mari"}, plan: map[string][]fault{"swap": {race}}, rival: "b", moved: true,
 		},
 	}, func(c rollCase) {
 		s := newStore()
@@ -119,8 +119,8 @@
 })
 
 type putCase struct {
-	plan []fate
-	read []fate
+	plan []fault
+	read []fault
 	err  string
 }
 
@@ -128,14 +128,14 @@
 	// Guards against a stored object that is reported as missing, or a missing one that is reported as stored.
 	bergamottest.Entries(map[string]putCase{
 		"store":                                   {},
-		"find the object after a lost reply":      {plan: []fate{lost}},
-		"store again when the write was lost":     {plan: []fate{down}},
-		"store again when reading back fails":     {plan: []fate{lost}, read: []fate{down}},
-		"say so when the object store stays down": {plan: []fate{down, down, down, down}, read: []fate{down, down, down, down}, err: "did not confirm"},
-		"find the object while writes are down":   {plan: []fate{lost, down, down, down}},
+		"find the object after a lost reply":      {plan: []fault{lost}},
+		"store again when the write was lost":     {plan: []fault{down}},
+		"store again when reading back fails":     {plan: []fault{lost}, read: []fault{down}},
+		"say so when the object store stays down": {plan: []fault{down, down, down, down}, read: []fault{down, down, down, down}, err: "did not confirm"},
+		"find the object while writes are down":   {plan: []fault{lost, down, down, down}},
 	}, func(c putCase) {
 		s := newStore()
-		s.Plan = map[string][]fate{"put": c.plan, "fetch": c.read}
+		s.Plan = map[string][]fault{"put": c.plan, "fetch": c.read}
 		b, err := newRollout(s).Propose(context.Background(), "test", bundleText(1, "", "a", 1, "mari"))
 		if c.err != "" {
 			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.err)))
@@ -143,7 +143,7 @@
 		}
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(s.Objects()).To(gomega.HaveKey(bergamotrollout.ObjectName(b.Digest())))
-		s.Plan = map[string][]fate{"put": c.plan, "fetch": append([]fate{none}, c.read...)}
+		s.Plan = map[string][]fault{"put": c.plan, "fetch": append([]fault{none}, c.read...)}
 		_, err = newRollout(s).Approve(context.Background(), b.Digest(), "mari", seedKey("mari"))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(s.Objects()).To(gomega.HaveKey(bergamotrollout.ApprovalName(b.Digest(), "mari")))
--- a/core/bergamotrollout/source_test.go
+++ b/core/bergamotrollout/source_test.go
@@ -71,19 +71,19 @@
 		},
 		"keeps its version when the table is down": {
 			current: 3, err: "no reply",
-			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["read"] = []fate{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["read"] = []fault{down} },
 		},
 		"keeps its version when the object store is down": {
 			current: 3, err: "no reply",
-			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fate{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fault{down} },
 		},
 		"asks a peer when the object store is down": {
 			current: 3, peers: true, want: 4,
-			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fate{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fault{down} },
 		},
 		"starts with the text of a peer when the object store is down": {
 			trust: []string{"juhan"}, peers: true, want: 4,
-			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fate{down} },
+			change: func(s *bergamotmemory.Store, _ []string) { s.Plan["fetch"] = []fault{down} },
 		},
 		"asks a peer when the object is damaged": {
 			current: 3, peers: true, want: 4,
--- a/core/bergamotrollout/suite_test.go
+++ b/core/bergamotrollout/suite_test.go
@@ -17,7 +17,7 @@
 	"bergamotspur/core/bergamottest"
 )
 
-type fate = bergamotmemory.Fate
+type fault = bergamotmemory.Fault
 
 const (
 	none   = bergamotmemory.OK
--- a/io/bergamotpeer/server.go
+++ b/io/bergamotpeer/server.go
@@ -46,12 +46,12 @@
 	Texts    Texts   // gives bundle texts to peers; nil for none
 	Counter  Counter // counts "peer." followed by "full", "handshake", "flood", "message", "refused", "texts" or "textbusy"
 
-	mu     sync.Mutex
-	conns  map[string]*jsonrpc2.Conn
-	limits map[string]*rate.Limiter
-	total  *rate.Limiter
-	texts  *rate.Limiter
-	giving chan struct{}
+	mu      sync.Mutex
+	conns   map[string]*jsonrpc2.Conn
+	limits  map[string]*rate.Limiter
+	total   *rate.Limiter
+	texts   *rate.Limiter
+	sending chan struct{}
 }
 
 // Run serves until ctx ends and returns when all connections are closed.
@@ -64,7 +64,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.Listener.Close() })
 	defer stop()
 	s.total = rate.NewLimiter(totalRate, totalBurst)
-	s.texts, s.giving = rate.NewLimiter(textRate, textBurst), make(chan struct{}, maxGiving)
+	s.texts, s.sending = rate.NewLimiter(textRate, textBurst), make(chan struct{}, maxTexts)
 	slots, shaking := make(chan struct{}, maxIn), make(chan struct{}, maxHandshakes)
 	accepts := rate.NewLimiter(acceptRate, acceptBurst)
 	for {
@@ -111,7 +111,7 @@
 	var h jsonrpc2.Handler = &handler{server: s, peer: names[0], limit: s.limit(names[0])}
 	key, write := names[0], callTimeout
 	if state.NegotiatedProtocol == protocolText {
-		h, key, write = &giver{server: s}, names[0]+" "+protocolText, TextTimeout
+		h, key, write = &textHandler{server: s}, names[0]+" "+protocolText, TextTimeout
 	}
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(limited{secure, write}, frames{maxFrame}), h, quiet)
 	s.replace(key, conn)
--- a/io/bergamotpeer/giver.go
+++ b/io/bergamotpeer/texthandler.go
@@ -24,7 +24,7 @@
 	TextTimeout = 8 * time.Second // longest time of one text, so that a slow reader does not hold a slot
 	textRate    = 1               // texts a second to all peers
 	textBurst   = 8
-	maxGiving   = 2 // texts at the same time
+	maxTexts    = 2 // texts at the same time
 )
 
 // Codes of an error reply.
@@ -49,11 +49,11 @@
 	Data []byte `json:"data"`
 }
 
-// giver answers the one request of a connection for a text and closes it.
-type giver struct{ server *Server }
+// textHandler answers the one request of a connection for a text and closes it.
+type textHandler struct{ server *Server }
 
 // Handle answers one request.
-func (g *giver) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+func (g *textHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	defer func() { _ = conn.Close() }() // it may be closed already
 	ctx, cancel := context.WithTimeout(ctx, TextTimeout)
 	defer cancel()
@@ -61,7 +61,7 @@
 	var failure *jsonrpc2.Error
 	switch {
 	case err == nil:
-		defer func() { <-g.server.giving }()
+		defer func() { <-g.server.sending }()
 		g.server.Counter.Count("peer.texts")
 		err = conn.Reply(ctx, req.ID, text{Data: data})
 	case errors.As(err, &failure) && !req.Notif:
@@ -73,7 +73,7 @@
 }
 
 // answer returns the text and takes a slot, which the caller gives back.
-func (g *giver) answer(req *jsonrpc2.Request) (data []byte, err error) {
+func (g *textHandler) answer(req *jsonrpc2.Request) (data []byte, err error) {
 	var in ask
 	if req.Method != methodBundle || req.Notif || req.Params == nil || json.Unmarshal(*req.Params, &in) != nil {
 		g.server.Counter.Count("peer.message")
@@ -83,14 +83,14 @@
 		return nil, &jsonrpc2.Error{Code: codeMissing, Message: "no texts"}
 	}
 	select {
-	case g.server.giving <- struct{}{}:
+	case g.server.sending <- struct{}{}:
 	default:
 		g.server.Counter.Count("peer.textbusy")
 		return nil, &jsonrpc2.Error{Code: codeBusy, Message: "busy"}
 	}
 	defer func() {
 		if err != nil {
-			<-g.server.giving
+			<-g.server.sending
 		}
 	}()
 	if !g.server.texts.Allow() {
