Answer requests while a new version rolls through the runners

Cause: a spec that asks without a pause while a bundle changes the version got 409 from a runner that had reloaded since its last report, then 'no path': the version was chosen once from lagging reports, and a runner that rejected a span counted as dead for the answer. Ruled out: an order of placement that drops the last copy too early (the property of the plan holds; the view was behind); choosing the version for each attempt also after tokens, which would mix two versions in one text. Change: an answer without tokens settles its version anew when there is no path for the first one; instances that rejected a span are avoided, not dead, and tried again when nothing else is left.

--- a/core/bergamotplacement/serving.go
+++ b/core/bergamotplacement/serving.go
@@ -9,14 +9,14 @@
 // hold all its layers with the adapter, otherwise another that they hold completely. Without it a new version would
 // leave the pipeline unserved until the first runners have loaded it.
 func Serving(b *bergamotbundle.Bundle, p bergamotbundle.Pipeline, f *bergamotfleet.Fleet) (version string, ok bool) {
-	return cover(b, f).version(p)
+	return cover(b, f, nil).version(p)
 }
 
-// cover counts the holdings of all usable runners.
-func cover(b *bergamotbundle.Bundle, f *bergamotfleet.Fleet) *coverage {
+// cover counts the holdings of all usable runners but those to avoid.
+func cover(b *bergamotbundle.Bundle, f *bergamotfleet.Fleet, avoid map[string]bool) *coverage {
 	c := newCoverage(b)
 	for _, i := range f.Role(bergamotfleet.RoleRunner) {
-		if i.Usable() {
+		if i.Usable() && !avoid[i.Name()] {
 			c.add(i.Holdings(), 1)
 		}
 	}
--- a/core/bergamotplacement/versions.go
+++ b/core/bergamotplacement/versions.go
@@ -38,9 +38,17 @@
 	return p.Model().Version()
 }
 
+// Without returns the version to use when some instances turned out not to hold what they had reported.
+func (*Versions) Without(b *bergamotbundle.Bundle, p bergamotbundle.Pipeline, f *bergamotfleet.Fleet, avoid map[string]bool) string {
+	if version, ok := cover(b, f, avoid).version(p); ok {
+		return version
+	}
+	return p.Model().Version()
+}
+
 // served returns the version of each pipeline that is held completely.
 func served(b *bergamotbundle.Bundle, f *bergamotfleet.Fleet) map[string]string {
-	c := cover(b, f)
+	c := cover(b, f, nil)
 	known := map[string]string{}
 	for _, name := range b.Pipelines() {
 		p, _ := b.Pipeline(name)
--- a/core/bergamotsession/answer.go
+++ b/core/bergamotsession/answer.go
@@ -20,6 +20,7 @@
 	ran       bergamotrequest.Run
 	dead      map[string]bool // instances known to have failed this answer
 	doubtful  map[string]bool // instances of failed paths of which one failed
+	stale     map[string]bool // instances that did not hold what they had reported
 	source    *attempt        // the latest attempt that delivered a token; its spans are kept for imports
 	recompute bool            // an import failed
 }
@@ -72,7 +73,7 @@
 
 // prepare returns the next attempt, nil when there is no path, and what releases its instances.
 func (g *answer) prepare(ctx context.Context, alone bool, failures int) (a *attempt, leave func(), err error) {
-	plan, ok := g.route()
+	plan, ok := g.find()
 	if !ok {
 		return nil, nil, nil
 	}
@@ -98,6 +99,38 @@
 	return g.attempt(plan), leave, nil
 }
 
+// find returns a path, if need be for another version of the model or through instances whose reports were stale.
+func (g *answer) find() (plan bergamotroute.Plan, ok bool) {
+	if plan, ok = g.route(); ok || len(g.tokens) > 0 {
+		return plan, ok
+	}
+	g.settleVersion()
+	if plan, ok = g.route(); ok || len(g.stale) == 0 {
+		return plan, ok
+	}
+	// Newer reports may show what these instances hold now.
+	clear(g.stale)
+	g.settleVersion()
+	return g.route()
+}
+
+// settleVersion takes the version that the remaining instances hold, since reports lag while a new version is loaded.
+// An answer with a token keeps its version: another one would continue it with other weights.
+func (g *answer) settleVersion() {
+	p, fleet := g.x.Pipeline(), g.session.Views.View().Fleet()
+	g.x.SetPipeline(p.WithVersion(g.session.Versions.Without(g.x.View().Bundle(), p, fleet, g.avoid())))
+}
+
+// avoid returns the instances that the next attempt must not use.
+func (g *answer) avoid() map[string]bool {
+	if len(g.stale) == 0 {
+		return g.dead
+	}
+	out := maps.Clone(g.dead)
+	maps.Copy(out, g.stale)
+	return out
+}
+
 // charge counts an attempt against the retry budgets. The first recovery is free: it adds at most one attempt to each
 // request in flight, and a budget of a tenth of the requests would end most streams of a lost instance.
 func (g *answer) charge(ctx context.Context, plan bergamotroute.Plan, failures int) error {
@@ -114,18 +147,18 @@
 // route prefers paths without doubtful instances and without those on which a suspect runs alone.
 func (g *answer) route() (plan bergamotroute.Plan, ok bool) {
 	w := bergamotroute.Want{
-		Pipeline: g.x.Pipeline(), Fleet: g.session.Views.View().Fleet(), Bundle: g.x.View().Bundle(), Avoid: g.dead,
+		Pipeline: g.x.Pipeline(), Fleet: g.session.Views.View().Fleet(), Bundle: g.x.View().Bundle(), Avoid: g.avoid(),
 		Tokens: g.limit() - len(g.tokens), Prompt: g.x.Request().Prompt(),
 	}
 	held := g.session.Isolation.Held()
 	if len(held)+len(g.doubtful) > 0 {
-		w.Avoid = maps.Clone(g.dead)
+		w.Avoid = maps.Clone(w.Avoid)
 		maps.Copy(w.Avoid, held)
 		maps.Copy(w.Avoid, g.doubtful)
 		if plan, ok = g.session.Router.Route(w); ok {
 			return plan, true
 		}
-		w.Avoid = g.dead
+		w.Avoid = g.avoid()
 	}
 	return g.session.Router.Route(w)
 }
@@ -196,6 +229,8 @@
 		switch {
 		case !known:
 			g.doubtful[s.Instance()] = true
+		case s.Address() == stage.Address() && errors.Is(err, ErrSpan) && !a.started:
+			g.stale[s.Instance()] = true
 		case s.Address() == stage.Address():
 			g.dead[s.Instance()] = true
 			g.observe(ctx, a, s, err, alone)
--- a/core/bergamotsession/session.go
+++ b/core/bergamotsession/session.go
@@ -16,6 +16,7 @@
 	Engine     Engine
 	Router     Router
 	Views      Views
+	Versions   Versions
 	Observer   Observer
 	Suspects   Suspects
 	Isolation  Isolation
@@ -34,7 +35,7 @@
 
 // Handle streams the answer to the sink; after a failure it goes on from the last delivered token on another path.
 func (s *Session) Handle(ctx context.Context, x *bergamotchain.Exchange) error {
-	a := &answer{session: s, x: x, dead: map[string]bool{}, doubtful: map[string]bool{}}
+	a := &answer{session: s, x: x, dead: map[string]bool{}, doubtful: map[string]bool{}, stale: map[string]bool{}}
 	defer func() { a.replaceSource(ctx, nil) }()
 	return a.run(ctx)
 }
--- a/core/bergamotsession/sim_test.go
+++ b/core/bergamotsession/sim_test.go
@@ -11,6 +11,7 @@
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotplacement"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 	"bergamotspur/core/bergamotsession"
@@ -243,7 +244,7 @@
 
 func (w *world) session(e bergamotsession.Engine) *bergamotsession.Session {
 	return &bergamotsession.Session{
-		Engine: e, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: w, Observer: w, Suspects: w, Isolation: w, Retries: w, Counter: w,
+		Engine: e, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: w, Versions: &bergamotplacement.Versions{}, Observer: w, Suspects: w, Isolation: w, Retries: w, Counter: w,
 		Clock: bergamotclock.Real{}, Estimate: bergamotsession.DefaultEstimate(), Silence: time.Second,
 		First: 9 * time.Second, Stall: 3 * time.Second, Reconnects: 2, Attempts: 6,
 	}
--- a/io/bergamotengine/rig_test.go
+++ b/io/bergamotengine/rig_test.go
@@ -15,6 +15,7 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotplacement"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 	"bergamotspur/core/bergamotsession"
@@ -88,7 +89,7 @@
 // newSession returns the session of one entry with records of its own.
 func (r *rig) newSession(l *bergamotsuspect.Ledger) *bergamotsession.Session {
 	return &bergamotsession.Session{
-		Engine: r.client, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: r, Observer: r, Suspects: l,
+		Engine: r.client, Router: bergamotroute.NewRouter(bergamotclock.Real{}, rand.New(rand.NewPCG(1, 2)), ""), Views: r, Versions: &bergamotplacement.Versions{}, Observer: r, Suspects: l,
 		Isolation: bergamotsuspect.NewIsolation(), Retries: r, Counter: r, Clock: bergamotclock.Real{},
 		// Recomputing is made dear, so that imports are used wherever they are possible.
 		Estimate: bergamotsession.NewEstimate(1e12, 0, time.Second),
--- a/io/bergamotentry/assembly.go
+++ b/io/bergamotentry/assembly.go
@@ -8,7 +8,6 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotmember"
-	"bergamotspur/core/bergamotplacement"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotsession"
 	"bergamotspur/core/bergamotsetting"
@@ -114,7 +113,7 @@
 		e.drain,
 		bergamotfilter.Identify{},
 		bergamotfilter.Resolve{},
-		&bergamotfilter.Version{Versions: &bergamotplacement.Versions{Clock: e.clock, Age: versionAge}},
+		&bergamotfilter.Version{Versions: e.versions},
 		&bergamotfilter.Deadline{Clock: e.clock},
 		&bergamotfilter.Quarantine{Suspects: e.suspects},
 		&bergamotfilter.Claim{Claims: e.claims, Asker: e.adapters.services, Clock: e.clock},
@@ -126,7 +125,7 @@
 // newSession returns the handler for pipelines.
 func (e *Entry) newSession() *bergamotsession.Session {
 	return &bergamotsession.Session{
-		Engine: e.measuredEngine(), Router: e.load.router, Views: e.loop,
+		Engine: e.measuredEngine(), Router: e.load.router, Views: e.loop, Versions: e.versions,
 		Observer: &bergamotcontrol.Observer{Loop: e.loop}, Suspects: e.suspects, Isolation: bergamotsuspect.NewIsolation(), Retries: e.retries,
 		Counter: e.metrics, Clock: e.clock, Estimate: bergamotsession.DefaultEstimate(),
 		Silence: e.Setting.Silence(), First: firstStalls * e.Setting.Stall(), Stall: e.Setting.Stall(),
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -16,6 +16,7 @@
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfilter"
 	"bergamotspur/core/bergamotlease"
+	"bergamotspur/core/bergamotplacement"
 	"bergamotspur/core/bergamotretry"
 	"bergamotspur/core/bergamotsession"
 	"bergamotspur/core/bergamotsetting"
@@ -35,6 +36,7 @@
 	metrics   *bergamotmetric.Registry
 	loop      *bergamotcontrol.Loop
 	drain     *bergamotfilter.Drain
+	versions  *bergamotplacement.Versions
 	suspects  *bergamotsuspect.Ledger
 	session   *bergamotsession.Session
 	adapters  *adapters
@@ -64,6 +66,7 @@
 	e.loop = e.newLoop()
 	e.loop.Init()
 	e.drain = bergamotfilter.NewDrain()
+	e.versions = &bergamotplacement.Versions{Clock: e.clock, Age: versionAge}
 	e.session = e.newSession()
 	if e.callers, err = net.Listen("tcp", e.Setting.Callers()); err != nil {
 		return e.peers.abandon(err)
