Write the settings of an entry for tests and demo in one place

Cause: the same settings text stood in four places of tests and demo, so that a new required key had to be added four times. Ruled out: a template file, which each caller would have to fill and parse again. Change: bergamotfake.EntrySettings; the timings and the operator stay with each caller, as they differ. Result: 'go test ./cmd/bergamotcommand ./io/bergamotentry ./io/bergamotdemo' passes; no assertion changed.

--- a/cmd/bergamotcommand/whole_test.go
+++ b/cmd/bergamotcommand/whole_test.go
@@ -74,24 +74,8 @@
 
 // settingsText returns the settings of an entry without peers.
 func settingsText(name, platform string) string {
-	return fmt.Sprintf(`[entry]
-name = %s
-centre = tallinn
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-[platform]
-table = %[2]s
-objects = %[2]s
-weights = %[2]s
-list = %[2]s
-[timing]
-probe = 100ms
-head = 100ms
-poll = 100ms
-[trust]
-operators = mari:11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=
-`, name, platform)
+	return bergamotfake.EntrySettings(name, "tallinn", platform, "probe = 100ms\nhead = 100ms\npoll = 100ms",
+		"mari:11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=")
 }
 
 func writeSettings(name, platform string, extra ...string) string {
--- a/io/bergamotdemo/shop.go
+++ b/io/bergamotdemo/shop.go
@@ -150,24 +150,8 @@
 }
 
 func (s *Shop) settings(n int, centre string) string {
-	return fmt.Sprintf(`[entry]
-name = entry%d
-centre = %s
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-[platform]
-table = %[3]s
-objects = %[3]s
-weights = %[3]s
-list = %[3]s
-[timing]
-probe = 200ms
-head = 200ms
-poll = 200ms
-[trust]
-operators = mari:%[4]s
-`, n, centre, s.platform.Address(), s.public)
+	return bergamotfake.EntrySettings(fmt.Sprint("entry", n), centre, s.platform.Address(),
+		"probe = 200ms\nhead = 200ms\npoll = 200ms", "mari:"+s.public)
 }
 
 // awaitReady waits until every entry knows the bundle and the layers that each runner holds.
--- a/io/bergamotentry/bundle_test.go
+++ b/io/bergamotentry/bundle_test.go
@@ -89,25 +89,8 @@
 
 // newEntry returns an entry that listens but does not run yet; extra is more settings.
 func (s *shop) newEntry(name, platform, extra string) *bergamotentry.Entry {
-	setting, err := bergamotsetting.Parse("test", fmt.Appendf(nil, `[entry]
-name = %[3]s
-centre = tallinn
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-[platform]
-table = %[1]s
-objects = %[1]s
-weights = %[1]s
-list = %[1]s
-[timing]
-head = 20ms
-poll = 50ms
-probe = 100ms
-drain = 1s
-[trust]
-operators = mari:%[2]s
-%[4]s`, platform, s.public, name, extra))
+	text := bergamotfake.EntrySettings(name, "tallinn", platform, "head = 20ms\npoll = 50ms\nprobe = 100ms\ndrain = 1s", "mari:"+s.public)
+	setting, err := bergamotsetting.Parse("test", []byte(text+extra))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	e := &bergamotentry.Entry{Setting: setting, Log: ginkgo.GinkgoWriter}
 	e.SetLease(2*time.Second, 500*time.Millisecond, 200*time.Millisecond, 50*time.Millisecond)
--- a/io/bergamotentry/pickup_test.go
+++ b/io/bergamotentry/pickup_test.go
@@ -36,24 +36,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
 	for n := range 2 {
-		setting, err := bergamotsetting.Parse("test", []byte(fmt.Sprintf(`[entry]
-name = entry%d
-centre = tallinn
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-[platform]
-table = %[2]s
-objects = %[2]s
-weights = %[2]s
-list = %[2]s
-[timing]
-head = 50ms
-poll = 50ms
-drain = 1s
-[trust]
-operators = mari:%[3]s
-`, n+1, s.platform.Address(), s.public)))
+		setting, err := bergamotsetting.Parse("test", []byte(bergamotfake.EntrySettings(fmt.Sprint("entry", n+1), "tallinn",
+			s.platform.Address(), "head = 50ms\npoll = 50ms\ndrain = 1s", "mari:"+s.public)))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		e := &bergamotentry.Entry{Setting: setting, Log: ginkgo.GinkgoWriter}
 		gomega.Expect(e.Init()).To(gomega.Succeed())
--- /dev/null
+++ b/io/bergamotfake/settings.go
@@ -0,0 +1,24 @@
+package bergamotfake
+
+import "fmt"
+
+// EntrySettings returns the settings of an entry without peers in front of a fake platform. The keys of the section
+// timing are one a line; operator is a name and a public key as in the section trust.
+func EntrySettings(name, centre, platform, timing, operator string) string {
+	return fmt.Sprintf(`[entry]
+name = %[1]s
+centre = %[2]s
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+[platform]
+table = %[3]s
+objects = %[3]s
+weights = %[3]s
+list = %[3]s
+[timing]
+%[4]s
+[trust]
+operators = %[5]s
+`, name, centre, platform, timing, operator)
+}
