--- a/io/bergamottable/client.go
+++ b/io/bergamottable/client.go
@@ -48,11 +48,6 @@
 	return m.Row(), err
 }
 
-// Scan returns the rows whose keys begin with prefix, in order, at most limit.
-func (c *Client) Scan(ctx context.Context, prefix string, limit int) (rows []bergamotstore.Row, err error) {
-	return c.Page(ctx, prefix, "", limit)
-}
-
 // Page returns the rows whose keys begin with prefix and come after a key, in order, at most limit.
 func (c *Client) Page(ctx context.Context, prefix, after string, limit int) (rows []bergamotstore.Row, err error) {
 	var m []RowMessage
