Make the filter chain and the control loop usable by a second front end

Cause: the front end for the users' platform has other exchanges and another control state than the completions front end, but must keep the same shape. Ruled out: a second copy of the loop; one exchange type for both, which would tie relayed requests to token sessions. Change: bergamotstep and bergamotloop hold the mechanisms as generic types; bergamotchain and bergamotcontrol instantiate them. Behaviour is unchanged. Check: go test ./core/bergamotcontrol ./core/bergamotchain ./core/bergamotfilter passes before and after.

--- a/core/bergamotcontrol/controller.go
+++ b/core/bergamotcontrol/controller.go
@@ -2,42 +2,26 @@
 
 import (
 	"context"
-	"time"
+
+	"bergamotspur/core/bergamotloop"
 )
 
 // Event is an input to the control state.
-type Event interface {
-	Apply(s *State)
-}
+type Event = bergamotloop.Event[*State]
 
 // EventFunc is a function used as an Event.
-type EventFunc func(s *State)
-
-// Apply calls f.
-func (f EventFunc) Apply(s *State) { f(s) }
+type EventFunc = bergamotloop.EventFunc[*State]
 
 // Task is slow work that a controller wants done outside the control goroutine.
-type Task struct {
-	name string
-	run  func(ctx context.Context) Event
-}
-
-// NewTask returns a task; of tasks with the same name only one runs at a time. The event may be nil.
-func NewTask(name string, run func(ctx context.Context) Event) Task {
-	return Task{name: name, run: run}
-}
-
-// Name returns the name of the task.
-func (t Task) Name() string { return t.name }
+type Task = bergamotloop.Task[*State]
 
 // Controller reconciles one part of the control state.
-type Controller interface {
-	Name() string
-	Reconcile(s *State) []Task
-}
+type Controller = bergamotloop.Controller[*State]
 
-// Scheduler is a controller that tells when it next has work by itself, so that the loop does not wake up in
-// vain. Events wake the loop at any time.
-type Scheduler interface {
-	Next(s *State) time.Time
+// Scheduler is a controller that tells when it next has work by itself.
+type Scheduler = bergamotloop.Scheduler[*State]
+
+// NewTask returns a task; of tasks with the same name only one runs at a time. The event may be nil.
+func NewTask(name string, run func(ctx context.Context) Event) Task {
+	return bergamotloop.NewTask[*State](name, run)
 }
--- a/core/bergamotcontrol/export_test.go
+++ b/core/bergamotcontrol/export_test.go
@@ -1,12 +1,17 @@
 package bergamotcontrol
 
 import (
-	"context"
 	"time"
+
+	"bergamotspur/core/bergamotloop"
 )
 
+const minWait = bergamotloop.MinWait
+
 // SetNow sets the time that the loop sets in production.
 func (s *State) SetNow(now time.Time) { s.now = now }
 
-// Run runs the task, as the loop does on a goroutine.
-func (t Task) Run(ctx context.Context) Event { return t.run(ctx) }
+func (l *Loop) pause(s *State) time.Duration {
+	l.prepare()
+	return l.loop.Pause(s)
+}
--- a/core/bergamotcontrol/fleet_sim_test.go
+++ b/core/bergamotcontrol/fleet_sim_test.go
@@ -26,7 +26,7 @@
 	const step = 100 * time.Millisecond
 	for end := m.state.now.Add(d); m.state.now.Before(end); m.state.now = m.state.now.Add(step) {
 		for _, t := range m.probes.Reconcile(m.state) {
-			t.run(context.Background()).Apply(m.state)
+			t.Run(context.Background()).Apply(m.state)
 			sent++
 		}
 		m.passes++
--- a/core/bergamotcontrol/heads_bench_test.go
+++ b/core/bergamotcontrol/heads_bench_test.go
@@ -56,7 +56,7 @@
 			}
 			before := s.bundle.Version()
 			for _, task := range heads[n].Reconcile(s) {
-				task.run(context.Background()).Apply(s)
+				task.Run(context.Background()).Apply(s)
 				reads++
 			}
 			if s.bundle.Version() > before {
--- a/core/bergamotcontrol/heads_test.go
+++ b/core/bergamotcontrol/heads_test.go
@@ -70,7 +70,7 @@
 		s := stateAt(0, c.version)
 		tasks := newHeads(&c.source).Reconcile(s)
 		gomega.Expect(tasks).To(gomega.HaveLen(1))
-		tasks[0].run(context.Background()).Apply(s)
+		tasks[0].Run(context.Background()).Apply(s)
 		version := int64(0)
 		if s.Bundle() != nil {
 			version = s.Bundle().Version()
@@ -84,10 +84,10 @@
 	ginkgo.It("ignores the result of a read that was paused", func(ctx context.Context) {
 		source := &headAnswer{bundle: bergamottest.BundleOf(2)}
 		c, s := newHeads(source), stateAt(0, 1)
-		paused := c.Reconcile(s)[0].run(ctx)
+		paused := c.Reconcile(s)[0].Run(ctx)
 		source.bundle = bergamottest.BundleOf(3)
 		s = stateAt(3*time.Second, 1)
-		c.Reconcile(s)[0].run(ctx).Apply(s)
+		c.Reconcile(s)[0].Run(ctx).Apply(s)
 		at := s.confirmed
 		paused.Apply(s)
 		gomega.Expect(s.Bundle().Version()).To(gomega.Equal(int64(3)))
@@ -98,7 +98,7 @@
 	ginkgo.It("reads at once on a hint, but not more often than the gap allows", func(ctx context.Context) {
 		c, s := newHeads(&headAnswer{}), stateAt(0, 2)
 		c.Timeout = time.Second
-		event := c.Reconcile(s)[0].run(ctx)
+		event := c.Reconcile(s)[0].Run(ctx)
 		HeadHint(3).Apply(s)
 		s.now = s.now.Add(600 * time.Millisecond)
 		gomega.Expect(c.Reconcile(s)).To(gomega.BeEmpty(), "a read is in flight")
@@ -115,7 +115,7 @@
 	// Guards against reads for versions that the entry already has.
 	ginkgo.It("reads nothing on a hint of an old version", func(ctx context.Context) {
 		c, s := newHeads(&headAnswer{}), stateAt(0, 2)
-		c.Reconcile(s)[0].run(ctx).Apply(s)
+		c.Reconcile(s)[0].Run(ctx).Apply(s)
 		HeadHint(2).Apply(s)
 		s.now = s.now.Add(time.Second)
 		gomega.Expect(c.Reconcile(s)).To(gomega.BeEmpty())
@@ -160,7 +160,7 @@
 			s := NewState()
 			s.now, s.hinted = time.Unix(1000, 0).Add(at), storm
 			for _, task := range c.Reconcile(s) {
-				task.run(ctx).Apply(s)
+				task.Run(ctx).Apply(s)
 				perSecond[int(at/time.Second)]++
 				l.gap = max(l.gap, at-last[n])
 				last[n] = at
--- a/core/bergamotcontrol/wake_test.go
+++ b/core/bergamotcontrol/wake_test.go
@@ -76,7 +76,7 @@
 				for _, c := range l.Controllers {
 					for _, t := range c.Reconcile(s) {
 						work++
-						t.run(ctx).Apply(s)
+						t.Run(ctx).Apply(s)
 					}
 				}
 				s.view()
@@ -118,14 +118,14 @@
 		source := &fixedList{}
 		c := &Instances{Source: source, Period: time.Second, Report: func(error) {}}
 		s := stateAt(0, 1)
-		c.Reconcile(s)[0].run(ctx).Apply(s)
+		c.Reconcile(s)[0].Run(ctx).Apply(s)
 		s.now = s.now.Add(time.Hour)
-		late := c.Reconcile(s)[0].run(ctx)
+		late := c.Reconcile(s)[0].Run(ctx)
 		s = stateAt(2*time.Hour, 1)
 		tasks := c.Reconcile(s)
 		late.Apply(s)
 		gomega.Expect(s.instances).To(gomega.BeEmpty())
-		tasks[0].run(ctx).Apply(s)
+		tasks[0].Run(ctx).Apply(s)
 		gomega.Expect(source.reads).To(gomega.Equal([]string{"", "one", ""}))
 		gomega.Expect(len(s.instances)).To(gomega.Equal(3100))
 	})
--- /dev/null
+++ b/core/bergamotstep/step.go
@@ -0,0 +1,39 @@
+package bergamotstep
+
+import "context"
+
+// Handler answers one exchange of type X; it returns a *bergamotrequest.Refusal when it does not.
+type Handler[X any] interface {
+	Handle(ctx context.Context, x X) error
+}
+
+// Filter is one step that every exchange passes through before the handler.
+type Filter[X any] interface {
+	Name() string
+	Filter(ctx context.Context, x X, next Handler[X]) error
+}
+
+// Func is a function used as a Handler.
+type Func[X any] func(ctx context.Context, x X) error
+
+// Handle calls f.
+func (f Func[X]) Handle(ctx context.Context, x X) error { return f(ctx, x) }
+
+// New returns a handler that passes an exchange through filters in order and then to last.
+func New[X any](last Handler[X], filters ...Filter[X]) Handler[X] {
+	h := last
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = link[X]{filter: filters[i], next: h}
+	}
+	return h
+}
+
+type link[X any] struct {
+	filter Filter[X]
+	next   Handler[X]
+}
+
+// Handle passes the exchange to the filter of the link.
+func (l link[X]) Handle(ctx context.Context, x X) error {
+	return l.filter.Filter(ctx, x, l.next)
+}
