Serve the users' platform by a thin whole path

Cause: the milestone asks for the product on the users' platform. platform/ translates settings, store, runners and requests; core grows the configuration, the layout of layers over mixed cards, the choice of paths, the control state with its controllers, and the filters and handlers for relayed requests. Ruled out: sending relayed requests through the token sessions of the first front end, whose plans and proofs the platform's runners do not speak; kept connections to runners, on which the outcome of a non-repeatable call and the owner of a late answer would be uncertain.

--- a/cmd/bergamotcommand/command.go
+++ b/cmd/bergamotcommand/command.go
@@ -12,14 +12,15 @@
 
 // commands is the grammar of the command line.
 type commands struct {
-	Serve   serveCommand   `cmd:"" help:"Run an entry instance."`
-	Bundle  bundleCommand  `cmd:"" help:"Take a bundle from a text to the one in force."`
-	Check   checkCommand   `cmd:"" help:"Check a settings file or a bundle and print every fault."`
-	Status  statusCommand  `cmd:"" help:"Show the state of entries."`
-	Claims  claimsCommand  `cmd:"" help:"List and settle calls that may not be repeated."`
-	Demo    demoCommand    `cmd:"" help:"Run fakes and two entries on loopback and send sample requests."`
-	Version versionCommand `cmd:"" help:"Print the version."`
-	Fake    fakeCommand    `cmd:"" hidden:"" help:"Run one fake of the platform or a target."`
+	Serve    serveCommand    `cmd:"" help:"Run an entry instance."`
+	Platform platformCommand `cmd:"" help:"Run an entry on the platform whose settings file the environment names."`
+	Bundle   bundleCommand   `cmd:"" help:"Take a bundle from a text to the one in force."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file or a bundle and print every fault."`
+	Status   statusCommand   `cmd:"" help:"Show the state of entries."`
+	Claims   claimsCommand   `cmd:"" help:"List and settle calls that may not be repeated."`
+	Demo     demoCommand     `cmd:"" help:"Run fakes and two entries on loopback and send sample requests."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+	Fake     fakeCommand     `cmd:"" hidden:"" help:"Run one fake of the platform or a target."`
 }
 
 // streams are where a command writes.
--- /dev/null
+++ b/core/bergamotcluster/follow.go
@@ -0,0 +1,142 @@
+package bergamotcluster
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bergamotspur/core/bergamotstore"
+)
+
+const (
+	retryLeast = 100 * time.Millisecond // first wait after a failed read
+	retryMost  = 400 * time.Millisecond // longest wait: a store that is back must be noticed within half a second
+	// replyTime is added to the wait that is asked for; a reply that is later counts as lost with its connection.
+	replyTime = 1500 * time.Millisecond
+)
+
+// Feed reads a table and its changes.
+type Feed interface {
+	// List returns all rows and the version up to which they hold all changes.
+	List(ctx context.Context, table string) (rows []bergamotstore.Row, version int64, err error)
+	// Changes returns the changes after a version as soon as there is one, or none when the wait has passed. It
+	// fails with bergamotstore.ErrHistory when they are no longer known.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (changes []bergamotstore.Change, version int64, err error)
+}
+
+// Copy is the part of the state that follows a table.
+type Copy interface {
+	// Replace takes the whole table.
+	Replace(s *State, rows []bergamotstore.Row)
+	// Change takes one change.
+	Change(s *State, c bergamotstore.Change)
+	// Resume tells, before the rows of a successful read are taken, for how long reads have failed.
+	Resume(s *State, down time.Duration)
+	// Confirm records that the copy was complete when a successful read began.
+	Confirm(s *State, began time.Duration)
+}
+
+// Follow is the controller that keeps a copy of a table.
+type Follow struct {
+	Table  string
+	Source Feed
+	Copy   Copy
+	Wait   time.Duration        // longest time that one read waits for a change
+	Awake  func() time.Duration // clock that counts suspended time
+	Report func(table string, err error, down time.Duration)
+
+	listed  bool
+	version int64
+	running bool
+	due     time.Time
+	retry   time.Duration
+	failing time.Time
+}
+
+// Name returns the name of the table.
+func (c *Follow) Name() string { return "follow " + c.Table }
+
+// Next returns when the next read is due.
+func (c *Follow) Next(s *State) time.Time {
+	if c.running {
+		return s.Now().Add(time.Minute)
+	}
+	return c.due
+}
+
+// Reconcile reads the table, or its changes once a whole copy is known.
+func (c *Follow) Reconcile(s *State) []Task {
+	if c.running || s.Now().Before(c.due) {
+		return nil
+	}
+	c.running = true
+	if c.listed {
+		return []Task{NewTask(c.Name(), c.changes)}
+	}
+	return []Task{NewTask(c.Name(), c.list)}
+}
+
+func (c *Follow) list(ctx context.Context) Event {
+	ctx, cancel := context.WithTimeout(ctx, replyTime)
+	defer cancel()
+	began := c.Awake()
+	rows, version, err := c.Source.List(ctx, c.Table)
+	return EventFunc(func(s *State) {
+		if c.done(s, err) {
+			return
+		}
+		c.listed, c.version = true, version
+		c.resume(s)
+		c.Copy.Replace(s, rows)
+		c.Copy.Confirm(s, began)
+	})
+}
+
+func (c *Follow) changes(ctx context.Context) Event {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait+replyTime)
+	defer cancel()
+	began := c.Awake()
+	changes, version, err := c.Source.Changes(ctx, c.Table, c.version, c.Wait)
+	return EventFunc(func(s *State) {
+		if c.done(s, err) {
+			return
+		}
+		c.version = max(c.version, version)
+		c.resume(s)
+		for _, change := range changes {
+			c.Copy.Change(s, change)
+		}
+		c.Copy.Confirm(s, began)
+	})
+}
+
+// done records the end of a read and tells whether it failed.
+func (c *Follow) done(s *State, err error) bool {
+	c.running = false
+	if err == nil {
+		c.due, c.retry = s.Now(), 0
+		return false
+	}
+	if errors.Is(err, bergamotstore.ErrHistory) {
+		c.listed, c.due = false, s.Now()
+		c.Report(c.Table, err, 0)
+		return true
+	}
+	if c.failing.IsZero() {
+		c.failing = s.Now()
+		c.Report(c.Table, err, 0)
+	}
+	c.retry = min(max(2*c.retry, retryLeast), retryMost)
+	c.due = s.Now().Add(c.retry)
+	return true
+}
+
+func (c *Follow) resume(s *State) {
+	if c.failing.IsZero() {
+		return
+	}
+	down := s.Now().Sub(c.failing)
+	c.failing = time.Time{}
+	c.Report(c.Table, nil, down)
+	c.Copy.Resume(s, down)
+}
--- /dev/null
+++ b/core/bergamotcluster/leadership.go
@@ -0,0 +1,62 @@
+package bergamotcluster
+
+import (
+	"context"
+	"time"
+
+	"bergamotspur/core/bergamotlease"
+)
+
+// Leaser acquires and renews the lease of the placement.
+type Leaser interface {
+	Step(ctx context.Context) (bergamotlease.Grant, error)
+}
+
+// Leadership is the controller that keeps or seeks the lease of the placement, so that one entry at a time places
+// layers.
+type Leadership struct {
+	Lease  Leaser
+	Renew  time.Duration // time between two steps of the holder
+	Seek   time.Duration // time between two steps of another entry
+	Report func(holder bool, number int64, err error)
+
+	due     time.Time
+	running bool
+}
+
+// Name returns "leadership".
+func (c *Leadership) Name() string { return "leadership" }
+
+// Next returns when the next step is due.
+func (c *Leadership) Next(s *State) time.Time {
+	if c.running {
+		return s.Now().Add(time.Minute)
+	}
+	return c.due
+}
+
+// Reconcile takes a step of the lease.
+func (c *Leadership) Reconcile(s *State) []Task {
+	if c.running || s.Now().Before(c.due) {
+		return nil
+	}
+	c.running = true
+	held := s.grant.Valid(s.Now())
+	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, replyTime)
+		defer cancel()
+		g, err := c.Lease.Step(ctx)
+		return EventFunc(func(s *State) {
+			c.running = false
+			s.grant = g
+			holds := g.Valid(s.Now())
+			c.due = s.Now().Add(c.Seek)
+			if holds {
+				c.due = s.Now().Add(c.Renew)
+			}
+			if holds != held || err != nil {
+				c.Report(holds, g.Number(), err)
+			}
+		})
+	})}
+}
--- /dev/null
+++ b/core/bergamotcluster/presence.go
@@ -0,0 +1,54 @@
+package bergamotcluster
+
+import (
+	"context"
+	"time"
+)
+
+// presencePeriod is the time between two registrations of an entry. Two store calls in this time cost each entry
+// little, and the shares of the retry budget follow a change of the entries within a few periods.
+const presencePeriod = 6 * time.Second
+
+// Register tells that an entry runs and counts the entries that do.
+type Register interface {
+	// Register records name as running and returns how many entries registered within the time.
+	Register(ctx context.Context, name string, within time.Duration) (entries int, err error)
+}
+
+// Presence is the controller that counts the entries which share the runners and the retry budget.
+type Presence struct {
+	Entry    string
+	Register Register
+	Report   func(entries int, err error) // called when the count changes or cannot be read
+
+	due time.Time
+}
+
+// Name returns "presence".
+func (c *Presence) Name() string { return "presence" }
+
+// Next returns when the next registration is due.
+func (c *Presence) Next(*State) time.Time { return c.due }
+
+// Reconcile registers this entry.
+func (c *Presence) Reconcile(s *State) []Task {
+	if s.Now().Before(c.due) {
+		return nil
+	}
+	c.due = s.Now().Add(presencePeriod)
+	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, replyTime)
+		defer cancel()
+		n, err := c.Register.Register(ctx, c.Entry, 3*presencePeriod)
+		return EventFunc(func(s *State) {
+			if err != nil {
+				c.Report(s.entries, err)
+				return
+			}
+			if n = max(n, 1); n != s.entries {
+				s.entries = n
+				c.Report(n, nil)
+			}
+		})
+	})}
+}
--- /dev/null
+++ b/core/bergamotcluster/report.go
@@ -0,0 +1,52 @@
+package bergamotcluster
+
+import (
+	"context"
+
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotlayout"
+)
+
+// ReportSpec holds the fields from which NewReport builds a report.
+type ReportSpec struct {
+	Born     int64 // start of the process in Unix milliseconds
+	Holdings []bergamotfleet.Holding
+	Busy     bool    // an order is in progress
+	Pace     float64 // factor on the times of the kind; above 1 the runner is slow
+	Stalled  map[string]string
+}
+
+// Report is what a runner says about itself.
+type Report struct{ spec ReportSpec }
+
+// NewReport returns a report with the fields of s.
+func NewReport(s ReportSpec) Report { return Report{spec: s} }
+
+// Born returns the start of the process in Unix milliseconds.
+func (r Report) Born() int64 { return r.spec.Born }
+
+// Holdings returns the layers that the runner holds; the caller must not change the slice.
+func (r Report) Holdings() []bergamotfleet.Holding { return r.spec.Holdings }
+
+// Busy tells whether an order is in progress.
+func (r Report) Busy() bool { return r.spec.Busy }
+
+// Pace returns the factor on the times of the kind; above 1 the runner is slow.
+func (r Report) Pace() float64 { return r.spec.Pace }
+
+// Stalled returns the address of the runner on which a request waits in vain, if it does.
+func (r Report) Stalled(request string) (address string, ok bool) {
+	address, ok = r.spec.Stalled[request]
+	return address, ok
+}
+
+// Reporter asks a runner for its report.
+type Reporter interface {
+	Report(ctx context.Context, address string) (Report, error)
+}
+
+// Orderer tells a runner which layers to hold. After an error other than bergamotstore.ErrRejected the runner may
+// carry out the order, also later.
+type Orderer interface {
+	Place(ctx context.Context, address string, s bergamotlayout.Span) error
+}
--- a/core/bergamotfleet/instance.go
+++ b/core/bergamotfleet/instance.go
@@ -16,6 +16,8 @@
 	Kind     string    // kind of accelerator
 	Role     string    // RoleRunner or the name of a plain service
 	Memory   int       // layers that fit
+	Slots    int       // requests that a plain service runs at the same time, 0 when not known
+	Born     int64     // start of the process in Unix milliseconds; another value is another process
 	Fenced   bool      // the instance rejects commands with an old fencing number
 	Listed   bool      // the list says that the instance is leaving
 	Leaving  bool      // the instance must get no new work
@@ -55,6 +57,12 @@
 // Memory returns how many layers fit.
 func (i Instance) Memory() int { return i.fields().Memory }
 
+// Slots returns how many requests a plain service runs at the same time, 0 when not known.
+func (i Instance) Slots() int { return i.fields().Slots }
+
+// Born returns the start of the process in Unix milliseconds; another value is another process.
+func (i Instance) Born() int64 { return i.fields().Born }
+
 // Fenced tells whether the instance rejects commands with an old fencing number.
 func (i Instance) Fenced() bool { return i.fields().Fenced }
 
--- /dev/null
+++ b/core/bergamotlayout/span.go
@@ -0,0 +1,40 @@
+package bergamotlayout
+
+// Span is a range of layers, the last one excluded.
+type Span struct {
+	from int
+	to   int
+}
+
+// NewSpan returns the layers from (included) to to (excluded).
+func NewSpan(from, to int) Span { return Span{from: from, to: to} }
+
+// From returns the first layer.
+func (s Span) From() int { return s.from }
+
+// To returns the layer after the last one.
+func (s Span) To() int { return s.to }
+
+// Len returns the number of layers.
+func (s Span) Len() int { return max(s.to-s.from, 0) }
+
+// Runner is a runner that may hold layers.
+type Runner struct {
+	name   string
+	centre string
+	memory float64 // MB
+	pace   float64 // factor on the time of a step
+	held   Span    // layers that it holds or was ordered to hold
+}
+
+// NewRunner returns a runner with its memory in MB, the factor on the time of a step, and the layers that it holds or
+// was ordered to hold.
+func NewRunner(name, centre string, memory, pace float64, held Span) Runner {
+	return Runner{name: name, centre: centre, memory: memory, pace: pace, held: held}
+}
+
+// Name returns the unique name.
+func (r Runner) Name() string { return r.name }
+
+// Held returns the layers that the runner holds or was ordered to hold.
+func (r Runner) Held() Span { return r.held }
--- /dev/null
+++ b/core/bergamotpath/router.go
@@ -0,0 +1,171 @@
+package bergamotpath
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bergamotspur/core/bergamotconfig"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotroute"
+)
+
+const (
+	hopTime   = 250 * time.Microsecond // transfer and wait for the running pass at one more runner
+	crossTime = 20 * time.Millisecond  // a prompt's activations on the pipe between two data centres
+	// remoteFactor prefers the own data centre: bytes between data centres are priced.
+	remoteFactor = 1.15
+	// spread is the random part of the cost of a data centre. It keeps entries from choosing the same one at once,
+	// and lets each entry notice failures in all of them.
+	spread = 0.25
+	// fullShare is the part of a runner's memory for requests above which it gets no more work: the estimate of the
+	// work of other entries is rough, and a runner without memory preempts running streams.
+	fullShare = 0.9
+)
+
+// Want describes the path that a request needs.
+type Want struct {
+	Engine  *bergamotconfig.Engine
+	Service string
+	Fleet   *bergamotfleet.Fleet
+	Tokens  float64         // tokens of the prompt and the expected answer
+	Avoid   map[string]bool // runners that must not be used
+	Entries int             // entries that share the runners
+}
+
+// Router chooses paths by expected time and counts the work that this entry has in flight.
+type Router struct {
+	Clock  interface{ Now() time.Time }
+	Random *rand.Rand // used under the router's lock
+	Centre string     // data centre of the entry
+
+	mu    sync.Mutex
+	used  map[string]float64 // token-layers in flight by runner
+	avoid map[string]time.Time
+}
+
+// Avoid keeps new work from a runner for a while.
+func (r *Router) Avoid(runner string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.avoid == nil {
+		r.avoid = map[string]time.Time{}
+	}
+	if until := r.Clock.Now().Add(d); until.After(r.avoid[runner]) {
+		r.avoid[runner] = until
+	}
+}
+
+// Restore lets a runner get new work again.
+func (r *Router) Restore(runner string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.avoid, runner)
+}
+
+// Avoided tells whether new work is kept from a runner.
+func (r *Router) Avoided(runner string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.avoided(runner)
+}
+
+// Route returns the plan with the least expected time and reserves memory for its tokens; ok is false when no path
+// covers all layers.
+func (r *Router) Route(w Want) (p bergamotroute.Plan, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.used == nil {
+		r.used = map[string]float64{}
+	}
+	groups := map[string][]candidate{}
+	var all []candidate
+	var centres []string
+	for _, i := range w.Fleet.Role(w.Service) {
+		c, usable := r.candidate(w, i)
+		if !usable {
+			continue
+		}
+		if _, known := groups[c.centre]; !known {
+			centres = append(centres, c.centre)
+		}
+		groups[c.centre] = append(groups[c.centre], c)
+		all = append(all, c)
+	}
+	best := 0.0
+	for _, centre := range centres {
+		s := search{candidates: groups[centre], layers: w.Engine.Layers()}
+		plan, cost, found := s.run()
+		if !found {
+			continue
+		}
+		cost *= 1 + spread*r.Random.Float64()
+		if centre != r.Centre {
+			cost *= remoteFactor
+		}
+		if !ok || cost < best {
+			p, best, ok = plan, cost, true
+		}
+	}
+	if !ok {
+		s := search{candidates: all, layers: w.Engine.Layers()}
+		p, _, ok = s.run()
+	}
+	if ok {
+		r.reserve(p, w.Tokens)
+	}
+	return p, ok
+}
+
+// Finish releases the memory that Route reserved.
+func (r *Router) Finish(p bergamotroute.Plan, tokens float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range p.Stages() {
+		left := r.used[s.Instance()] - tokens*float64(s.To()-s.From())
+		if left < 1 {
+			delete(r.used, s.Instance())
+			continue
+		}
+		r.used[s.Instance()] = left
+	}
+}
+
+func (r *Router) reserve(p bergamotroute.Plan, tokens float64) {
+	for _, s := range p.Stages() {
+		r.used[s.Instance()] += tokens * float64(s.To()-s.From())
+	}
+}
+
+func (r *Router) avoided(runner string) bool {
+	until, ok := r.avoid[runner]
+	if ok && !r.Clock.Now().Before(until) {
+		delete(r.avoid, runner)
+		return false
+	}
+	return ok
+}
+
+// candidate returns what the search needs to know of a runner.
+func (r *Router) candidate(w Want, i bergamotfleet.Instance) (c candidate, ok bool) {
+	k, known := w.Engine.Kind(i.Kind())
+	if !known || !i.Usable() || w.Avoid[i.Name()] || r.avoided(i.Name()) || len(i.Holdings()) == 0 {
+		return c, false
+	}
+	h := i.Holdings()[0]
+	if h.To() <= h.From() {
+		return c, false
+	}
+	free := k.MemoryMB() - float64(h.To()-h.From())*w.Engine.LayerMB()
+	room := fullShare * free / w.Engine.TokenMB()
+	used := r.used[i.Name()] * float64(max(w.Entries, 1))
+	if room <= 0 || used >= room {
+		return c, false
+	}
+	layer := float64(w.Engine.Step()) * k.Pace() / float64(w.Engine.Layers())
+	// A runner whose memory fills up gets slower and is about to preempt, so its cost grows without bound.
+	return candidate{
+		name: i.Name(), address: i.Address(), centre: i.DataCentre(), from: h.From(), to: h.To(),
+		layer: layer / (1 - used/room), left: (room - used) / max(w.Tokens, 1),
+	}, true
+}
--- a/core/bergamotrequest/reason.go
+++ b/core/bergamotrequest/reason.go
@@ -14,6 +14,7 @@
 	ReasonService  Reason = "service"  // no service or call has that name
 	ReasonIdem     Reason = "idem"     // a call that may not be repeated has no idempotency key
 	ReasonBundle   Reason = "bundle"   // no bundle is in force yet
+	ReasonStale    Reason = "stale"    // the configuration may be out of date
 	ReasonDrain    Reason = "drain"    // the entry is shutting down
 	ReasonDeadline Reason = "deadline" // the deadline has passed or cannot be met
 	ReasonRate     Reason = "rate"     // the request rate of the workspace is used up
@@ -37,7 +38,7 @@
 // Reasons returns every reason in a fixed order.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdem, ReasonBundle,
+		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdem, ReasonBundle, ReasonStale,
 		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonSuspect, ReasonDigest,
 		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall,
 		ReasonProof, ReasonBudget, ReasonCancel, ReasonInternal,
--- a/core/bergamotretry/budget.go
+++ b/core/bergamotretry/budget.go
@@ -97,3 +97,10 @@
 	}
 	return u
 }
+
+// SetReserve changes the retries in each window that need no first attempt.
+func (b *Budget) SetReserve(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Reserve = n
+}
--- a/io/bergamotmetric/metric.go
+++ b/io/bergamotmetric/metric.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -31,11 +32,24 @@
 	return metrics.GetOrRegisterCounter(name, r.registry).Count()
 }
 
-// Lines returns "name value" for each counter in the order of the names.
+// Time adds a duration to the histogram of that name, which Lines shows in milliseconds.
+func (r *Registry) Time(name string, d time.Duration) {
+	metrics.GetOrRegisterTimer(name, r.registry).Update(d)
+}
+
+// Lines returns "name value" for each counter, and the quantiles of each histogram, in the order of the names.
 func (r *Registry) Lines() (out []string) {
 	r.registry.Each(func(name string, v any) {
-		if c, ok := v.(metrics.Counter); ok {
-			out = append(out, fmt.Sprintf("bergamot_%s %d", strings.ReplaceAll(name, ".", "_"), c.Count()))
+		name = "bergamot_" + strings.ReplaceAll(name, ".", "_")
+		switch m := v.(type) {
+		case metrics.Counter:
+			out = append(out, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Timer:
+			t := m.Snapshot()
+			for _, q := range []float64{0.5, 0.95, 0.99} {
+				out = append(out, fmt.Sprintf("%s_ms{quantile=\"%v\"} %.1f", name, q, t.Percentile(q)/float64(time.Millisecond)))
+			}
+			out = append(out, fmt.Sprintf("%s_ms_count %d", name, t.Count()))
 		}
 	})
 	slices.Sort(out)
