--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -115,15 +115,16 @@
 	s.fleet = nil
 }
 
-// Fail records that a runner does not answer; it gets no work until a check succeeds.
-func (s *State) Fail(name string) {
-	if _, known := s.runners[name]; !known {
-		return
-	}
-	if _, ok := s.failed[name]; !ok {
-		s.failed[name] = failure{since: s.now, due: s.now}
-		s.mark(name, true)
+// Fail records that a runner does not answer and tells whether that is new; it gets no work until a check succeeds.
+func (s *State) Fail(name string) bool {
+	_, known := s.runners[name]
+	_, failed := s.failed[name]
+	if !known || failed {
+		return false
 	}
+	s.failed[name] = failure{since: s.now, due: s.now}
+	s.mark(name, true)
+	return true
 }
 
 // Restore records that a runner answers again.
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -5,6 +5,13 @@
 	"slices"
 )
 
+// shiftCost divides the score of a move for each runner that is shifted by it: a shift loads a layer and takes another
+// one from the requests that come next.
+const shiftCost = 1.5
+
+// shiftMost bounds how many runners one move shifts, and with it the time of the search.
+const shiftMost = 6
+
 // repair closes gaps in the copies of one group and finds work for runners that hold nothing.
 type repair struct {
 	model   Model
@@ -76,35 +83,92 @@
 	}
 }
 
-// extend lets the neighbours of a gap take its layers one by one, the one with the most memory left first.
+// extend closes gaps layer by layer with the runners beside them. A runner that is full shifts by one layer when its
+// far end is held twice or its neighbour there can take that layer in turn, so that a gap spreads over the whole
+// chain without any runner leaving its place.
 func (r *repair) extend() {
 	for {
 		from := r.gap()
 		if from < 0 {
 			return
 		}
-		to := r.gapEnd(from)
-		name, best, span := "", 0.0, Span{}
-		for _, v := range r.runners {
-			s := r.spans[v.name]
-			if s.Len() == 0 || s.Len() >= r.model.Most(v.memory) || s.to != from && s.from != to {
-				continue
-			}
-			if left := v.memory / float64(s.Len()+1); left > best {
-				name, best = v.name, left
-				if span = NewSpan(s.from, s.to+1); s.to != from {
-					span = NewSpan(s.from-1, s.to)
+		best, found := move{}, false
+		for i := range r.runners {
+			for _, m := range []move{{runner: i, layer: from, up: true}, {runner: i, layer: r.gapEnd(from) - 1}} {
+				if r.weigh(&m, 0) && (!found || m.score > best.score) {
+					best, found = m, true
 				}
 			}
 		}
-		if name == "" {
+		if !found {
 			return
 		}
-		r.spans[name] = span
+		r.apply(best)
 		r.count()
 	}
 }
 
+// move is a runner that takes one layer at an end of its range.
+type move struct {
+	runner int
+	layer  int  // the layer that it takes
+	up     bool // the layer follows the range; otherwise it precedes it
+	score  float64
+	then   *move // the move that takes the layer which this runner gives up at its other end
+	drops  bool  // the runner gives up the layer at its other end
+}
+
+// weigh finds out whether a move is possible and how good it is: the more memory it leaves for requests and the fewer
+// other runners it shifts, the better.
+func (r *repair) weigh(m *move, depth int) bool {
+	v := r.runners[m.runner]
+	s := r.spans[v.name]
+	if s.Len() == 0 || depth > shiftMost || m.up && s.to != m.layer || !m.up && s.from-1 != m.layer {
+		return false
+	}
+	if s.Len() < r.model.Most(v.memory) {
+		m.score = v.memory / float64(s.Len()+1)
+		return true
+	}
+	m.drops = true
+	end := s.to - 1
+	if m.up {
+		end = s.from
+	}
+	if r.cover[end] > 1 {
+		m.score = v.memory / float64(s.Len()) / shiftCost
+		return true
+	}
+	for i := range r.runners {
+		next := move{runner: i, layer: end, up: m.up}
+		if i != m.runner && r.weigh(&next, depth+1) && (m.then == nil || next.score > m.then.score) {
+			m.then = &next
+			m.score = next.score / shiftCost
+		}
+	}
+	return m.then != nil
+}
+
+func (r *repair) apply(m move) {
+	name := r.runners[m.runner].name
+	s := r.spans[name]
+	switch {
+	case m.up:
+		s.to++
+	default:
+		s.from--
+	}
+	if m.drops && m.up {
+		s.from++
+	} else if m.drops {
+		s.to--
+	}
+	r.spans[name] = s
+	if m.then != nil {
+		r.apply(*m.then)
+	}
+}
+
 // reinforce gives each runner that still holds nothing the range of layers whose holders have the least room.
 func (r *repair) reinforce(copies int) {
 	for {
--- a/core/bergamotlease/lease.go
+++ b/core/bergamotlease/lease.go
@@ -51,6 +51,11 @@
 // of this entry, which is not valid when another one holds the lease. An error leaves the grant as it was.
 func (l *Lease) Step(ctx context.Context) (g Grant, err error) {
 	defer func() { err = oops.In("lease").Wrapf(err, "step %s", l.Key) }()
+	if r, failed := decode(l.seen.Value()); failed == nil && l.grant.Valid(l.Clock.Now()) && l.pending == nil &&
+		r.Holder == l.Holder && r.Number == l.grant.number {
+		// The holder knows the row that it wrote last, and the write itself tells when another one has replaced it.
+		return l.write(ctx, l.seen, r.Number)
+	}
 	row, err := l.Table.Read(ctx, l.Key)
 	if err != nil {
 		return l.grant, err
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -54,6 +56,7 @@
 	sends   int
 	results chan outcome
 	failure *Failure
+	poor    *outcome // an answer that says that the runner failed, kept for the case that no better one comes
 }
 
 // Handle sends the call to a runner. It goes to another one when it was certainly not run, or may be repeated.
@@ -74,12 +77,14 @@
 		select {
 		case o := <-c.results:
 			if c.finish(o) {
-				x.Trace().Answered(h.Clock.Now(), o.status)
-				return x.Sink().Reply(o.status, o.fields, o.body)
+				return c.reply(o)
 			}
 			if ctx.Err() == nil && c.mayRepeat() && c.send(ctx) {
 				continue
 			}
+			if c.running == 0 && c.poor != nil {
+				return c.reply(*c.poor)
+			}
 			if c.running == 0 {
 				return c.refuse(ctx)
 			}
@@ -89,11 +94,19 @@
 				c.send(ctx)
 			}
 		case <-ctx.Done():
+			if c.poor != nil {
+				return c.reply(*c.poor)
+			}
 			return c.refuse(ctx)
 		}
 	}
 }
 
+func (c *call) reply(o outcome) error {
+	c.x.Trace().Answered(c.handler.Clock.Now(), o.status)
+	return c.x.Sink().Reply(o.status, o.fields, o.body)
+}
+
 // send starts an attempt at the runner with the least work and tells whether there is one.
 func (c *call) send(ctx context.Context) bool {
 	h := c.handler
@@ -140,7 +153,14 @@
 func (c *call) finish(o outcome) bool {
 	c.running--
 	if o.failure == nil {
-		return true
+		if o.status < http.StatusInternalServerError || !c.x.Route().Repeatable() || c.poor != nil {
+			return true
+		}
+		// The runner failed at a call that may be repeated; another one may do better.
+		c.poor, c.ran = &o, c.ran+1
+		c.failure = NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, fmt.Errorf("status %d", o.status))
+		c.x.Trace().Add(c.failure.Error())
+		return false
 	}
 	f := o.failure
 	c.failure = f
--- a/core/bergamotrelay/identify.go
+++ b/core/bergamotrelay/identify.go
@@ -27,13 +27,13 @@
 	age := f.Freshness.Age(x)
 	if age > f.Most {
 		return bergamotrequest.Refuse(bergamotrequest.ReasonStale, "the keys were last confirmed %s ago", age.Round(time.Millisecond)).
-			RetryAfter(retryAfter)
+			RetryAfter(elsewhere)
 	}
 	w, ok := c.Workspace(x.Request().Key())
 	if !ok {
 		if age > f.Sure {
 			return bergamotrequest.Refuse(bergamotrequest.ReasonStale, "no such key in a configuration that may be out of date").
-				RetryAfter(retryAfter)
+				RetryAfter(elsewhere)
 		}
 		return bergamotrequest.Refuse(bergamotrequest.ReasonKey, "the key is missing or unknown")
 	}
--- a/core/bergamotrelay/match.go
+++ b/core/bergamotrelay/match.go
@@ -35,7 +35,7 @@
 	if !ok {
 		if f.Freshness.Age(x) > f.Sure {
 			return bergamotrequest.Refuse(bergamotrequest.ReasonStale, "no such route in a configuration that may be out of date").
-				RetryAfter(retryAfter)
+				RetryAfter(elsewhere)
 		}
 		return bergamotrequest.Refuse(bergamotrequest.ReasonRoute, "no such route")
 	}
