--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -21,6 +21,8 @@
 	// fullShare is the part of a runner's memory for requests above which it gets no more work: the estimate of the
 	// work of other entries is rough, and a runner without memory preempts running streams.
 	fullShare = 0.9
+	// mostShare bounds the part of the memory that counts as used when the cost of a runner is estimated.
+	mostShare = 0.95
 )
 
 // Want describes the path that a request needs.
@@ -158,14 +160,16 @@
 	}
 	free := k.MemoryMB() - float64(h.To()-h.From())*w.Engine.LayerMB()
 	room := fullShare * free / w.Engine.TokenMB()
-	used := r.used[i.Name()] * float64(max(w.Entries, 1))
+	used := r.used[i.Name()]
 	if room <= 0 || used >= room {
 		return c, false
 	}
 	layer := float64(w.Engine.Step()) * k.Pace() / float64(w.Engine.Layers())
-	// A runner whose memory fills up gets slower and is about to preempt, so its cost grows without bound.
+	// Other entries are taken to have as much work there as this one. That is wrong while some of them restart, so
+	// that it only makes a runner dearer; what this entry knows itself is the limit.
+	share := min(used*float64(max(w.Entries, 1))/room, mostShare)
 	return candidate{
 		name: i.Name(), address: i.Address(), centre: i.DataCentre(), from: h.From(), to: h.To(),
-		layer: layer / (1 - used/room), left: (room - used) / max(w.Tokens, 1),
+		layer: layer / (1 - share), left: (room - used) / max(w.Tokens, 1),
 	}, true
 }
--- a/core/bergamotrelay/trace.go
+++ b/core/bergamotrelay/trace.go
@@ -10,6 +10,8 @@
 	steps  []string
 	sends  int
 	first  time.Time
+	last   time.Time
+	gap    time.Duration
 	events int
 	status int
 }
@@ -27,7 +29,10 @@
 func (t *Trace) Answered(now time.Time, status int) {
 	if t.first.IsZero() {
 		t.first, t.status = now, status
+	} else {
+		t.gap = max(t.gap, now.Sub(t.last))
 	}
+	t.last = now
 	t.events++
 }
 
@@ -40,6 +45,9 @@
 // First returns when the first part of the answer went out, zero for never.
 func (t *Trace) First() time.Time { return t.first }
 
+// Gap returns the longest pause between two parts of the answer.
+func (t *Trace) Gap() time.Duration { return t.gap }
+
 // Events returns how many parts of the answer went out.
 func (t *Trace) Events() int { return t.events }
 
