Learn a runner's memory from its report after a rejection and count retries exactly

Ruled out: hedged calls (another service). Change: a rejection for want of memory makes the entry ask the runner once and wait for room instead of sending again; a repair prefers the chain's runners with the most room; the budget counts a sliding window in ten slots. Two cases of its test described the old approximation and are replaced by stricter ones, with a new one that fails on the old code.

--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -11,9 +11,10 @@
 type ReportSpec struct {
 	Born     int64 // start of the process in Unix milliseconds
 	Holdings []bergamotfleet.Holding
-	Busy     bool    // an order is in progress
-	Pace     float64 // factor on the times of the kind; above 1 the runner is slow
-	Stalled  map[string]string
+	Busy     bool              // an order is in progress
+	Pace     float64           // factor on the times of the kind; above 1 the runner is slow
+	Used     float64           // memory that requests hold, in tokens times layers
+	Stalled  map[string]string // address of the silent runner by request
 }
 
 // Report is what a runner says about itself.
@@ -34,6 +35,9 @@
 // Pace returns the factor on the times of the kind; above 1 the runner is slow.
 func (r Report) Pace() float64 { return r.spec.Pace }
 
+// Used returns the memory that requests hold, in tokens times layers.
+func (r Report) Used() float64 { return r.spec.Used }
+
 // Stalled returns the address of the runner on which a request waits in vain, if it does.
 func (r Report) Stalled(request string) (address string, ok bool) {
 	address, ok = r.spec.Stalled[request]
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -7,7 +7,7 @@
 
 // shiftCost divides the score of a move for each runner that is shifted by it: a shift loads a layer and takes another
 // one from the requests that come next.
-const shiftCost = 1.5
+const shiftCost = 1.25
 
 // shiftMost bounds how many runners one move shifts, and with it the time of the search.
 const shiftMost = 6
@@ -40,7 +40,7 @@
 		if s.Len() == 0 {
 			continue
 		}
-		tokens := (v.memory - float64(s.Len())*r.model.layer) / (r.model.token * float64(s.Len()))
+		tokens := r.tokens(v, s.Len())
 		for i := s.from; i < min(s.to, r.model.layers); i++ {
 			r.cover[i]++
 			r.room[i] += tokens
@@ -127,16 +127,25 @@
 		return false
 	}
 	if s.Len() < r.model.Most(v.memory) {
-		m.score = v.memory / float64(s.Len()+1)
-		return true
+		m.score = r.tokens(v, s.Len()+1)
+	}
+	shift := *m
+	if r.weighShift(&shift, v, s, depth) && shift.score > m.score {
+		*m = shift
 	}
+	return m.score > 0
+}
+
+// weighShift weighs a move by which the runner gives up the layer at its other end.
+func (r *repair) weighShift(m *move, v Runner, s Span, depth int) bool {
 	m.drops = true
+	m.score = 0
 	end := s.to - 1
 	if m.up {
 		end = s.from
 	}
 	if r.cover[end] > 1 {
-		m.score = v.memory / float64(s.Len()) / shiftCost
+		m.score = r.tokens(v, s.Len()) / shiftCost
 		return true
 	}
 	for i := range r.runners {
@@ -149,6 +158,11 @@
 	return m.then != nil
 }
 
+// tokens returns for how many tokens of requests a runner has memory beside its layers.
+func (r *repair) tokens(v Runner, layers int) float64 {
+	return (v.memory - float64(layers)*r.model.layer) / (r.model.token * float64(layers))
+}
+
 func (r *repair) apply(m move) {
 	name := r.runners[m.runner].name
 	s := r.spans[name]
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -23,6 +23,8 @@
 	fullShare = 0.9
 	// mostShare bounds the part of the memory that counts as used when the cost of a runner is estimated.
 	mostShare = 0.95
+	// reportLife is the time over which a report of the work of other entries fades; a stream lasts some 3 s.
+	reportLife = 1500 * time.Millisecond
 )
 
 // Want describes the path that a request needs.
@@ -41,9 +43,26 @@
 	Random *rand.Rand // used under the router's lock
 	Centre string     // data centre of the entry
 
-	mu    sync.Mutex
-	used  map[string]float64 // token-layers in flight by runner
-	avoid map[string]time.Time
+	mu     sync.Mutex
+	used   map[string]float64 // token-layers in flight by runner
+	avoid  map[string]time.Time
+	others map[string]reported
+}
+
+// reported is the memory that requests of other entries held on a runner.
+type reported struct {
+	used float64 // token-layers
+	at   time.Time
+}
+
+// Observe takes the memory in token-layers that all requests hold on a runner by its own report.
+func (r *Router) Observe(runner string, used float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.others == nil {
+		r.others = map[string]reported{}
+	}
+	r.others[runner] = reported{used: max(used-r.used[runner], 0), at: r.Clock.Now()}
 }
 
 // Avoid keeps new work from a runner for a while.
@@ -148,6 +167,20 @@
 	return ok
 }
 
+// reported returns the memory that requests of other entries hold by a report that is not too old.
+func (r *Router) reported(runner string) float64 {
+	o, ok := r.others[runner]
+	if !ok {
+		return 0
+	}
+	age := r.Clock.Now().Sub(o.at)
+	if age >= reportLife {
+		delete(r.others, runner)
+		return 0
+	}
+	return o.used * (1 - float64(age)/float64(reportLife))
+}
+
 // candidate returns what the search needs to know of a runner.
 func (r *Router) candidate(w Want, i bergamotfleet.Instance) (c candidate, ok bool) {
 	k, known := w.Engine.Kind(i.Kind())
@@ -160,14 +193,14 @@
 	}
 	free := k.MemoryMB() - float64(h.To()-h.From())*w.Engine.LayerMB()
 	room := fullShare * free / w.Engine.TokenMB()
-	used := r.used[i.Name()]
+	used := r.used[i.Name()] + r.reported(i.Name())
 	if room <= 0 || used >= room {
 		return c, false
 	}
 	layer := float64(w.Engine.Step()) * k.Pace() / float64(w.Engine.Layers())
 	// Other entries are taken to have as much work there as this one. That is wrong while some of them restart, so
 	// that it only makes a runner dearer; what this entry knows itself is the limit.
-	share := min(used*float64(max(w.Entries, 1))/room, mostShare)
+	share := min(max(used, r.used[i.Name()]*float64(max(w.Entries, 1)))/room, mostShare)
 	return candidate{
 		name: i.Name(), address: i.Address(), centre: i.DataCentre(), from: h.From(), to: h.To(),
 		layer: layer / (1 - share), left: (room - used) / max(w.Tokens, 1),
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -7,10 +7,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
+	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotpath"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
@@ -197,10 +199,36 @@
 		}
 	}
 	s.avoid[name] = true
+	if f.reason == bergamotrequest.ReasonFull && s.full(p, name) {
+		return
+	}
 	s.handler.Router.Avoid(name, avoidTime)
 	s.handler.Observer.Failed(name, f.Error())
 }
 
+// full finds out whether a runner rejected the request for want of memory, and lets the router know what the requests
+// of all entries hold there. Any other cause needs a check of the runner.
+func (s *stream) full(p bergamotroute.Plan, name string) bool {
+	for _, stage := range p.Stages() {
+		if stage.Instance() != name {
+			continue
+		}
+		r, err := s.handler.Watch.ask(stage.Address())
+		if err != nil || !holds(r.Holdings(), stage) {
+			return false
+		}
+		s.handler.Router.Observe(name, r.Used())
+		s.x.Trace().Add(fmt.Sprintf("%s holds %.0f token-layers", name, r.Used()))
+		return true
+	}
+	return false
+}
+
+// holds tells whether a runner has all layers of a stage.
+func holds(holdings []bergamotfleet.Holding, s bergamotroute.Stage) bool {
+	return slices.ContainsFunc(holdings, func(h bergamotfleet.Holding) bool { return h.From() <= s.From() && s.To() <= h.To() })
+}
+
 // mayRepeat tells whether the request may go to one more path.
 func (s *stream) mayRepeat() bool {
 	f := s.failure
--- a/core/bergamotretry/budget.go
+++ b/core/bergamotretry/budget.go
@@ -25,19 +25,42 @@
 	order *list.List
 }
 
-// usage counts the attempts of one key in the current window and the one before.
+// usageSlots divides the window. A coarser count lets the retries of the end of one window and the beginning of the
+// next exceed the budget in a window between them.
+const usageSlots = 10
+
+// usage counts the attempts of one key in the slots of the window that ends now.
 type usage struct {
 	key     string
-	begin   time.Time
-	firsts  [2]float64
-	retries [2]float64
+	slot    int64 // number of the newest slot
+	firsts  [usageSlots]float64
+	retries [usageSlots]float64
+}
+
+// advance forgets the slots that have left the window.
+func (u *usage) advance(slot int64) {
+	for n := min(slot-u.slot, usageSlots); n > 0; n-- {
+		i := (slot - n + 1) % usageSlots
+		u.firsts[i], u.retries[i] = 0, 0
+	}
+	u.slot = max(u.slot, slot)
+}
+
+func (u *usage) now() int { return int(u.slot % usageSlots) }
+
+func total(list [usageSlots]float64) (sum float64) {
+	for _, n := range list {
+		sum += n
+	}
+	return sum
 }
 
 // First counts a first attempt.
 func (b *Budget) First(key string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.usage(key).firsts[0]++
+	u := b.usage(key)
+	u.firsts[u.now()]++
 }
 
 // Take counts a retry and tells whether the budget allows it; one that is not allowed is not counted.
@@ -45,13 +68,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(key)
-	// The window before counts with the part of it that is still recent.
-	part := 1 - float64(b.Clock.Now().Sub(u.begin))/float64(b.Window)
-	firsts, retries := u.firsts[0]+part*u.firsts[1], u.retries[0]+part*u.retries[1]
-	if retries+1 > b.Reserve+b.Ratio*firsts {
+	if total(u.retries)+1 > b.Reserve+b.Ratio*total(u.firsts) {
 		return false
 	}
-	u.retries[0]++
+	u.retries[u.now()]++
 	return true
 }
 
@@ -59,8 +79,8 @@
 func (b *Budget) give(key string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if u := b.usage(key); u.retries[0] > 0 {
-		u.retries[0]--
+	if u := b.usage(key); u.retries[u.now()] > 0 {
+		u.retries[u.now()]--
 	}
 }
 
@@ -75,7 +95,7 @@
 	if b.items == nil {
 		b.items, b.order = map[string]*list.Element{}, list.New()
 	}
-	now := b.Clock.Now()
+	slot := b.Clock.Now().UnixNano() / max(int64(b.Window)/usageSlots, 1)
 	e, ok := b.items[key]
 	if !ok {
 		if len(b.items) >= b.Limit {
@@ -83,18 +103,12 @@
 			delete(b.items, oldest.Value.(*usage).key)
 			b.order.Remove(oldest)
 		}
-		e = b.order.PushFront(&usage{key: key, begin: now})
+		e = b.order.PushFront(&usage{key: key, slot: slot})
 		b.items[key] = e
 	}
 	b.order.MoveToFront(e)
 	u := e.Value.(*usage)
-	switch age := now.Sub(u.begin); {
-	case age >= 2*b.Window:
-		*u = usage{key: key, begin: now}
-	case age >= b.Window:
-		u.begin = u.begin.Add(b.Window)
-		u.firsts, u.retries = [2]float64{0, u.firsts[0]}, [2]float64{0, u.retries[0]}
-	}
+	u.advance(slot)
 	return u
 }
 
--- a/core/bergamotretry/retries_test.go
+++ b/core/bergamotretry/retries_test.go
@@ -40,10 +40,11 @@
 	bergamottest.Entries(map[string]budgetCase{
 		"allows the reserve without first attempts":               {firsts: 0, want: 3},
 		"allows a ratio of first attempts and the reserve":        {firsts: 100, want: 13},
-		"counts the window before in part":                        {firsts: 100, pause: window * 3 / 2, want: 8},
+		"counts first attempts until they leave the window":       {firsts: 100, pause: window * 9 / 10, want: 13},
+		"forgets first attempts of a window and a half ago":       {firsts: 100, pause: window * 3 / 2, want: 3},
 		"forgets first attempts of two windows ago":               {firsts: 100, pause: 2 * window, want: 3},
 		"forgets first attempts of a much longer time ago":        {firsts: 100, pause: 9 * window, want: 3},
-		"allows no more retries at the beginning of a new window": {firsts: 100, pause: window, want: 13},
+		"forgets first attempts of a whole window ago":            {firsts: 100, pause: window, want: 3},
 	}, func(c budgetCase) {
 		clock := bergamotclock.NewVirtual(time.Unix(0, 0))
 		b := newBudget(clock, 0.1, 3)
@@ -55,6 +56,19 @@
 		gomega.Expect(take(b, "other", 1000)).To(gomega.Equal(3))
 	})
 
+	// Guards against retries at the end of one window and the beginning of the next that together exceed the budget in
+	// a window between them, as the platform counts it.
+	ginkgo.It("holds in each window, wherever it begins", func() {
+		clock := bergamotclock.NewVirtual(time.Unix(9, 0))
+		b := newBudget(clock, 0.1, 3)
+		for range 100 {
+			b.First("kitchen")
+		}
+		gomega.Expect(take(b, "kitchen", 1000)).To(gomega.Equal(13))
+		clock.Advance(window / 2)
+		gomega.Expect(take(b, "kitchen", 1000)).To(gomega.BeZero())
+	})
+
 	// Guards against memory that grows with the number of keys.
 	ginkgo.It("keeps a bounded number of keys and forgets the least recently used", func() {
 		b := newBudget(bergamotclock.NewVirtual(time.Unix(0, 0)), 0, 1)
