--- a/core/bergamotcluster/checks.go
+++ b/core/bergamotcluster/checks.go
@@ -12,9 +12,8 @@
 
 // Checks is the controller that asks runners which failed whether they answer again.
 type Checks struct {
-	Source   Reporter
-	Report   func(runner string, err error) // called when a runner answers again
-	Restored func(runner string)            // called when a runner answers again; may be nil
+	Source Reporter
+	Report func(runner string) // called when a runner answers again
 }
 
 // Name returns "checks".
@@ -62,10 +61,7 @@
 			spec.Holdings = r.Holdings()
 			s.Restore(name)
 			s.Put(spec)
-			c.Report(name, nil)
-			if c.Restored != nil {
-				c.Restored(name)
-			}
+			c.Report(name)
 		})
 	}
 }
--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -12,7 +12,8 @@
 	retryLeast = 100 * time.Millisecond // first wait after a failed read
 	retryMost  = 400 * time.Millisecond // longest wait: a store that is back must be noticed within half a second
 	// replyTime is added to the wait that is asked for; a reply that is later counts as lost with its connection.
-	replyTime = 1500 * time.Millisecond
+	// The store answers in 5 ms, and in 0.3 s when it is slow.
+	replyTime = 800 * time.Millisecond
 )
 
 // Feed reads a table and its changes.
@@ -93,10 +94,15 @@
 }
 
 func (c *Follow) changes(ctx context.Context) Event {
-	ctx, cancel := context.WithTimeout(ctx, c.Wait+replyTime)
+	wait := c.Wait
+	if !c.failing.IsZero() {
+		// A read that waits would notice the end of an outage late.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+replyTime)
 	defer cancel()
 	began := c.Awake()
-	changes, version, err := c.Source.Changes(ctx, c.Table, c.version, c.Wait)
+	changes, version, err := c.Source.Changes(ctx, c.Table, c.version, wait)
 	return EventFunc(func(s *State) {
 		if c.done(s, err) {
 			return
--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -10,6 +10,7 @@
 // Leaser acquires and renews the lease of the placement.
 type Leaser interface {
 	Step(ctx context.Context) (bergamotlease.Grant, error)
+	Release(ctx context.Context) error
 }
 
 // Leadership is the controller that keeps or seeks the lease of the placement, so that one entry at a time places
@@ -19,9 +20,11 @@
 	Renew  time.Duration // time between two steps of the holder
 	Seek   time.Duration // time between two steps of another entry
 	Report func(holder bool, number int64, err error)
+	Leave  func() bool // tells whether the entry is stopping, so that another one should place layers
 
-	due     time.Time
-	running bool
+	due      time.Time
+	running  bool
+	released bool
 }
 
 // Name returns "leadership".
@@ -40,6 +43,9 @@
 	if c.running || s.Now().Before(c.due) {
 		return nil
 	}
+	if c.Leave() {
+		return c.release()
+	}
 	c.running = true
 	held := s.grant.Valid(s.Now())
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
@@ -60,3 +66,22 @@
 		})
 	})}
 }
+
+// release gives the lease back once; a failure only makes the next holder wait for the end of its term.
+func (c *Leadership) release() []Task {
+	if c.released {
+		return nil
+	}
+	c.released, c.running = true, true
+	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, replyTime)
+		defer cancel()
+		err := c.Lease.Release(ctx)
+		return EventFunc(func(s *State) {
+			if s.grant.Valid(s.Now()) || err != nil {
+				c.Report(false, s.grant.Number(), err)
+			}
+			s.grant = bergamotlease.Grant{}
+		})
+	})}
+}
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -23,8 +23,9 @@
 	fullShare = 0.9
 	// mostShare bounds the part of the memory that counts as used when the cost of a runner is estimated.
 	mostShare = 0.95
-	// reportLife is the time over which a report of the work of other entries fades; a stream lasts some 3 s.
-	reportLife = 1500 * time.Millisecond
+	// reportLife is the time over which a report of the work of other entries fades. Longer ones keep
+	// requests from a runner whose streams have ended, shorter ones repeat rejections.
+	reportLife = 700 * time.Millisecond
 )
 
 // Want describes the path that a request needs.
@@ -77,13 +78,6 @@
 	}
 }
 
-// Restore lets a runner get new work again.
-func (r *Router) Restore(runner string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.avoid, runner)
-}
-
 // Avoided tells whether new work is kept from a runner.
 func (r *Router) Avoided(runner string) bool {
 	r.mu.Lock()
--- a/core/bergamotretry/retries_test.go
+++ b/core/bergamotretry/retries_test.go
@@ -38,13 +38,13 @@
 var _ = ginkgo.Describe("Budget", func() {
 	// Guards against retries that exceed their share of the recent first attempts.
 	bergamottest.Entries(map[string]budgetCase{
-		"allows the reserve without first attempts":               {firsts: 0, want: 3},
-		"allows a ratio of first attempts and the reserve":        {firsts: 100, want: 13},
-		"counts first attempts until they leave the window":       {firsts: 100, pause: window * 9 / 10, want: 13},
-		"forgets first attempts of a window and a half ago":       {firsts: 100, pause: window * 3 / 2, want: 3},
-		"forgets first attempts of two windows ago":               {firsts: 100, pause: 2 * window, want: 3},
-		"forgets first attempts of a much longer time ago":        {firsts: 100, pause: 9 * window, want: 3},
-		"forgets first attempts of a whole window ago":            {firsts: 100, pause: window, want: 3},
+		"allows the reserve without first attempts":         {firsts: 0, want: 3},
+		"allows a ratio of first attempts and the reserve":  {firsts: 100, want: 13},
+		"counts first attempts until they leave the window": {firsts: 100, pause: window * 9 / 10, want: 13},
+		"forgets first attempts of a window and a half ago": {firsts: 100, pause: window * 3 / 2, want: 3},
+		"forgets first attempts of two windows ago":         {firsts: 100, pause: 2 * window, want: 3},
+		"forgets first attempts of a much longer time ago":  {firsts: 100, pause: 9 * window, want: 3},
+		"forgets first attempts of a whole window ago":      {firsts: 100, pause: window, want: 3},
 	}, func(c budgetCase) {
 		clock := bergamotclock.NewVirtual(time.Unix(0, 0))
 		b := newBudget(clock, 0.1, 3)
