Put copies on few fast runners and let the others hold layers twice

Cause: an event took 42 ms over 14 runners, so that streams lasted 4 to 9 s and every kill cut many of them. Ruled out: one copy over all accelerators of all data centres, since prompts would cross the priced pipes. Change: a copy takes the fastest runners with room for 72 requests each until all layers are held; the rest reinforces the layers with the least room.

--- a/core/bergamotlayout/layout.go
+++ b/core/bergamotlayout/layout.go
@@ -2,15 +2,15 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 )
 
 const (
 	leastRequests = 16.0 // requests for which a runner keeps memory; fewer would preempt at the usual concurrency
-	// copyFactor is the memory of a data centre for each copy that it holds, relative to the size of a copy. What is
-	// left holds requests: with 1.6 some 140 requests of the usual size run through one copy.
-	copyFactor = 1.6
+	// planRequests is the number of requests for which each runner of a copy has room where there is enough memory:
+	// a data centre with 25 requests a second of some 2 s each has 50 under way, and half as many more at a peak.
+	planRequests = 72.0
+	roomStep     = 0.85 // factor on the requests when there is not enough memory for a copy
 )
 
 // Layout assigns layers to runners. It keeps no state: each call starts from what the runners hold.
@@ -71,90 +71,60 @@
 // plan assigns the layers of one group.
 func (l *Layout) plan(runners []Runner, out map[string]Span) {
 	slices.SortFunc(runners, func(a, b Runner) int { return cmp.Compare(a.name, b.name) })
-	held := 0
-	for _, r := range runners {
-		held += r.held.Len()
-	}
-	if held == 0 {
-		l.fresh(runners, l.copies(runners), out)
-		return
-	}
-	r := newRepair(l.Model, runners)
-	r.fill()
-	if r.extend(); r.gap() >= 0 {
-		l.fresh(runners, 1, out)
+	if r := newRepair(l.Model, runners); r.complete() || r.mend() {
+		r.reinforce()
+		r.copyTo(out)
 		return
 	}
-	r.reinforce(l.copies(runners))
-	for name, s := range r.spans {
-		out[name] = s
-	}
+	l.fresh(runners, out)
 }
 
-// copies returns how many copies the memory of a group is enough for, at least one.
-func (l *Layout) copies(runners []Runner) int {
-	sum := 0.0
-	for _, r := range runners {
-		sum += r.memory
+// fresh lays out a group anew: whole copies on the fastest runners that are left, as many as there is memory for, and
+// then more holders for the layers with the least room.
+func (l *Layout) fresh(runners []Runner, out map[string]Span) {
+	left := slices.Clone(runners)
+	slices.SortStableFunc(left, func(a, b Runner) int {
+		return cmp.Or(cmp.Compare(a.pace, b.pace), cmp.Compare(b.memory, a.memory), cmp.Compare(a.name, b.name))
+	})
+	for i := range left {
+		left[i].held = Span{}
 	}
-	return max(int(sum/(copyFactor*l.Model.size())), 1)
-}
-
-// fresh spreads copies over the runners without regard to what costs loads, but in the order of what they hold.
-func (l *Layout) fresh(runners []Runner, copies int, out map[string]Span) {
-	for ; copies > 1; copies-- {
-		decks := deal(runners, copies)
-		if !slices.ContainsFunc(decks, func(d []Runner) bool { return !l.fits(d) }) {
-			for _, d := range decks {
-				l.spread(d, out)
-			}
-			return
+	r := newRepair(l.Model, left)
+	for requests := planRequests; requests >= leastRequests; {
+		n := l.chain(left, requests, r.spans)
+		switch {
+		case n > 0:
+			left = left[n:]
+		case len(r.spans) > 0:
+			requests = 0
+		default:
+			// There is not enough memory for a copy with that much room.
+			requests *= roomStep
 		}
 	}
-	l.spread(runners, out)
+	r.count()
+	r.reinforce()
+	r.copyTo(out)
 }
 
-// deal divides the runners into sets of about the same memory and speed.
-func deal(runners []Runner, n int) [][]Runner {
-	sorted := slices.Clone(runners)
-	slices.SortStableFunc(sorted, func(a, b Runner) int {
-		return cmp.Or(cmp.Compare(b.memory, a.memory), cmp.Compare(a.pace, b.pace))
-	})
-	out, sums := make([][]Runner, n), make([]float64, n)
-	for _, r := range sorted {
-		least := 0
-		for i := range sums {
-			if sums[i] < sums[least] {
-				least = i
-			}
-		}
-		out[least] = append(out[least], r)
-		sums[least] += r.memory
+// chain gives one copy to the first of the runners that are enough for it, each with room for a number of requests,
+// and returns how many it took, 0 when they do not suffice. Few fast runners make a token faster than many slow ones.
+func (l *Layout) chain(runners []Runner, requests float64, out map[string]Span) (n int) {
+	sum := 0
+	for sum < l.Model.layers && n < len(runners) {
+		sum += l.Model.Fit(runners[n].memory, requests)
+		n++
 	}
-	return out
-}
-
-// spread divides one copy over the runners in proportion to their memory, so that all have room for the same number
-// of requests.
-func (l *Layout) spread(runners []Runner, out map[string]Span) {
-	sorted := slices.Clone(runners)
-	slices.SortStableFunc(sorted, func(a, b Runner) int {
-		return cmp.Or(cmp.Compare(a.held.from, b.held.from), cmp.Compare(a.pace, b.pace), cmp.Compare(a.name, b.name))
-	})
-	sum := 0.0
-	for _, r := range sorted {
-		sum += r.memory
+	if sum < l.Model.layers {
+		return 0
 	}
-	at, due := 0, 0.0
-	for i, r := range sorted {
-		due += float64(l.Model.layers) * r.memory / sum
-		end := min(int(math.Round(due)), at+l.Model.Most(r.memory))
-		if i == len(sorted)-1 {
-			end = min(l.Model.layers, at+l.Model.Most(r.memory))
-		}
+	at := 0
+	for _, r := range runners[:n] {
+		end := min(at+l.Model.Fit(r.memory, requests), l.Model.layers)
 		if end > at {
 			out[r.name] = NewSpan(at, end)
-			at = end
 		}
+		at = end
 	}
+	return n
 }
--- a/core/bergamotlayout/model.go
+++ b/core/bergamotlayout/model.go
@@ -14,10 +14,10 @@
 	return Model{layers: layers, layer: layer, token: token, request: request}
 }
 
-// Most returns how many layers a runner may hold and still run leastRequests requests through them.
-func (m Model) Most(memory float64) int {
-	return min(int(memory/(m.layer+m.token*m.request*leastRequests)), m.layers)
-}
+// Most returns how many layers a runner may hold at all.
+func (m Model) Most(memory float64) int { return m.Fit(memory, leastRequests) }
 
-// size is the memory in MB of one copy.
-func (m Model) size() float64 { return float64(m.layers) * m.layer }
+// Fit returns how many layers a runner may hold and still have memory for a number of usual requests.
+func (m Model) Fit(memory, requests float64) int {
+	return min(int(memory/(m.layer+m.token*m.request*requests)), m.layers)
+}
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -48,6 +48,25 @@
 	}
 }
 
+// complete tells whether every layer is held.
+func (r *repair) complete() bool { return r.gap() < 0 }
+
+// mend closes the gaps and tells whether none is left; a group that holds nothing cannot be mended.
+func (r *repair) mend() bool {
+	if len(r.spans) == 0 {
+		return false
+	}
+	r.fill()
+	r.extend()
+	return r.complete()
+}
+
+func (r *repair) copyTo(out map[string]Span) {
+	for name, s := range r.spans {
+		out[name] = s
+	}
+}
+
 // gap returns the first layer that no runner holds, -1 when there is none.
 func (r *repair) gap() int { return slices.Index(r.cover, 0) }
 
@@ -184,13 +203,13 @@
 }
 
 // reinforce gives each runner that still holds nothing the range of layers whose holders have the least room.
-func (r *repair) reinforce(copies int) {
+func (r *repair) reinforce() {
 	for {
 		v, ok := r.empty()
 		if !ok {
 			return
 		}
-		n := max(min(r.share(v, copies), r.model.Most(v.memory)), 1)
+		n := max(r.model.Fit(v.memory, planRequests), 1)
 		at, least := 0, math.Inf(1)
 		for from := 0; from+n <= r.model.layers; from++ {
 			if room := slices.Min(r.room[from:from+n]) + sum(r.room[from:from+n])/float64(n); room < least {
@@ -202,15 +221,6 @@
 	}
 }
 
-// share returns the layers that are proportional to the memory of a runner.
-func (r *repair) share(v Runner, copies int) int {
-	total := 0.0
-	for _, o := range r.runners {
-		total += o.memory
-	}
-	return int(math.Round(float64(copies*r.model.layers) * v.memory / total))
-}
-
 func sum(list []float64) (s float64) {
 	for _, v := range list {
 		s += v
