Move redundant runners to narrow places and ask before sending under pressure

Cause: repairs left single runners with room for 30 requests, which limited a whole data centre; entries filled them without knowing of each other.

--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -7,6 +7,10 @@
 	"bergamotspur/core/bergamotlayout"
 )
 
+// fullShare is the part of a runner's memory above which a rejection is taken to be for want of memory. Reports lag by
+// some 200 ms, and the largest requests take a few percent.
+const fullShare = 0.6
+
 // ReportSpec holds the fields from which NewReport builds a report.
 type ReportSpec struct {
 	Born     int64 // start of the process in Unix milliseconds
@@ -14,6 +18,7 @@
 	Busy     bool              // an order is in progress
 	Pace     float64           // factor on the times of the kind; above 1 the runner is slow
 	Used     float64           // memory that requests hold, in tokens times layers
+	Total    float64           // memory for requests, in tokens times layers
 	Stalled  map[string]string // address of the silent runner by request
 }
 
@@ -38,6 +43,9 @@
 // Used returns the memory that requests hold, in tokens times layers.
 func (r Report) Used() float64 { return r.spec.Used }
 
+// Full tells whether requests hold so much of the memory that the runner may reject more.
+func (r Report) Full() bool { return r.spec.Used >= fullShare*r.spec.Total }
+
 // Stalled returns the address of the runner on which a request waits in vain, if it does.
 func (r Report) Stalled(request string) (address string, ok bool) {
 	address, ok = r.spec.Stalled[request]
--- a/core/bergamotlayout/layout.go
+++ b/core/bergamotlayout/layout.go
@@ -9,7 +9,7 @@
 	leastRequests = 16.0 // requests for which a runner keeps memory; fewer would preempt at the usual concurrency
 	// planRequests is the number of requests for which each runner of a copy has room where there is enough memory:
 	// a data centre with 25 requests a second of some 2 s each has 50 under way, and half as many more at a peak.
-	planRequests = 72.0
+	planRequests = 84.0
 	roomStep     = 0.85 // factor on the requests when there is not enough memory for a copy
 )
 
@@ -73,6 +73,7 @@
 	slices.SortFunc(runners, func(a, b Runner) int { return cmp.Compare(a.name, b.name) })
 	if r := newRepair(l.Model, runners); r.complete() || r.mend() {
 		r.reinforce()
+		r.relieve()
 		r.copyTo(out)
 		return
 	}
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -5,9 +5,14 @@
 	"slices"
 )
 
-// shiftCost divides the score of a move for each runner that is shifted by it: a shift loads a layer and takes another
-// one from the requests that come next.
-const shiftCost = 1.25
+// shiftCost divides the score of a move for each runner that is shifted by it: a layer that is given up must wait for
+// the streams that pass through it, which takes seconds, before its memory is free.
+const shiftCost = 1.5
+
+const (
+	narrowShare = 0.6 // part of the planned room below which layers are worth a move
+	relieveGain = 1.3 // how much more room the moved runner must leave behind than there is at the narrow place
+)
 
 // shiftMost bounds how many runners one move shifts, and with it the time of the search.
 const shiftMost = 6
@@ -221,6 +226,51 @@
 	}
 }
 
+// relieve moves one runner whose layers others hold as well to the layers with the least room, if these have much less
+// than planned and less than its own layers keep. Repairs leave such narrow places behind.
+func (r *repair) relieve() {
+	at := 0
+	for i := range r.room {
+		if r.room[i] < r.room[at] {
+			at = i
+		}
+	}
+	narrow := r.room[at]
+	if narrow >= narrowShare*planRequests*r.model.request {
+		return
+	}
+	best, most := -1, narrow*relieveGain
+	for i, v := range r.runners {
+		if left, ok := r.without(v); ok && left > most {
+			best, most = i, left
+		}
+	}
+	if best < 0 {
+		return
+	}
+	v := r.runners[best]
+	delete(r.spans, v.name)
+	r.count()
+	r.reinforce()
+}
+
+// without returns the least room that the layers of a runner have without it, and whether others hold all of them.
+func (r *repair) without(v Runner) (room float64, ok bool) {
+	s := r.spans[v.name]
+	if s.Len() == 0 {
+		return 0, false
+	}
+	room = math.Inf(1)
+	own := r.tokens(v, s.Len())
+	for i := s.from; i < min(s.to, len(r.cover)); i++ {
+		if r.cover[i] < 2 {
+			return 0, false
+		}
+		room = min(room, r.room[i]-own)
+	}
+	return room, true
+}
+
 func sum(list []float64) (s float64) {
 	for _, v := range list {
 		s += v
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -26,6 +26,9 @@
 	// reportLife is the time over which a report of the work of other entries fades. Longer ones keep
 	// requests from a runner whose streams have ended, shorter ones repeat rejections.
 	reportLife = 700 * time.Millisecond
+	// pressedShare is the estimated part of the memory in use above which a report is worth its price.
+	pressedShare = 0.55
+	reportFresh  = 200 * time.Millisecond // age up to which a report need not be repeated; reports lag as much
 )
 
 // Want describes the path that a request needs.
@@ -132,6 +135,35 @@
 	return p, ok
 }
 
+// Pressed returns the runner of a plan that is closest to the end of its memory, if that is near and no fresh report
+// of it is known.
+func (r *Router) Pressed(p bergamotroute.Plan, w Want) (runner, address string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	most := pressedShare
+	for _, s := range p.Stages() {
+		i, known := w.Fleet.Instance(s.Instance())
+		if !known || r.Clock.Now().Sub(r.others[s.Instance()].at) < reportFresh {
+			continue
+		}
+		room, _ := r.room(w, i)
+		if share := r.used[s.Instance()] * float64(max(w.Entries, 1)) / max(room, 1); share > most {
+			runner, address, most, ok = s.Instance(), s.Address(), share, true
+		}
+	}
+	return runner, address, ok
+}
+
+// room returns the token-layers of requests for which a runner has memory.
+func (r *Router) room(w Want, i bergamotfleet.Instance) (room float64, ok bool) {
+	k, known := w.Engine.Kind(i.Kind())
+	if !known || len(i.Holdings()) == 0 {
+		return 0, false
+	}
+	h := i.Holdings()[0]
+	return fullShare * (k.MemoryMB() - float64(h.To()-h.From())*w.Engine.LayerMB()) / w.Engine.TokenMB(), true
+}
+
 // Finish releases the memory that Route reserved.
 func (r *Router) Finish(p bergamotroute.Plan, tokens float64) {
 	r.mu.Lock()
@@ -185,8 +217,7 @@
 	if h.To() <= h.From() {
 		return c, false
 	}
-	free := k.MemoryMB() - float64(h.To()-h.From())*w.Engine.LayerMB()
-	room := fullShare * free / w.Engine.TokenMB()
+	room, _ := r.room(w, i)
 	used := r.used[i.Name()] + r.reported(i.Name())
 	if room <= 0 || used >= room {
 		return c, false
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -165,7 +165,7 @@
 	f := o.failure
 	c.failure = f
 	c.x.Trace().Add(f.Error())
-	if f.run != bergamotrequest.RunNo && !f.ended {
+	if f.run != bergamotrequest.RunNo {
 		c.ran++
 	}
 	if f.reason != bergamotrequest.ReasonCancel && f.reason != bergamotrequest.ReasonDeadline {
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -24,8 +24,8 @@
 	pathWait = 1200 * time.Millisecond
 	// pathPoll is the time between two looks for a path; a look costs some microseconds.
 	pathPoll = 40 * time.Millisecond
-	// extraSends are the attempts beyond those that the route allows to run: runners that rejected the request or
-	// ended do not count as having run it.
+	// extraSends are the attempts beyond those that the route allows to run: runners that rejected the request do not
+	// count. One whose connection broke may have run it to the end.
 	extraSends = 3
 	// avoidTime keeps work from a runner that rejected a request until its check or its list entry tells more.
 	avoidTime = 300 * time.Millisecond
@@ -105,10 +105,12 @@
 	until := h.Clock.Now().Add(pathWait)
 	for {
 		v := h.Views.View()
-		p, ok = h.Router.Route(bergamotpath.Want{
-			Engine: s.x.Service().Engine(), Service: s.x.Service().Name(), Fleet: v.Fleet(),
-			Tokens: s.x.Request().Tokens(), Avoid: s.avoid, Entries: v.Entries(),
-		})
+		p, ok = h.Router.Route(s.want(v))
+		if ok && s.pressed(p, v) {
+			// Other entries have filled a runner of the path, or a runner is close to it: choose again.
+			h.Router.Finish(p, s.x.Request().Tokens())
+			p, ok = h.Router.Route(s.want(v))
+		}
 		if ok || !h.Clock.Now().Before(until) {
 			return p, ok
 		}
@@ -122,6 +124,28 @@
 	}
 }
 
+func (s *stream) want(v *bergamotcluster.View) bergamotpath.Want {
+	return bergamotpath.Want{
+		Engine: s.x.Service().Engine(), Service: s.x.Service().Name(), Fleet: v.Fleet(),
+		Tokens: s.x.Request().Tokens(), Avoid: s.avoid, Entries: v.Entries(),
+	}
+}
+
+// pressed asks the runner of a path whose memory may be used up for its report, unless one is known that is fresh, and
+// tells whether it did. A report costs a hundredth of a request; a rejection costs an arrival of the retry budget.
+func (s *stream) pressed(p bergamotroute.Plan, v *bergamotcluster.View) bool {
+	name, address, ok := s.handler.Router.Pressed(p, s.want(v))
+	if !ok {
+		return false
+	}
+	r, err := s.handler.Watch.ask(address)
+	if err != nil {
+		return false
+	}
+	s.handler.Router.Observe(name, r.Used())
+	return true
+}
+
 // attempt sends the request over a path and passes on what comes, until the stream ends.
 func (s *stream) attempt(ctx context.Context, p bergamotroute.Plan) (err error) {
 	h := s.handler
@@ -189,7 +213,7 @@
 	if f.reason == bergamotrequest.ReasonCancel || f.reason == bergamotrequest.ReasonDeadline {
 		return
 	}
-	if f.run != bergamotrequest.RunNo && !f.ended {
+	if f.run != bergamotrequest.RunNo {
 		s.ran++
 	}
 	name := p.Stages()[0].Instance()
@@ -214,7 +238,7 @@
 			continue
 		}
 		r, err := s.handler.Watch.ask(stage.Address())
-		if err != nil || !holds(r.Holdings(), stage) {
+		if err != nil || !holds(r.Holdings(), stage) || !r.Full() {
 			return false
 		}
 		s.handler.Router.Observe(name, r.Used())
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -70,7 +70,6 @@
 	run    bergamotrequest.Run
 	reason bergamotrequest.Reason
 	fault  string
-	ended  bool
 	cause  error
 }
 
@@ -85,13 +84,6 @@
 	return &f
 }
 
-// Ended returns a copy that says that the runner closed or lost the connection, so that it no longer works on the
-// request.
-func (f Failure) Ended() *Failure {
-	f.ended = true
-	return &f
-}
-
 // Error returns the reason and the cause.
 func (f *Failure) Error() string { return fmt.Sprintf("%s (run: %s): %v", f.reason, f.run, f.cause) }
 
