--- a/core/bergamotretry/budget.go
+++ b/core/bergamotretry/budget.go
@@ -19,6 +19,7 @@
 	Reserve float64       // retries in each window without any first attempt, so that rare calls can be retried
 	Window  time.Duration // time that counts as recent
 	Limit   int           // keys kept; the least recently used one is forgotten
+	Started time.Time     // start of a process that may have used its reserve before, zero for one that did not
 
 	mu    sync.Mutex
 	items map[string]*list.Element
@@ -68,13 +69,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(key)
-	if total(u.retries)+1 > b.Reserve+b.Ratio*total(u.firsts) {
+	if total(u.retries)+1 > b.reserve()+b.Ratio*total(u.firsts) {
 		return false
 	}
 	u.retries[u.now()]++
 	return true
 }
 
+// reserve returns the reserve, which grows during the first window after a start.
+func (b *Budget) reserve() float64 {
+	if b.Started.IsZero() {
+		return b.Reserve
+	}
+	return b.Reserve * min(float64(b.Clock.Now().Sub(b.Started))/float64(b.Window), 1)
+}
+
 // give returns a retry that was taken and not used.
 func (b *Budget) give(key string) {
 	b.mu.Lock()
