--- a/core/bergamotconfig/service.go
+++ b/core/bergamotconfig/service.go
@@ -28,6 +28,7 @@
 	AtOnce    int           // loads that run at the same time at full speed
 	PromptLen float64       // usual tokens of a prompt
 	AnswerLen float64       // usual tokens of an answer
+	Crossing  time.Duration // time that the usual prompt takes the pipe between two data centres
 	Kinds     []Kind
 }
 
@@ -67,6 +68,9 @@
 // AtOnce returns how many loads run at the same time at full speed.
 func (e *Engine) AtOnce() int { return max(e.spec.AtOnce, 1) }
 
+// Crossing returns how long the usual prompt occupies the pipe between two data centres.
+func (e *Engine) Crossing() time.Duration { return e.spec.Crossing }
+
 // RequestTokens returns the usual tokens of a request with its answer.
 func (e *Engine) RequestTokens() float64 { return e.spec.PromptLen + e.spec.AnswerLen }
 
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -5,19 +5,23 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bergamotspur/core/bergamotconfig"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotroute"
 )
 
 const (
-	hopTime   = 250 * time.Microsecond // transfer and wait for the running pass at one more runner
-	crossTime = 20 * time.Millisecond  // a prompt's activations on the pipe between two data centres
+	hopTime = 250 * time.Microsecond // transfer and wait for the running pass at one more runner
 	// remoteFactor prefers the own data centre: bytes between data centres are priced.
 	remoteFactor = 1.15
 	// spread is the random part of the cost of a data centre. It keeps entries from choosing the same one at once,
 	// and lets each entry notice failures in all of them.
 	spread = 0.25
+	// crossShare is the part of the pipe between two data centres that paths over both may use; most paths cross twice.
+	crossShare = 0.3
+	crossBurst = 2 // paths that may cross at once
 	// fullShare is the part of a runner's memory for requests above which it gets no more work: the estimate of the
 	// work of other entries is rough, and a runner without memory preempts running streams.
 	fullShare = 0.9
@@ -51,6 +55,7 @@
 	used   map[string]float64 // token-layers in flight by runner
 	avoid  map[string]time.Time
 	others map[string]reported
+	cross  rate.Limiter // paths over more than one data centre
 }
 
 // reported is the memory that requests of other entries held on a runner.
@@ -125,8 +130,8 @@
 			p, best, ok = plan, cost, true
 		}
 	}
-	if !ok {
-		s := search{candidates: all, layers: w.Engine.Layers()}
+	if !ok && r.mayCross(w) {
+		s := search{candidates: all, layers: w.Engine.Layers(), cross: float64(w.Engine.Crossing())}
 		p, _, ok = s.run()
 	}
 	if ok {
@@ -164,6 +169,20 @@
 	return fullShare * (k.MemoryMB() - float64(h.To()-h.From())*w.Engine.LayerMB()) / w.Engine.TokenMB(), true
 }
 
+// mayCross tells whether one more path may lead over more than one data centre. Such paths share a pipe, and once it is
+// full, all of them stall.
+func (r *Router) mayCross(w Want) bool {
+	if w.Engine.Crossing() <= 0 {
+		return true
+	}
+	most := rate.Limit(crossShare / w.Engine.Crossing().Seconds() / float64(max(w.Entries, 1)))
+	if r.cross.Limit() != most {
+		r.cross.SetLimitAt(r.Clock.Now(), most)
+		r.cross.SetBurstAt(r.Clock.Now(), crossBurst)
+	}
+	return r.cross.AllowN(r.Clock.Now(), 1)
+}
+
 // Finish releases the memory that Route reserved.
 func (r *Router) Finish(p bergamotroute.Plan, tokens float64) {
 	r.mu.Lock()
--- a/core/bergamotpath/search.go
+++ b/core/bergamotpath/search.go
@@ -23,6 +23,7 @@
 type search struct {
 	candidates []candidate
 	layers     int
+	cross      float64 // nanoseconds of a change of the data centre
 }
 
 // step is the cheapest way to have run all layers before a point.
@@ -62,7 +63,7 @@
 		}
 		base := best[i].cost + float64(hopTime)
 		if by := best[i].by; by >= 0 && s.candidates[by].centre != c.centre {
-			base += float64(crossTime)
+			base += s.cross
 		}
 		for j := i + 1; j < len(points) && points[j] <= c.to; j++ {
 			count := float64(points[j] - points[i])
