--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -31,8 +31,8 @@
 	// requests from a runner whose streams have ended, shorter ones repeat rejections.
 	reportLife = 700 * time.Millisecond
 	// pressedShare is the estimated part of the memory in use above which a report is worth its price.
-	pressedShare = 0.55
-	reportFresh  = 200 * time.Millisecond // age up to which a report need not be repeated; reports lag as much
+	pressedShare = 0.7
+	reportFresh  = 350 * time.Millisecond // age up to which a report need not be repeated; reports lag some 200 ms themselves
 )
 
 // Want describes the path that a request needs.
