--- a/core/bergamotlayout/span.go
+++ b/core/bergamotlayout/span.go
@@ -38,3 +38,12 @@
 
 // Held returns the layers that the runner holds or was ordered to hold.
 func (r Runner) Held() Span { return r.held }
+
+// Memory returns the memory in MB.
+func (r Runner) Memory() float64 { return r.memory }
+
+// WithHeld returns a copy that holds other layers.
+func (r Runner) WithHeld(s Span) Runner {
+	r.held = s
+	return r
+}
--- /dev/null
+++ b/core/bergamotrelay/suite_test.go
@@ -0,0 +1,9 @@
+package bergamotrelay_test
+
+import (
+	"testing"
+
+	"bergamotspur/core/bergamottest"
+)
+
+func TestRelay(t *testing.T) { bergamottest.Run(t, "relay") }
