--- a/core/bergamotrelay/suite_test.go
+++ b/core/bergamotrelay/suite_test.go
@@ -1,4 +1,4 @@
-package bergamotrelay_test
+package bergamotrelay
 
 import (
 	"testing"
