--- a/cmd/bergamotcommand/check.go
+++ b/cmd/bergamotcommand/check.go
@@ -6,6 +6,7 @@
 
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotsetting"
+	bergamotplatform "bergamotspur/platform"
 )
 
 type checkCommand struct {
@@ -29,12 +30,16 @@
 	return err
 }
 
-// checkText takes a document with a [bundle] section for a bundle and any other for settings.
+// checkText takes a document with a [bundle] section for a bundle, one that names a node for settings of the platform,
+// and any other for settings.
 func checkText(file string, text []byte) (err error) {
 	if bytes.HasPrefix(text, []byte("[bundle]")) || bytes.Contains(text, []byte("\n[bundle]")) {
 		_, err = bergamotbundle.Parse(file, text)
 		return err
 	}
+	if bytes.Contains(text, []byte("nodeName:")) {
+		return bergamotplatform.CheckSettings(text)
+	}
 	_, err = bergamotsetting.Parse(file, text)
 	return err
 }
--- a/core/bergamotcluster/presence.go
+++ b/core/bergamotcluster/presence.go
@@ -19,9 +19,10 @@
 type Presence struct {
 	Entry    string
 	Register Register
-	Report   func(entries int, err error) // called when the count changes or cannot be read
+	Report   func(entries int, err error) // called for the first count, when it changes, and when it cannot be read
 
-	due time.Time
+	due   time.Time
+	known bool
 }
 
 // Name returns "presence".
@@ -45,8 +46,8 @@
 				c.Report(s.entries, err)
 				return
 			}
-			if n = max(n, 1); n != s.entries {
-				s.entries = n
+			if n = max(n, 1); n != s.entries || !c.known {
+				s.entries, c.known = n, true
 				c.Report(n, nil)
 			}
 		})
