--- a/core/bergamotlayout/layout.go
+++ b/core/bergamotlayout/layout.go
@@ -8,8 +8,9 @@
 const (
 	leastRequests = 16.0 // requests for which a runner keeps memory; fewer would preempt at the usual concurrency
 	// planRequests is the number of requests for which each runner of a copy has room where there is enough memory:
-	// a data centre with 25 requests a second of some 2 s each has 50 under way, and half as many more at a peak.
-	planRequests = 84.0
+	// a data centre with 25 requests a second of some 3 s each has 75 under way, and half as many more at a peak or when
+	// another data centre is out.
+	planRequests = 110.0
 	roomStep     = 0.85 // factor on the requests when there is not enough memory for a copy
 )
 
