--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -43,6 +43,7 @@
 	Source Feed
 	Copy   Copy
 	Wait   time.Duration        // longest time that one read waits for a change
+	Pause  time.Duration        // time after a read with changes, so that one read takes several of them
 	Awake  func() time.Duration // clock that counts suspended time
 	Report func(table string, err error, down time.Duration)
 
@@ -112,6 +113,9 @@
 		for _, change := range changes {
 			c.Copy.Change(s, change)
 		}
+		if len(changes) > 0 {
+			c.due = s.Now().Add(c.Pause)
+		}
 		c.Copy.Confirm(s, began)
 	})
 }
--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -13,12 +13,17 @@
 	Release(ctx context.Context) error
 }
 
+// candidates is the number of entries that look often whether the lease is free. With all of them the calls would grow
+// with the entries; the loss of these few at once only delays the next holder.
+const candidates = 3
+
 // Leadership is the controller that keeps or seeks the lease of the placement, so that one entry at a time places
 // layers.
 type Leadership struct {
 	Lease  Leaser
 	Renew  time.Duration // time between two steps of the holder
-	Seek   time.Duration // time between two steps of another entry
+	Seek   time.Duration // time between two steps of a candidate
+	Rest   time.Duration // time between two steps of all others
 	Report func(holder bool, number int64, err error)
 	Leave  func() bool // tells whether the entry is stopping, so that another one should place layers
 
@@ -56,9 +61,13 @@
 			c.running = false
 			s.grant = g
 			holds := g.Valid(s.Now())
-			c.due = s.Now().Add(c.Seek)
-			if holds {
+			switch {
+			case holds:
 				c.due = s.Now().Add(c.Renew)
+			case s.rank < candidates:
+				c.due = s.Now().Add(c.Seek)
+			default:
+				c.due = s.Now().Add(c.Rest)
 			}
 			if holds != held || err != nil {
 				c.Report(holds, g.Number(), err)
--- a/core/bergamotcluster/presence.go
+++ b/core/bergamotcluster/presence.go
@@ -5,14 +5,18 @@
 	"time"
 )
 
-// presencePeriod is the time between two registrations of an entry. Two store calls in this time cost each entry
-// little, and the shares of the retry budget follow a change of the entries within a few periods.
-const presencePeriod = 6 * time.Second
+// presencePeriod is the time between two registrations of an entry. It costs two calls to the store; the shares of the
+// retry budget and the candidates for the lease follow a change of the entries within presenceLife.
+const (
+	presencePeriod = 12 * time.Second
+	presenceLife   = 30 * time.Second
+)
 
 // Register tells that an entry runs and counts the entries that do.
 type Register interface {
-	// Register records name as running and returns how many entries registered within the time.
-	Register(ctx context.Context, name string, within time.Duration) (entries int, err error)
+	// Register records name as running and returns how many entries registered within the time, and the place of this
+	// one in the order of their names, from 0.
+	Register(ctx context.Context, name string, within time.Duration) (entries, rank int, err error)
 }
 
 // Presence is the controller that counts the entries which share the runners and the retry budget.
@@ -40,12 +44,13 @@
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, replyTime)
 		defer cancel()
-		n, err := c.Register.Register(ctx, c.Entry, 3*presencePeriod)
+		n, rank, err := c.Register.Register(ctx, c.Entry, presenceLife)
 		return EventFunc(func(s *State) {
 			if err != nil {
 				c.Report(s.entries, err)
 				return
 			}
+			s.rank = rank
 			if n = max(n, 1); n != s.entries || !c.known {
 				s.entries, c.known = n, true
 				c.Report(n, nil)
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -44,6 +44,7 @@
 	fleet     *bergamotfleet.Fleet // nil when a runner has changed since it was built
 	grant     bergamotlease.Grant
 	entries   int
+	rank      int // place of this entry among all, from 0
 }
 
 // failure is a runner that does not answer.
