--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -26,7 +26,8 @@
 	pathPoll = 40 * time.Millisecond
 	// extraSends are the attempts beyond those that the route allows to run: runners that rejected the request do not
 	// count. One whose connection broke may have run it to the end.
-	extraSends = 3
+	extraSends  = 3
+	learnEvents = 10 // events from which an attempt tells the speed of its path
 	// avoidTime keeps work from a runner that rejected a request until its check or its list entry tells more.
 	avoidTime = 300 * time.Millisecond
 )
@@ -86,8 +87,10 @@
 		if !ok {
 			return s.refuse(ctx)
 		}
+		began, before := h.Clock.Now(), x.Trace().Events()
 		err := s.attempt(ctx, plan)
 		h.Router.Finish(plan, x.Request().Tokens())
+		s.learn(plan, x.Trace().Events()-before, h.Clock.Now().Sub(began))
 		if err == nil {
 			return nil
 		}
@@ -124,6 +127,17 @@
 	}
 }
 
+// learn tells the router how long the events of an attempt took. Short attempts say more about their end than about
+// the path.
+func (s *stream) learn(p bergamotroute.Plan, events int, took time.Duration) {
+	if events < learnEvents {
+		return
+	}
+	if i, ok := s.handler.Views.View().Fleet().Instance(p.Stages()[0].Instance()); ok {
+		s.handler.Router.Learn(i.DataCentre(), took/time.Duration(events))
+	}
+}
+
 func (s *stream) want(v *bergamotcluster.View) bergamotpath.Want {
 	return bergamotpath.Want{
 		Engine: s.x.Service().Engine(), Service: s.x.Service().Name(), Fleet: v.Fleet(),
