--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -39,6 +39,7 @@
 	Path      string
 	Deadline  int
 	Body      string
+	At        time.Time // when the runner began
 }
 
 // NewRelayRunner returns a runner that holds nothing.
@@ -81,6 +82,13 @@
 	f.breaks, f.after = n, after
 }
 
+// Restart makes the runner another process that holds nothing.
+func (f *RelayRunner) Restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.born, f.from, f.to = f.born+1, 0, 0
+}
+
 // SetWrongID makes the runner answer with the id of another request.
 func (f *RelayRunner) SetWrongID(wrong bool) {
 	f.mu.Lock()
@@ -144,7 +152,7 @@
 	}
 	run := RelayRun{
 		ID: id, Method: r.Method, Target: r.RequestURI, Workspace: h.Get("X-Bergamotspur-Tenant"), Key: h.Get("Authorization"),
-		Position: -1, Path: h.Get("X-Bergamotspur-Hop-Count"),
+		Position: -1, Path: h.Get("X-Bergamotspur-Hop-Count"), At: time.Now(),
 	}
 	if n, err := strconv.Atoi(h.Get("Last-Event-Id")); err == nil {
 		run.Position = n
--- /dev/null
+++ b/io/bergamotsoak/caller_test.go
@@ -0,0 +1,93 @@
+package bergamotsoak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// kind is a kind of request.
+type kind struct {
+	method string
+	path   string
+	most   int // runs that its route allows
+}
+
+var kinds = map[string]kind{
+	"booking": {http.MethodPost, "/o/1", 1},
+	"lookup":  {http.MethodGet, "/l/1", 2},
+	"stream":  {http.MethodPost, "/s/1", 2},
+}
+
+// result is what a caller got for one request.
+type result struct {
+	id     string
+	kind   string
+	key    string
+	sent   time.Time
+	status int // 0 for no answer
+	body   string
+	whole  bool // the body was read to its end without an error
+}
+
+// results gathers them from all callers.
+type results struct {
+	mu   sync.Mutex
+	list []result
+}
+
+func (r *results) add(v result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, v)
+}
+
+func (r *results) all() []result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]result(nil), r.list...)
+}
+
+// send sends one request and reads its answer.
+func send(ctx context.Context, client *http.Client, front, id, name, key string) (v result) {
+	k := kinds[name]
+	v = result{id: id, kind: name, key: key, sent: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, k.method, "http://"+front+k.path, nil)
+	must(err)
+	if k.method == http.MethodPost {
+		// Without GetBody the transport never sends the request a second time.
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader([]byte("body"))), 4
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Bergamotspur-Attempt-Id", id)
+	r.Header.Set("X-Bergamotspur-Deadline-Ms", "4000")
+	r.Header.Set("X-Bergamotspur-Token-Count", "100,100")
+	r.Header.Set("Authorization", "Token "+key)
+	w, err := client.Do(r)
+	if err != nil {
+		return v
+	}
+	defer func() { _ = w.Body.Close() }() // an answer that broke off is a result as well
+	body, err := io.ReadAll(w.Body)
+	v.status, v.body, v.whole = w.StatusCode, string(body), err == nil
+	return v
+}
+
+// own tells whether a success is the whole answer to the caller's own request.
+func (v result) own() bool {
+	if v.kind != "stream" {
+		return v.body == "answer to "+v.id
+	}
+	var b strings.Builder
+	for n := range 6 {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return v.body == b.String()
+}
