--- a/core/bergamotrelay/call_test.go
+++ b/core/bergamotrelay/call_test.go
@@ -21,7 +21,7 @@
 }
 
 var _ = ginkgo.Describe("a call", func() {
-	const once, any = bergamotconfig.RepeatNever, bergamotconfig.RepeatAny
+	const once, many = bergamotconfig.RepeatNever, bergamotconfig.RepeatAny
 	ok := reply{body: "ok"}
 	// Guards against a booking that runs twice, a refusal that says "not run" of a call that may have run, and a lookup
 	// that fails although another runner could answer.
@@ -31,15 +31,15 @@
 		"that may run once goes on when a runner rejects it":  {once, 9, []reply{{failure: rejected()}, ok}, "answered", 200, 2},
 		"that all runners reject is refused as not run":       {once, 9, []reply{{failure: rejected()}}, "full no", 0, 3},
 		"is not repeated without a budget":                    {once, 0, []reply{{failure: rejected()}, ok}, "full no", 0, 1},
-		"that may be repeated is, after a reset":              {any, 9, []reply{{failure: reset()}, ok}, "answered", 200, 2},
-		"that may be repeated is, after a failure":            {any, 9, []reply{{status: 500}, ok}, "answered", 200, 2},
-		"keeps the failure of its runner when all fail":       {any, 9, []reply{{status: 500}}, "answered", 500, 2},
+		"that may be repeated is, after a reset":              {many, 9, []reply{{failure: reset()}, ok}, "answered", 200, 2},
+		"that may be repeated is, after a failure":            {many, 9, []reply{{status: 500}, ok}, "answered", 200, 2},
+		"keeps the failure of its runner when all fail":       {many, 9, []reply{{status: 500}}, "answered", 500, 2},
 		"that may run once passes a failure on":               {once, 9, []reply{{status: 500}, ok}, "answered", 500, 1},
-		"runs at no more runners than the route allows":       {any, 9, []reply{{failure: reset()}, {failure: reset()}, ok}, "target unknown", 0, 2},
-		"that may be repeated passes a wrong request's error": {any, 9, []reply{{status: 404}, ok}, "answered", 404, 1},
+		"runs at no more runners than the route allows":       {many, 9, []reply{{failure: reset()}, {failure: reset()}, ok}, "target unknown", 0, 2},
+		"that may be repeated passes a wrong request's error": {many, 9, []reply{{status: 404}, ok}, "answered", 404, 1},
 	}, func(c callCase) {
 		attempts := 1
-		if c.repeat == any {
+		if c.repeat == many {
 			attempts = 2
 		}
 		g := newRig(route(bergamotconfig.RouteSpec{Repeat: c.repeat, Attempts: attempts}), plain, c.replies...)
@@ -51,7 +51,7 @@
 
 	// Guards against a lookup that waits for a silent runner until its time is over.
 	ginkgo.It("that may be repeated goes to a second runner when the first is silent", func() {
-		g := newRig(route(bergamotconfig.RouteSpec{Repeat: any, Attempts: 2}), plain, reply{hangs: true}, ok)
+		g := newRig(route(bergamotconfig.RouteSpec{Repeat: many, Attempts: 2}), plain, reply{hangs: true}, ok)
 		done := make(chan error, 1)
 		go func() { done <- g.call(context.Background()) }()
 		gomega.Eventually(g.clock.Timers).Should(gomega.Equal(1))
--- a/io/bergamotfront/refusal_test.go
+++ b/io/bergamotfront/refusal_test.go
@@ -38,6 +38,7 @@
 		"service":  {status: 404, kind: invalid},
 		"idem":     {status: 400, kind: invalid},
 		"bundle":   {status: 503, retry: "1", kind: server},
+		"stale":    {status: 503, retry: "1", kind: server},
 		"drain":    {status: 503, retry: "1", kind: server},
 		"deadline": {status: 504, kind: server},
 		"rate":     {status: 429, retry: "1", kind: "rate_limit_error"},
