--- a/io/bergamotlog/journal.go
+++ b/io/bergamotlog/journal.go
@@ -99,7 +99,8 @@
 	for line := range j.lines {
 		buffer = append(buffer[:0], line...)
 		open := true
-		for timer := time.After(journalFlush); open && timer != nil; {
+		lines := 1
+		for timer := time.After(journalFlush); open && timer != nil && lines < journalLines; lines++ {
 			select {
 			case line, more := <-j.lines:
 				open = more
@@ -110,6 +111,13 @@
 		}
 		// There is nowhere to report that the output is closed.
 		_, _ = j.out.Write(buffer)
+		j.mu.Lock()
+		dropped := j.dropped
+		j.dropped = 0
+		j.mu.Unlock()
+		if dropped > 0 {
+			j.Event("log", "lines dropped", "left", dropped)
+		}
 	}
 }
 
