Count a read as confirming when the store answered

Change: the store's steady clock in each answer, compared with the beginnings of all reads, bounds when it answered.

--- a/core/bergamotcluster/configs.go
+++ b/core/bergamotcluster/configs.go
@@ -37,9 +37,9 @@
 func (c *Configs) Resume(*State, time.Duration) {}
 
 // Confirm records that the configuration is current.
-func (c *Configs) Confirm(s *State, began time.Duration) {
+func (c *Configs) Confirm(s *State, at time.Duration) {
 	if s.Config() != nil {
-		s.Confirm(began)
+		s.Confirm(at)
 	}
 }
 
--- a/core/bergamotcluster/fakes_test.go
+++ b/core/bergamotcluster/fakes_test.go
@@ -40,16 +40,17 @@
 	err     error
 	lists   int
 	waits   []time.Duration
+	at      time.Duration // of the store's clock
 }
 
-func (f *table) List(context.Context, string) ([]bergamotstore.Row, int64, error) {
+func (f *table) List(context.Context, string) ([]bergamotstore.Row, int64, time.Duration, error) {
 	f.lists++
-	return f.rows, f.version, f.err
+	return f.rows, f.version, f.at, f.err
 }
 
-func (f *table) Changes(_ context.Context, _ string, _ int64, wait time.Duration) ([]bergamotstore.Change, int64, error) {
+func (f *table) Changes(_ context.Context, _ string, _ int64, wait time.Duration) ([]bergamotstore.Change, int64, time.Duration, error) {
 	f.waits = append(f.waits, wait)
-	return f.changes, f.version, f.err
+	return f.changes, f.version, f.at, f.err
 }
 
 // decoder reads a version from the first byte of a row, and a runner whose state is the value.
--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -18,11 +18,13 @@
 
 // Feed reads a table and its changes.
 type Feed interface {
-	// List returns all rows and the version up to which they hold all changes.
-	List(ctx context.Context, table string) (rows []bergamotstore.Row, version int64, err error)
+	// List returns all rows and the version up to which they hold all changes; at is the time of the store's steady
+	// clock when it answered, 0 when it is not known.
+	List(ctx context.Context, table string) (rows []bergamotstore.Row, version int64, at time.Duration, err error)
 	// Changes returns the changes after a version as soon as there is one, or none when the wait has passed. It
 	// fails with bergamotstore.ErrHistory when they are no longer known.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (changes []bergamotstore.Change, version int64, err error)
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (
+		changes []bergamotstore.Change, version int64, at time.Duration, err error)
 }
 
 // Copy is the part of the state that follows a table.
@@ -33,8 +35,8 @@
 	Change(s *State, c bergamotstore.Change)
 	// Resume tells, before the rows of a successful read are taken, for how long reads have failed.
 	Resume(s *State, down time.Duration)
-	// Confirm records that the copy was complete when a successful read began.
-	Confirm(s *State, began time.Duration)
+	// Confirm records that the copy was complete at a time of the clock that counts suspended time.
+	Confirm(s *State, at time.Duration)
 }
 
 // Follow is the controller that keeps a copy of a table.
@@ -47,6 +49,7 @@
 	Awake  func() time.Duration // clock that counts suspended time
 	Report func(table string, err error, down time.Duration)
 
+	clock   steady
 	listed  bool
 	version int64
 	running bool
@@ -82,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, replyTime)
 	defer cancel()
 	began := c.Awake()
-	rows, version, err := c.Source.List(ctx, c.Table)
+	rows, version, at, err := c.Source.List(ctx, c.Table)
 	return EventFunc(func(s *State) {
 		if c.done(s, err) {
 			return
@@ -90,7 +93,7 @@
 		c.listed, c.version = true, version
 		c.resume(s)
 		c.Copy.Replace(s, rows)
-		c.Copy.Confirm(s, began)
+		c.Copy.Confirm(s, c.clock.answered(began, at))
 	})
 }
 
@@ -103,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+replyTime)
 	defer cancel()
 	began := c.Awake()
-	changes, version, err := c.Source.Changes(ctx, c.Table, c.version, wait)
+	changes, version, at, err := c.Source.Changes(ctx, c.Table, c.version, wait)
 	return EventFunc(func(s *State) {
 		if c.done(s, err) {
 			return
@@ -116,7 +119,7 @@
 		if len(changes) > 0 {
 			c.due = s.Now().Add(c.Pause)
 		}
-		c.Copy.Confirm(s, began)
+		c.Copy.Confirm(s, c.clock.answered(began, at))
 	})
 }
 
--- a/core/bergamotcluster/follow_test.go
+++ b/core/bergamotcluster/follow_test.go
@@ -95,6 +95,34 @@
 	})
 })
 
+type steadyCase struct {
+	reads [][2]time.Duration // when a read began, and the store's clock in its answer
+	want  time.Duration      // what the last read confirms
+}
+
+var _ = ginkgo.Describe("the time that a read confirms", func() {
+	const s = time.Second
+	// Guards against keys that are refused seconds too early because a read that waited counts from its beginning, and
+	// against a time that lies after the answer.
+	bergamottest.Entries(map[string]steadyCase{
+		"is its beginning without the store's clock":         {[][2]time.Duration{{9 * s, 0}}, 9 * s},
+		"is its beginning for the first read":                {[][2]time.Duration{{9 * s, 100 * s}}, 9 * s},
+		"is when the store answered after a wait":            {[][2]time.Duration{{9 * s, 100 * s}, {10 * s, 103 * s}}, 12 * s},
+		"is never before its beginning":                      {[][2]time.Duration{{9 * s, 100 * s}, {12 * s, 101 * s}}, 12 * s},
+		"is not fooled by an answer that came late":          {[][2]time.Duration{{9 * s, 102 * s}, {12 * s, 105 * s}}, 12 * s},
+		"counts from the tightest read so far":               {[][2]time.Duration{{9 * s, 102 * s}, {13 * s, 104 * s}, {14 * s, 107 * s}}, 16 * s},
+		"forgets a comparison that is more than windows old": {[][2]time.Duration{{9 * s, 100 * s}, {400 * s, 495 * s}, {800 * s, 895 * s}, {1200 * s, 1297 * s}}, 1202 * s},
+	}, func(c steadyCase) {
+		f := newFollowing(newConfigs())
+		f.feed.rows = []bergamotstore.Row{row("config", "\x01")}
+		for _, r := range c.reads {
+			f.feed.at = r[1]
+			f.pass(r[0] - f.awake)
+		}
+		gomega.Expect(f.state.View().Confirmed()).To(gomega.Equal(c.want))
+	})
+})
+
 type rosterCase struct {
 	outage  bool          // reads failed before the entry was removed
 	leaving bool          // the runner had said that it leaves
