--- a/core/bergamotlayout/layout_test.go
+++ b/core/bergamotlayout/layout_test.go
@@ -162,6 +162,32 @@
 		ginkgo.Fail("the layout still changes after 20 plans")
 	})
 
+	// Guards against a fast card that is moved away to reinforce others, which made all streams of a data centre slower
+	// (olilaud trouble-2 at 19 s).
+	ginkgo.It("leaves fast cards in their places", func() {
+		l := bergamotlayout.Layout{Model: model}
+		fleet := centre("a", large)
+		// Slow cards hold a whole copy, so that the layers of the fast ones are held twice; layers 36 to 46 are narrow.
+		spans := map[string][2]int{
+			"a-h100-00": {0, 36}, "a-a100s-00": {47, 60},
+			"a-l4-00": {0, 9}, "a-l4-01": {9, 18}, "a-l4-02": {18, 27}, "a-l4-03": {27, 36}, "a-l4-04": {36, 47},
+			"a-t4-00": {47, 54}, "a-t4-01": {54, 61}, "a-t4-02": {61, 68}, "a-t4-03": {68, 75}, "a-t4-04": {75, 80},
+			"a-t4-05": {60, 66}, "a-t4-06": {66, 72},
+		}
+		for i, r := range fleet {
+			s := spans[r.Name()]
+			fleet[i] = r.WithHeld(bergamotlayout.NewSpan(s[0], s[1]))
+		}
+		for range 5 {
+			fleet = holding(fleet, l.Plan(fleet))
+		}
+		for _, r := range fleet {
+			if r.Name() == "a-h100-00" {
+				gomega.Expect(r.Held()).To(gomega.Equal(bergamotlayout.NewSpan(0, 36)))
+			}
+		}
+	})
+
 	// Guards against a runner that has just joined and stays without work.
 	ginkgo.It("gives layers to a runner that joins", func() {
 		l := bergamotlayout.Layout{Model: model}
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -11,6 +11,7 @@
 
 const (
 	narrowShare = 0.6 // part of the planned room below which layers are worth a move
+	slowShare   = 0.5 // pace relative to the slowest runner from which a runner may be moved
 	relieveGain = 1.3 // how much more room the moved runner must leave behind than there is at the narrow place
 )
 
@@ -239,9 +240,14 @@
 	if narrow >= narrowShare*planRequests*r.model.request {
 		return
 	}
+	slowest := 0.0
+	for _, v := range r.runners {
+		slowest = max(slowest, v.pace)
+	}
 	best, most := -1, narrow*relieveGain
 	for i, v := range r.runners {
-		if left, ok := r.without(v); ok && left > most {
+		// A fast runner that moves makes every path slower that led over it.
+		if left, ok := r.without(v); ok && left > most && v.pace >= slowShare*slowest {
 			best, most = i, left
 		}
 	}
