Split the router and the stream handler by job

router.go held paths, memory, speeds and avoidance, stream.go attempts and recovery. No behaviour changes; the tests of both packages pass unchanged.

--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -5,14 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strings"
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
-	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotpath"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
@@ -23,13 +19,8 @@
 	// a stream up that is silent for two.
 	pathWait = 1200 * time.Millisecond
 	// pathPoll is the time between two looks for a path; a look costs some microseconds.
-	pathPoll = 40 * time.Millisecond
-	// extraSends are the attempts beyond those that the route allows to run: runners that rejected the request do not
-	// count. One whose connection broke may have run it to the end.
-	extraSends  = 3
+	pathPoll    = 40 * time.Millisecond
 	learnEvents = 10 // events from which an attempt tells the speed of its path
-	// avoidTime keeps work from a runner that rejected a request until its check or its list entry tells more.
-	avoidTime = 300 * time.Millisecond
 )
 
 // Clock tells the time and wakes a waiting goroutine.
@@ -219,119 +210,3 @@
 	s.x.Trace().Answered(s.handler.Clock.Now(), a.Status())
 	return s.x.Sink().Reply(a.Status(), a.Fields(), body)
 }
-
-// note tells the parts that choose runners about a failed attempt.
-func (s *stream) note(p bergamotroute.Plan) {
-	f := s.failure
-	s.x.Trace().Add(f.Error())
-	if f.reason == bergamotrequest.ReasonCancel || f.reason == bergamotrequest.ReasonDeadline {
-		return
-	}
-	if f.run != bergamotrequest.RunNo {
-		s.ran++
-	}
-	name := p.Stages()[0].Instance()
-	for _, stage := range p.Stages() {
-		if stage.Address() == f.fault {
-			name = stage.Instance()
-		}
-	}
-	s.avoid[name] = true
-	if f.reason == bergamotrequest.ReasonFull && s.full(p, name) {
-		return
-	}
-	s.handler.Router.Avoid(name, avoidTime)
-	s.handler.Observer.Failed(name, f.Error())
-}
-
-// full finds out whether a runner rejected the request for want of memory, and lets the router know what the requests
-// of all entries hold there. Any other cause needs a check of the runner.
-func (s *stream) full(p bergamotroute.Plan, name string) bool {
-	for _, stage := range p.Stages() {
-		if stage.Instance() != name {
-			continue
-		}
-		r, err := s.handler.Watch.ask(stage.Address())
-		if err != nil || !holds(r.Holdings(), stage) || !r.Full() {
-			return false
-		}
-		s.handler.Router.Observe(name, r.Used())
-		s.x.Trace().Add(fmt.Sprintf("%s holds %.0f token-layers", name, r.Used()))
-		return true
-	}
-	return false
-}
-
-// holds tells whether a runner has all layers of a stage.
-func holds(holdings []bergamotfleet.Holding, s bergamotroute.Stage) bool {
-	return slices.ContainsFunc(holdings, func(h bergamotfleet.Holding) bool { return h.From() <= s.From() && s.To() <= h.To() })
-}
-
-// mayRepeat tells whether the request may go to one more path.
-func (s *stream) mayRepeat() bool {
-	f := s.failure
-	switch {
-	case f.reason == bergamotrequest.ReasonCancel || f.reason == bergamotrequest.ReasonDeadline:
-		return false
-	case f.run != bergamotrequest.RunNo && !s.x.Route().Repeatable():
-		return false
-	case s.ran >= s.x.Route().Attempts() || s.sends >= s.x.Route().Attempts()+extraSends:
-		return false
-	case !s.handler.Budget.Take(s.x.Service().Name()):
-		s.x.Trace().Add("no retry budget")
-		return false
-	}
-	return true
-}
-
-// refuse returns why there is no answer, or no whole one.
-func (s *stream) refuse(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return bergamotrequest.Refuse(bergamotrequest.ReasonCancel, "the caller went away").Ran(s.run())
-	}
-	if s.failure == nil {
-		return bergamotrequest.Refuse(bergamotrequest.ReasonPath, "no path covers all layers").RetryAfter(after())
-	}
-	r := bergamotrequest.Refuse(s.failure.reason, "%s", s.failure.Error()).Ran(s.run())
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		r = bergamotrequest.Refuse(bergamotrequest.ReasonDeadline, "the time is over").Ran(s.run())
-	}
-	return r.RetryAfter(after())
-}
-
-// run tells whether any attempt may have run the request.
-func (s *stream) run() bergamotrequest.Run {
-	if s.started {
-		return bergamotrequest.RunYes
-	}
-	if s.ran > 0 || s.failure != nil && s.failure.run != bergamotrequest.RunNo {
-		return bergamotrequest.RunUnknown
-	}
-	return bergamotrequest.RunNo
-}
-
-// after returns a time for the next try of a caller, spread so that refused callers do not come back together.
-func after() time.Duration { return retryAfter + rand.N(retryAfter) }
-
-// cause returns why a context was cancelled by the watch, or the error itself.
-func cause(ctx context.Context, err error) error {
-	var f *Failure
-	if errors.As(context.Cause(ctx), &f) {
-		return f
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonDeadline, err)
-	}
-	if ctx.Err() != nil {
-		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonCancel, err)
-	}
-	return err
-}
-
-func describe(p bergamotroute.Plan) string {
-	var b strings.Builder
-	for _, s := range p.Stages() {
-		fmt.Fprintf(&b, "%s=%d-%d ", s.Instance(), s.From(), s.To())
-	}
-	return strings.TrimSpace(b.String())
-}
