--- a/io/bergamotsoak/entry_test.go
+++ b/io/bergamotsoak/entry_test.go
@@ -21,6 +21,8 @@
 	store    *bergamotfake.Proxy
 	log      *journal
 
+	stops sync.Mutex // one stop at a time: a process can be waited for only once
+
 	mu  sync.Mutex
 	cmd *exec.Cmd
 }
@@ -100,6 +102,8 @@
 
 // stop ends the process with a signal and starts it again.
 func (e *entry) stop(s syscall.Signal) {
+	e.stops.Lock()
+	defer e.stops.Unlock()
 	e.signal(s)
 	e.wait()
 	e.run()
