--- a/core/bergamotcluster/fakes_test.go
+++ b/core/bergamotcluster/fakes_test.go
@@ -40,11 +40,15 @@
 	err     error
 	lists   int
 	waits   []time.Duration
-	at      time.Duration // of the store's clock
+	at      time.Duration   // of the store's clock
+	times   []time.Duration // that whole tables had
 }
 
-func (f *table) List(context.Context, string) ([]bergamotstore.Row, int64, time.Duration, error) {
+func (f *table) List(ctx context.Context, _ string) ([]bergamotstore.Row, int64, time.Duration, error) {
 	f.lists++
+	if end, ok := ctx.Deadline(); ok {
+		f.times = append(f.times, time.Until(end))
+	}
 	return f.rows, f.version, f.at, f.err
 }
 
--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -14,6 +14,9 @@
 	// replyTime is added to the wait that is asked for; a reply that is later counts as lost with its connection.
 	// The store answers in 5 ms, and in 0.3 s when it is slow.
 	replyTime = 800 * time.Millisecond
+	// listMost is the longest time for a whole table. When all entries of a large site start together, their lists
+	// share the store's rate and link; the time doubles from replyTime on with each list that does not come through.
+	listMost = 6 * time.Second
 )
 
 // Feed reads a table and its changes.
@@ -56,6 +59,8 @@
 	due     time.Time
 	retry   time.Duration
 	failing time.Time
+
+	listTime time.Duration // for the next whole table, 0 for the least
 }
 
 // Name returns the name of the table.
@@ -82,14 +87,16 @@
 }
 
 func (c *Follow) list(ctx context.Context) Event {
-	ctx, cancel := context.WithTimeout(ctx, replyTime)
+	ctx, cancel := context.WithTimeout(ctx, max(c.listTime, replyTime))
 	defer cancel()
 	began := c.Awake()
 	rows, version, at, err := c.Source.List(ctx, c.Table)
 	return EventFunc(func(s *State) {
 		if c.done(s, err) {
+			c.listTime = min(2*max(c.listTime, replyTime), listMost)
 			return
 		}
+		c.listTime = 0
 		c.listed, c.version = true, version
 		c.resume(s)
 		c.Copy.Replace(s, rows)
--- a/core/bergamotcluster/follow_test.go
+++ b/core/bergamotcluster/follow_test.go
@@ -1,6 +1,7 @@
 package bergamotcluster_test
 
 import (
+	"context"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -84,6 +85,17 @@
 		gomega.Expect(f.feed.waits).To(gomega.Equal([]time.Duration{time.Second, 0}))
 	})
 
+	// Guards against entries that never get the whole table because all of them ask at once (sweep of 300 entries).
+	ginkgo.It("gives a whole table more time after each list that does not come through", func() {
+		f := newFollowing(newConfigs())
+		f.feed.err = context.DeadlineExceeded
+		for range 6 {
+			f.pass(time.Second)
+		}
+		gomega.Expect(f.feed.times[0]).To(gomega.BeNumerically("~", 800*time.Millisecond, 100*time.Millisecond))
+		gomega.Expect(f.feed.times[5]).To(gomega.BeNumerically("~", 6*time.Second, 100*time.Millisecond))
+	})
+
 	// Guards against a stream of calls to a store that is down; each is priced and counts against its rate.
 	ginkgo.It("spaces reads that fail", func() {
 		f := newFollowing(newConfigs())
