--- a/core/bergamotpath/chart.go
+++ b/core/bergamotpath/chart.go
@@ -56,10 +56,13 @@
 			return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to), cmp.Compare(a.name, b.name))
 		})
 		area := area{centre: centre}
-		for begin, n := 0, 0; begin < len(holders); begin = n {
-			for n = begin; n < len(holders) && holders[n].from == holders[begin].from && holders[n].to == holders[begin].to; n++ {
+		for begin := 0; begin < len(holders); {
+			end := begin + 1
+			for end < len(holders) && holders[end].from == holders[begin].from && holders[end].to == holders[begin].to {
+				end++
 			}
-			area.ranges = append(area.ranges, holders[begin:n])
+			area.ranges = append(area.ranges, holders[begin:end])
+			begin = end
 		}
 		c.centres = append(c.centres, area)
 	}
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -159,12 +159,12 @@
 		// The runner failed at a call that may be repeated; another one may do better.
 		c.poor, c.ran = &o, c.ran+1
 		c.failure = NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, fmt.Errorf("status %d", o.status))
-		c.x.Trace().Add(c.failure.Error())
+		c.x.Trace().Fail(c.failure)
 		return false
 	}
 	f := o.failure
 	c.failure = f
-	c.x.Trace().Add(f.Error())
+	c.x.Trace().Fail(f)
 	if f.run != bergamotrequest.RunNo {
 		c.ran++
 	}
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -25,7 +25,7 @@
 // note tells the parts that choose runners about a failed attempt.
 func (s *stream) note(p bergamotroute.Plan) {
 	f := s.failure
-	s.x.Trace().Add(f.Error())
+	s.x.Trace().Fail(f)
 	if f.reason == bergamotrequest.ReasonCancel || f.reason == bergamotrequest.ReasonDeadline {
 		return
 	}
--- a/core/bergamotrelay/trace.go
+++ b/core/bergamotrelay/trace.go
@@ -3,11 +3,14 @@
 import (
 	"strings"
 	"time"
+
+	"bergamotspur/core/bergamotrequest"
 )
 
 // Trace records what was done for a request, for its line in the log.
 type Trace struct {
 	steps  []string
+	failed []bergamotrequest.Reason
 	sends  int
 	first  time.Time
 	last   time.Time
@@ -19,6 +22,15 @@
 // Add records a step.
 func (t *Trace) Add(step string) { t.steps = append(t.steps, step) }
 
+// Fail records an attempt that failed.
+func (t *Trace) Fail(f *Failure) {
+	t.failed = append(t.failed, f.reason)
+	t.Add(f.Error())
+}
+
+// Failed returns the reason of each attempt that failed.
+func (t *Trace) Failed() []bergamotrequest.Reason { return t.failed }
+
 // Sent records that the request went to a runner.
 func (t *Trace) Sent(step string) {
 	t.sends++
