Ask a store less often that gets too many calls

Change: up to 1.6 s between retries after such a rejection, spread at random; the first step of the lease follows the registration.

--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -11,6 +11,9 @@
 const (
 	retryLeast = 100 * time.Millisecond // first wait after a failed read
 	retryMost  = 400 * time.Millisecond // longest wait: a store that is back must be noticed within half a second
+	// retryBusy is the longest wait after a call beyond the store's rate. With retryMost 300 entries that restart
+	// together would make 1,500 calls a second and keep the store beyond its rate.
+	retryBusy = 1600 * time.Millisecond
 	// replyTime is added to the wait that is asked for; a reply that is later counts as lost with its connection.
 	// The store answers in 5 ms, and in 0.3 s when it is slow.
 	replyTime = 800 * time.Millisecond
@@ -50,6 +53,7 @@
 	Wait   time.Duration        // longest time that one read waits for a change
 	Pause  time.Duration        // time after a read with changes, so that one read takes several of them
 	Awake  func() time.Duration // clock that counts suspended time
+	Random func() float64       // from 0 (included) to 1 (excluded), nil for no spread of retries
 	Report func(table string, err error, down time.Duration)
 
 	clock   steady
@@ -146,11 +150,23 @@
 		c.failing = s.Now()
 		c.Report(c.Table, err, 0)
 	}
-	c.retry = min(max(2*c.retry, retryLeast), retryMost)
-	c.due = s.Now().Add(c.retry)
+	most := retryMost
+	if errors.Is(err, bergamotstore.ErrBusy) {
+		most = retryBusy
+	}
+	c.retry = min(max(2*c.retry, retryLeast), most)
+	c.due = s.Now().Add(c.spread(c.retry))
 	return true
 }
 
+// spread returns a random time from half of d to d, so that entries that failed together do not return together.
+func (c *Follow) spread(d time.Duration) time.Duration {
+	if c.Random == nil {
+		return d
+	}
+	return d/2 + time.Duration(c.Random()*float64(d/2))
+}
+
 func (c *Follow) resume(s *State) {
 	if c.failing.IsZero() {
 		return
--- a/core/bergamotcluster/follow_test.go
+++ b/core/bergamotcluster/follow_test.go
@@ -96,6 +96,16 @@
 		gomega.Expect(f.feed.times[5]).To(gomega.BeNumerically("~", 6*time.Second, 100*time.Millisecond))
 	})
 
+	// Guards against entries that keep the store beyond its rate by asking again too soon.
+	ginkgo.It("asks a store less often that gets too many calls", func() {
+		f := newFollowing(newConfigs())
+		f.feed.err = bergamotstore.ErrBusy
+		for range 10000 {
+			f.pass(time.Millisecond)
+		}
+		gomega.Expect(f.feed.lists).To(gomega.BeNumerically("<=", 11))
+	})
+
 	// Guards against a stream of calls to a store that is down; each is priced and counts against its rate.
 	ginkgo.It("spaces reads that fail", func() {
 		f := newFollowing(newConfigs())
--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -24,6 +24,7 @@
 	Renew  time.Duration // time between two steps of the holder
 	Seek   time.Duration // time between two steps of a candidate
 	Rest   time.Duration // time between two steps of all others
+	First  time.Duration // before the first step; by then the entry knows whether it is a candidate
 	Report func(holder bool, number int64, err error)
 	Leave  func() bool // tells whether the entry is stopping, so that another one should place layers
 
@@ -45,6 +46,9 @@
 
 // Reconcile takes a step of the lease.
 func (c *Leadership) Reconcile(s *State) []Task {
+	if c.due.IsZero() {
+		c.due = s.Now().Add(c.First)
+	}
 	if c.running || s.Now().Before(c.due) {
 		return nil
 	}
--- a/core/bergamotstore/change.go
+++ b/core/bergamotstore/change.go
@@ -5,6 +5,9 @@
 // ErrHistory is returned when the table service has dropped the changes that were asked for.
 var ErrHistory = errors.New("the history was dropped")
 
+// ErrBusy is in the chain of an error when the service has rejected a call because too many are made.
+var ErrBusy = errors.New("too many calls")
+
 // Change is a row as a feed of changes reports it.
 type Change struct {
 	row  Row
