--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -24,7 +24,7 @@
 
 // Feed reads a table and its changes.
 type Feed interface {
-	// List returns all rows and the version up to which they hold all changes; at is the time of the store's steady
+	// List returns all rows and the version up to which they hold all changes; at is the time of the store's storeClock
 	// clock when it answered, 0 when it is not known.
 	List(ctx context.Context, table string) (rows []bergamotstore.Row, version int64, at time.Duration, err error)
 	// Changes returns the changes after a version as soon as there is one, or none when the wait has passed. It
@@ -56,7 +56,7 @@
 	Random func() float64       // from 0 (included) to 1 (excluded), nil for no spread of retries
 	Report func(table string, err error, down time.Duration)
 
-	clock   steady
+	clock   storeClock
 	listed  bool
 	version int64
 	running bool
--- a/core/bergamotlayout/layout.go
+++ b/core/bergamotlayout/layout.go
@@ -56,7 +56,7 @@
 	if len(out) == 0 {
 		return nil
 	}
-	// Runners of data centres without a copy of their own reinforce the last group.
+	// Runners of data centres without a copy of their own replicate the last group.
 	out[len(out)-1] = append(out[len(out)-1], rest...)
 	return out
 }
@@ -72,9 +72,9 @@
 // plan assigns the layers of one group.
 func (l *Layout) plan(runners []Runner, out map[string]Span) {
 	slices.SortFunc(runners, func(a, b Runner) int { return cmp.Compare(a.name, b.name) })
-	if r := newRepair(l.Model, runners); r.complete() || r.mend() {
-		r.reinforce()
-		r.relieve()
+	if r := newRepair(l.Model, runners); r.complete() || r.closeGaps() {
+		r.replicate()
+		r.rebalance()
 		r.copyTo(out)
 		return
 	}
@@ -105,7 +105,7 @@
 		}
 	}
 	r.count()
-	r.reinforce()
+	r.replicate()
 	r.copyTo(out)
 }
 
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -10,9 +10,9 @@
 const shiftCost = 1.5
 
 const (
-	narrowShare = 0.6 // part of the planned room below which layers are worth a move
-	slowShare   = 0.5 // pace relative to the slowest runner from which a runner may be moved
-	relieveGain = 1.3 // how much more room the moved runner must leave behind than there is at the narrow place
+	bottleneckShare = 0.6 // part of the planned room below which layers are worth a move
+	slowShare       = 0.5 // pace relative to the slowest runner from which a runner may be moved
+	rebalanceGain   = 1.3 // how much more room the moved runner must leave behind than there is at the bottleneck
 )
 
 // shiftMost bounds how many runners one move shifts, and with it the time of the search.
@@ -57,8 +57,8 @@
 // complete tells whether every layer is held.
 func (r *repair) complete() bool { return r.gap() < 0 }
 
-// mend closes the gaps and tells whether none is left; a group that holds nothing cannot be mended.
-func (r *repair) mend() bool {
+// closeGaps closes the gaps and tells whether none is left; a group that holds nothing cannot be mended.
+func (r *repair) closeGaps() bool {
 	if len(r.spans) == 0 {
 		return false
 	}
@@ -208,8 +208,8 @@
 	}
 }
 
-// reinforce gives each runner that still holds nothing the range of layers whose holders have the least room.
-func (r *repair) reinforce() {
+// replicate gives each runner that still holds nothing the range of layers whose holders have the least room.
+func (r *repair) replicate() {
 	for {
 		v, ok := r.empty()
 		if !ok {
@@ -227,24 +227,24 @@
 	}
 }
 
-// relieve moves one runner whose layers others hold as well to the layers with the least room, if these have much less
-// than planned and less than its own layers keep. Repairs leave such narrow places behind.
-func (r *repair) relieve() {
+// rebalance moves one runner whose layers others hold as well to the layers with the least room, if these have much less
+// than planned and less than its own layers keep. Repairs leave such bottlenecks behind.
+func (r *repair) rebalance() {
 	at := 0
 	for i := range r.room {
 		if r.room[i] < r.room[at] {
 			at = i
 		}
 	}
-	narrow := r.room[at]
-	if narrow >= narrowShare*planRequests*r.model.request {
+	least := r.room[at]
+	if least >= bottleneckShare*planRequests*r.model.request {
 		return
 	}
 	slowest := 0.0
 	for _, v := range r.runners {
 		slowest = max(slowest, v.pace)
 	}
-	best, most := -1, narrow*relieveGain
+	best, most := -1, least*rebalanceGain
 	for i, v := range r.runners {
 		// A fast runner that moves makes every path slower that led over it.
 		if left, ok := r.without(v); ok && left > most && v.pace >= slowShare*slowest {
@@ -257,7 +257,7 @@
 	v := r.runners[best]
 	delete(r.spans, v.name)
 	r.count()
-	r.reinforce()
+	r.replicate()
 }
 
 // without returns the least room that the layers of a runner have without it, and whether others hold all of them.
--- a/core/bergamotpath/chart.go
+++ b/core/bergamotpath/index.go
@@ -12,17 +12,17 @@
 // ones find an idle runner almost as well as all, and the time of a choice does not grow with the fleet.
 const sampleMost = 4
 
-// chart is what paths need to know of a fleet and does not change with the work; it is kept until the fleet changes.
-type chart struct {
+// index is what paths need to know of a fleet and does not change with the work; it is kept until the fleet changes.
+type index struct {
 	fleet   *bergamotfleet.Fleet
 	engine  *bergamotconfig.Engine
 	service string
-	centres []area
+	centres []centreIndex
 }
 
-// area is the part of a chart for one data centre.
-type area struct {
-	centre string
+// centreIndex is the part of an index for one data centre.
+type centreIndex struct {
+	name   string
 	ranges [][]holder // holders of the same range, by the first layer
 }
 
@@ -36,8 +36,8 @@
 	room    float64 // token-layers of requests for which it has memory
 }
 
-func newChart(w Want) *chart {
-	c := &chart{fleet: w.Fleet, engine: w.Engine, service: w.Service}
+func newIndex(w Want) *index {
+	c := &index{fleet: w.Fleet, engine: w.Engine, service: w.Service}
 	byCentre := map[string][]holder{}
 	for _, i := range w.Fleet.Role(w.Service) {
 		k, known := w.Engine.Kind(i.Kind())
@@ -55,18 +55,18 @@
 		slices.SortFunc(holders, func(a, b holder) int {
 			return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.to, b.to), cmp.Compare(a.name, b.name))
 		})
-		area := area{centre: centre}
+		x := centreIndex{name: centre}
 		for begin := 0; begin < len(holders); {
 			end := begin + 1
 			for end < len(holders) && holders[end].from == holders[begin].from && holders[end].to == holders[begin].to {
 				end++
 			}
-			area.ranges = append(area.ranges, holders[begin:end])
+			x.ranges = append(x.ranges, holders[begin:end])
 			begin = end
 		}
-		c.centres = append(c.centres, area)
+		c.centres = append(c.centres, x)
 	}
-	slices.SortFunc(c.centres, func(a, b area) int { return cmp.Compare(a.centre, b.centre) })
+	slices.SortFunc(c.centres, func(a, b centreIndex) int { return cmp.Compare(a.name, b.name) })
 	return c
 }
 
--- a/core/bergamotpath/memory.go
+++ b/core/bergamotpath/memory.go
@@ -13,9 +13,9 @@
 	// reportLife is the time over which a report of the work of other entries fades. Longer ones keep
 	// requests from a runner whose streams have ended, shorter ones repeat rejections.
 	reportLife = 700 * time.Millisecond
-	// pressedShare is the estimated part of the memory in use above which a report is worth its price.
-	pressedShare = 0.7
-	reportFresh  = 350 * time.Millisecond // age up to which a report need not be repeated; reports lag some 200 ms themselves
+	// probeShare is the estimated part of the memory in use above which a report is worth its price.
+	probeShare  = 0.7
+	reportFresh = 350 * time.Millisecond // age up to which a report need not be repeated; reports lag some 200 ms themselves
 )
 
 // reported is the memory that requests of other entries held on a runner.
@@ -34,12 +34,12 @@
 	r.others[runner] = reported{used: max(used-r.used[runner], 0), at: r.Clock.Now()}
 }
 
-// Pressed returns the runner of a plan that is closest to the end of its memory, if that is near and no fresh report
+// Bottleneck returns the runner of a plan that is closest to the end of its memory, if that is near and no fresh report
 // of it is known.
-func (r *Router) Pressed(p bergamotroute.Plan, w Want) (runner, address string, ok bool) {
+func (r *Router) Bottleneck(p bergamotroute.Plan, w Want) (runner, address string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	most := pressedShare
+	most := probeShare
 	for _, s := range p.Stages() {
 		i, known := w.Fleet.Instance(s.Instance())
 		if !known || r.Clock.Now().Sub(r.others[s.Instance()].at) < reportFresh {
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -49,7 +49,7 @@
 	others map[string]reported
 	cross  rate.Limiter // paths over more than one data centre
 	speeds map[string]*speed
-	chart  *chart
+	index  *index
 	found  []candidate // of the present choice, kept for its memory
 }
 
@@ -61,14 +61,14 @@
 	if r.used == nil {
 		r.used = map[string]float64{}
 	}
-	if r.chart == nil || r.chart.fleet != w.Fleet || r.chart.engine != w.Engine || r.chart.service != w.Service {
-		r.chart = newChart(w)
+	if r.index == nil || r.index.fleet != w.Fleet || r.index.engine != w.Engine || r.index.service != w.Service {
+		r.index = newIndex(w)
 	}
 	r.found = r.found[:0]
 	best, chosen, promised := 0.0, "", 0.0
-	for _, area := range r.chart.centres {
-		centre, begin := area.centre, len(r.found)
-		r.weigh(w, area)
+	for _, dc := range r.index.centres {
+		centre, begin := dc.name, len(r.found)
+		r.weigh(w, dc)
 		s := search{candidates: r.found[begin:], layers: w.Engine.Layers()}
 		plan, cost, found := s.run()
 		if !found {
@@ -112,16 +112,16 @@
 	return r.cross.AllowN(r.Clock.Now(), 1)
 }
 
-// weigh appends the usable holders of an area with their present cost, a random few of those with the same range.
-func (r *Router) weigh(w Want, a area) {
-	for _, holders := range a.ranges {
+// weigh appends the usable holders of a data centre with their present cost, a random few of those with the same range.
+func (r *Router) weigh(w Want, dc centreIndex) {
+	for _, holders := range dc.ranges {
 		first := 0
 		if len(holders) > sampleMost {
 			first = r.Random.IntN(len(holders))
 		}
 		taken := 0
 		for n := 0; n < len(holders) && taken < sampleMost; n++ {
-			if c, ok := r.candidate(w, a.centre, holders[(first+n)%len(holders)]); ok {
+			if c, ok := r.candidate(w, dc.name, holders[(first+n)%len(holders)]); ok {
 				r.found = append(r.found, c)
 				taken++
 			}
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -48,15 +48,15 @@
 
 // call is the progress of one exchange.
 type call struct {
-	handler *Call
-	x       *Exchange
-	tried   map[string]bool
-	running int
-	ran     int
-	sends   int
-	results chan outcome
-	failure *Failure
-	poor    *outcome // an answer that says that the runner failed, kept for the case that no better one comes
+	handler  *Call
+	x        *Exchange
+	tried    map[string]bool
+	running  int
+	ran      int
+	sends    int
+	results  chan outcome
+	failure  *Failure
+	fallback *outcome // an answer that says that the runner failed, kept for the case that no better one comes
 }
 
 // Handle sends the call to a runner. It goes to another one when it was certainly not run, or may be repeated.
@@ -82,8 +82,8 @@
 			if ctx.Err() == nil && c.mayRepeat() && c.send(ctx) {
 				continue
 			}
-			if c.running == 0 && c.poor != nil {
-				return c.reply(*c.poor)
+			if c.running == 0 && c.fallback != nil {
+				return c.reply(*c.fallback)
 			}
 			if c.running == 0 {
 				return c.refuse(ctx)
@@ -94,8 +94,8 @@
 				c.send(ctx)
 			}
 		case <-ctx.Done():
-			if c.poor != nil {
-				return c.reply(*c.poor)
+			if c.fallback != nil {
+				return c.reply(*c.fallback)
 			}
 			return c.refuse(ctx)
 		}
@@ -153,11 +153,11 @@
 func (c *call) finish(o outcome) bool {
 	c.running--
 	if o.failure == nil {
-		if o.status < http.StatusInternalServerError || !c.x.Route().Repeatable() || c.poor != nil {
+		if o.status < http.StatusInternalServerError || !c.x.Route().Repeatable() || c.fallback != nil {
 			return true
 		}
 		// The runner failed at a call that may be repeated; another one may do better.
-		c.poor, c.ran = &o, c.ran+1
+		c.fallback, c.ran = &o, c.ran+1
 		c.failure = NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, fmt.Errorf("status %d", o.status))
 		c.x.Trace().Fail(c.failure)
 		return false
--- a/core/bergamotrelay/deadline.go
+++ b/core/bergamotrelay/deadline.go
@@ -14,9 +14,9 @@
 // takes about a second, and a reading of the configuration a few hundred milliseconds.
 const retryAfter = 300 * time.Millisecond
 
-// elsewhere is the time after which a caller may ask again when only this entry cannot serve it: the balancer sends
+// retryElsewhere is the time after which a caller may ask again when only this entry cannot serve it: the balancer sends
 // its next connection to another one.
-const elsewhere = 30 * time.Millisecond
+const retryElsewhere = 30 * time.Millisecond
 
 // Deadline bounds the time of an exchange by what the caller grants and what the route allows.
 type Deadline struct {
--- a/core/bergamotrelay/identify.go
+++ b/core/bergamotrelay/identify.go
@@ -10,7 +10,7 @@
 // Identify finds the workspace that holds the key of a request.
 type Identify struct {
 	Freshness Freshness
-	Sure      time.Duration // age up to which the absence of a key is certain
+	Certain   time.Duration // age up to which the absence of a key is certain
 	Most      time.Duration // age of the configuration up to which a key counts as still valid
 }
 
@@ -27,13 +27,13 @@
 	age := f.Freshness.Age(x)
 	if age > f.Most {
 		return bergamotrequest.Refuse(bergamotrequest.ReasonStale, "the keys were last confirmed %s ago", age.Round(time.Millisecond)).
-			RetryAfter(elsewhere)
+			RetryAfter(retryElsewhere)
 	}
 	w, ok := c.Workspace(x.Request().Key())
 	if !ok {
-		if age > f.Sure {
+		if age > f.Certain {
 			return bergamotrequest.Refuse(bergamotrequest.ReasonStale, "no such key in a configuration that may be out of date").
-				RetryAfter(elsewhere)
+				RetryAfter(retryElsewhere)
 		}
 		return bergamotrequest.Refuse(bergamotrequest.ReasonKey, "the key is missing or unknown")
 	}
--- a/core/bergamotrelay/match.go
+++ b/core/bergamotrelay/match.go
@@ -17,7 +17,7 @@
 // Match finds the route and the service of a request.
 type Match struct {
 	Freshness Freshness
-	Sure      time.Duration  // age up to which the absence of a route or key is certain
+	Certain   time.Duration  // age up to which the absence of a route or key is certain
 	Draw      func() float64 // from 0 (included) to 1 (excluded), chooses between the services of a route
 }
 
@@ -33,9 +33,9 @@
 	}
 	r, ok := c.Match(x.Request().Host(), x.Request().Path())
 	if !ok {
-		if f.Freshness.Age(x) > f.Sure {
+		if f.Freshness.Age(x) > f.Certain {
 			return bergamotrequest.Refuse(bergamotrequest.ReasonStale, "no such route in a configuration that may be out of date").
-				RetryAfter(elsewhere)
+				RetryAfter(retryElsewhere)
 		}
 		return bergamotrequest.Refuse(bergamotrequest.ReasonRoute, "no such route")
 	}
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -100,7 +100,7 @@
 	for {
 		v := h.Views.View()
 		p, ok = h.Router.Route(s.want(v))
-		if ok && s.pressed(p, v) {
+		if ok && s.probeBottleneck(p, v) {
 			// Other entries have filled a runner of the path, or a runner is close to it: choose again.
 			h.Router.Finish(p, s.x.Request().Tokens())
 			p, ok = h.Router.Route(s.want(v))
@@ -136,10 +136,10 @@
 	}
 }
 
-// pressed asks the runner of a path whose memory may be used up for its report, unless one is known that is fresh, and
+// probeBottleneck asks the runner of a path whose memory may be used up for its report, unless one is known that is fresh, and
 // tells whether it did. A report costs a hundredth of a request; a rejection costs an arrival of the retry budget.
-func (s *stream) pressed(p bergamotroute.Plan, v *bergamotcluster.View) bool {
-	name, address, ok := s.handler.Router.Pressed(p, s.want(v))
+func (s *stream) probeBottleneck(p bergamotroute.Plan, v *bergamotcluster.View) bool {
+	name, address, ok := s.handler.Router.Bottleneck(p, s.want(v))
 	if !ok {
 		return false
 	}
