--- a/core/bergamotconfig/service.go
+++ b/core/bergamotconfig/service.go
@@ -25,7 +25,6 @@
 	TokenKB   float64       // KV cache of one token and layer in kB
 	Step      time.Duration // time of a token through all layers at pace 1
 	Load      time.Duration // time to load all layers
-	AtOnce    int           // loads that run at the same time at full speed
 	PromptLen float64       // usual tokens of a prompt
 	AnswerLen float64       // usual tokens of an answer
 	Crossing  time.Duration // time that the usual prompt takes the pipe between two data centres
@@ -65,9 +64,6 @@
 // Load returns the time to load all layers.
 func (e *Engine) Load() time.Duration { return e.spec.Load }
 
-// AtOnce returns how many loads run at the same time at full speed.
-func (e *Engine) AtOnce() int { return max(e.spec.AtOnce, 1) }
-
 // Crossing returns how long the usual prompt occupies the pipe between two data centres.
 func (e *Engine) Crossing() time.Duration { return e.spec.Crossing }
 
