--- a/core/bergamotcluster/placement.go
+++ b/core/bergamotcluster/placement.go
@@ -122,8 +122,8 @@
 
 // place plans the layers of one service and orders the differences.
 func (c *Placement) place(s *State, service string, e *bergamotconfig.Engine) (tasks []Task) {
-	var runners []bergamotlayout.Runner
-	var fleet []bergamotfleet.Instance
+	var runners, certain []bergamotlayout.Runner
+	fleet := map[string]bergamotfleet.Instance{}
 	known, placed := 0, false
 	for _, i := range s.Fleet().Role(service) {
 		k, ok := e.Kind(i.Kind())
@@ -134,13 +134,15 @@
 		if i.Leaving() || s.dead(i.Name()) {
 			continue
 		}
-		span := held(i)
+		span, has := held(i), held(i)
 		if p, ok := c.pending[i.Name()]; ok {
-			span = p.span
+			span, has = p.span, common(p.span, has)
 		}
 		placed = placed || span.Len() > 0
-		runners = append(runners, bergamotlayout.NewRunner(i.Name(), i.DataCentre(), k.MemoryMB(), k.Pace(), span))
-		fleet = append(fleet, i)
+		r := bergamotlayout.NewRunner(i.Name(), i.DataCentre(), k.MemoryMB(), k.Pace(), span)
+		runners = append(runners, r)
+		certain = append(certain, r.WithHeld(has))
+		fleet[i.Name()] = i
 	}
 	wait := settleTime
 	if placed {
@@ -151,12 +153,15 @@
 	}
 	layout := bergamotlayout.Layout{Model: bergamotlayout.NewModel(e.Layers(), e.LayerMB(), e.TokenMB(), e.RequestTokens())}
 	plan := layout.Plan(runners)
+	var orders []bergamotlayout.Ordered
 	for n, r := range runners {
 		span, ok := plan[r.Name()]
-		if !ok || span == r.Held() || c.pending[r.Name()] != nil {
-			continue
+		if ok && span != r.Held() && c.pending[r.Name()] == nil {
+			orders = append(orders, bergamotlayout.Ordered{Runner: certain[n], Span: span})
 		}
-		tasks = append(tasks, c.order(s, fleet[n], span, e))
+	}
+	for _, o := range bergamotlayout.Allowed(layout.Model, certain, orders) {
+		tasks = append(tasks, c.order(s, fleet[o.Runner.Name()], o.Span, e))
 	}
 	return tasks
 }
@@ -239,6 +244,9 @@
 	return bergamotlayout.NewSpan(holdings[0].From(), holdings[0].To())
 }
 
-func overlap(a, b bergamotlayout.Span) int {
-	return max(min(a.To(), b.To())-max(a.From(), b.From()), 0)
+func overlap(a, b bergamotlayout.Span) int { return common(a, b).Len() }
+
+// common returns the layers that are in both ranges.
+func common(a, b bergamotlayout.Span) bergamotlayout.Span {
+	return bergamotlayout.NewSpan(max(a.From(), b.From()), min(a.To(), b.To()))
 }
--- a/core/bergamotlayout/layout.go
+++ b/core/bergamotlayout/layout.go
@@ -72,22 +72,38 @@
 // plan assigns the layers of one group.
 func (l *Layout) plan(runners []Runner, out map[string]Span) {
 	slices.SortFunc(runners, func(a, b Runner) int { return cmp.Compare(a.name, b.name) })
-	if r := newRepair(l.Model, runners); r.complete() || r.closeGaps() {
+	r := newRepair(l.Model, runners)
+	holds := len(r.spans) > 0
+	if r.complete() || r.closeGaps() {
 		r.replicate()
 		r.rebalance()
+		r.relax()
 		r.copyTo(out)
 		return
 	}
-	l.fresh(runners, out)
+	order := byPace
+	if holds {
+		order = byPlace
+	}
+	l.fresh(runners, order, out)
+}
+
+// byPace puts fast runners first: few of them make a token faster than many slow ones.
+func byPace(a, b Runner) int {
+	return cmp.Or(cmp.Compare(a.pace, b.pace), cmp.Compare(b.memory, a.memory), cmp.Compare(a.name, b.name))
+}
+
+// byPlace keeps runners in the order of the layers that they hold, so that most of them keep a part of these. Runners
+// that hold nothing come last.
+func byPlace(a, b Runner) int {
+	return cmp.Or(cmp.Compare(a.place(), b.place()), byPace(a, b))
 }
 
-// fresh lays out a group anew: whole copies on the fastest runners that are left, as many as there is memory for, and
-// then more holders for the layers with the least room.
-func (l *Layout) fresh(runners []Runner, out map[string]Span) {
+// fresh lays out a group anew: whole copies on the first of the runners that are left, as many as there is memory for,
+// and then more holders for the layers with the least room.
+func (l *Layout) fresh(runners []Runner, order func(a, b Runner) int, out map[string]Span) {
 	left := slices.Clone(runners)
-	slices.SortStableFunc(left, func(a, b Runner) int {
-		return cmp.Or(cmp.Compare(a.pace, b.pace), cmp.Compare(b.memory, a.memory), cmp.Compare(a.name, b.name))
-	})
+	slices.SortStableFunc(left, order)
 	for i := range left {
 		left[i].held = Span{}
 	}
@@ -106,6 +122,7 @@
 	}
 	r.count()
 	r.replicate()
+	r.relax()
 	r.copyTo(out)
 }
 
--- /dev/null
+++ b/core/bergamotlayout/order.go
@@ -0,0 +1,51 @@
+package bergamotlayout
+
+import "slices"
+
+// Ordered is a runner with the range that it should hold.
+type Ordered struct {
+	Runner Runner // with the layers that it has for certain
+	Span   Span
+}
+
+// Allowed returns the orders of a plan that may be given now. While the runners of a data centre have all layers, a
+// runner gives one up only when another one has it already: otherwise no request finds a path there until the layer is
+// loaded. A data centre that lacks layers gets all orders at once.
+func Allowed(m Model, runners []Runner, orders []Ordered) (out []Ordered) {
+	cover := map[string][]int{}
+	for _, r := range runners {
+		if cover[r.centre] == nil {
+			cover[r.centre] = make([]int, m.layers)
+		}
+		for i := r.held.from; i < min(r.held.to, m.layers); i++ {
+			cover[r.centre][i]++
+		}
+	}
+	whole := map[string]bool{}
+	for centre, c := range cover {
+		whole[centre] = !slices.Contains(c, 0)
+	}
+	for _, o := range orders {
+		c := cover[o.Runner.centre]
+		if whole[o.Runner.centre] && !spared(c, o) {
+			continue
+		}
+		for i := o.Runner.held.from; i < min(o.Runner.held.to, m.layers); i++ {
+			if i < o.Span.from || i >= o.Span.to {
+				c[i]--
+			}
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// spared tells whether others have all layers that a runner is to give up.
+func spared(cover []int, o Ordered) bool {
+	for i := o.Runner.held.from; i < min(o.Runner.held.to, len(cover)); i++ {
+		if (i < o.Span.from || i >= o.Span.to) && cover[i] < 2 {
+			return false
+		}
+	}
+	return true
+}
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -230,13 +230,7 @@
 // rebalance moves one runner whose layers others hold as well to the layers with the least room, if these have much less
 // than planned and less than its own layers keep. Repairs leave such bottlenecks behind.
 func (r *repair) rebalance() {
-	at := 0
-	for i := range r.room {
-		if r.room[i] < r.room[at] {
-			at = i
-		}
-	}
-	least := r.room[at]
+	least := r.room[r.bottleneck()]
 	if least >= bottleneckShare*planRequests*r.model.request {
 		return
 	}
--- a/core/bergamotlayout/span.go
+++ b/core/bergamotlayout/span.go
@@ -1,5 +1,7 @@
 package bergamotlayout
 
+import "math"
+
 // Span is a range of layers, the last one excluded.
 type Span struct {
 	from int
@@ -15,6 +17,14 @@
 // To returns the layer after the last one.
 func (s Span) To() int { return s.to }
 
+// end returns the last layer, or the first one.
+func (s Span) end(last bool) int {
+	if last {
+		return s.to - 1
+	}
+	return s.from
+}
+
 // Len returns the number of layers.
 func (s Span) Len() int { return max(s.to-s.from, 0) }
 
@@ -42,6 +52,14 @@
 // Memory returns the memory in MB.
 func (r Runner) Memory() float64 { return r.memory }
 
+// place returns twice the middle of the held layers, and the largest number without any.
+func (r Runner) place() int {
+	if r.held.Len() == 0 {
+		return math.MaxInt
+	}
+	return r.held.from + r.held.to
+}
+
 // WithHeld returns a copy that holds other layers.
 func (r Runner) WithHeld(s Span) Runner {
 	r.held = s
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -77,8 +77,10 @@
 		return false
 	case f.run != bergamotrequest.RunNo && !s.x.Route().Repeatable():
 		return false
-	case s.ran >= s.x.Route().Attempts() || s.sends >= s.x.Route().Attempts()+extraSends:
+	case !s.maySend(s.ran):
 		return false
+	case f.allowed:
+		return true
 	case !s.handler.Budget.Take(s.x.Service().Name()):
 		s.x.Trace().Add("no retry budget")
 		return false
@@ -86,6 +88,11 @@
 	return true
 }
 
+// maySend tells whether the route allows one more attempt after some that may have run to their end.
+func (s *stream) maySend(ran int) bool {
+	return ran < s.x.Route().Attempts() && s.sends < s.x.Route().Attempts()+extraSends
+}
+
 // refuse returns why there is no answer, or no whole one.
 func (s *stream) refuse(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -159,12 +159,14 @@
 	s.x.Trace().Sent(describe(p))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := h.Watch.begin(s.x.Request().ID(), p, cancel)
+	w := h.Watch.begin(watchSpec{
+		request: s.x.Request().ID(), plan: p, allowed: s.x.Route().Gap(), leave: s.leave(), cancel: cancel,
+	})
 	defer w.end()
 	a, err := h.Upstream.Open(ctx, Attempt{
 		request: s.x.Request(), runner: first.Instance(), address: first.Address(), plan: p,
 		workspace: s.x.Workspace().Name(), left: s.x.Deadline().Sub(h.Clock.Now()), position: s.last,
-		priority: s.x.Priority(),
+		priority: s.priority(),
 	})
 	if err != nil {
 		return cause(ctx, err)
@@ -182,14 +184,16 @@
 	for {
 		events, last, err := a.Next()
 		if len(events) > 0 {
-			w.progress()
+			w.receive()
 			if err := s.x.Sink().Events(events); err != nil {
 				return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonCancel, err)
 			}
+			w.sent()
 			s.last = max(s.last, last)
 			s.x.Trace().Answered(h.Clock.Now(), a.Status())
 		}
 		if errors.Is(err, io.EOF) {
+			w.finished()
 			return nil
 		}
 		if err != nil {
@@ -198,6 +202,24 @@
 	}
 }
 
+// priority returns the rank of an attempt. A stream that the caller reads already goes first: its pause must be shorter
+// than the wait of a new one.
+func (s *stream) priority() int {
+	if s.started {
+		return 0
+	}
+	return s.x.Priority()
+}
+
+// leave returns what takes the right to go on at another path while an attempt is under way, nil when the route does not
+// allow it.
+func (s *stream) leave() func() bool {
+	if !s.x.Route().Repeatable() || !s.maySend(s.ran+1) {
+		return nil
+	}
+	return func() bool { return s.handler.Budget.Take(s.x.Service().Name()) }
+}
+
 // pass hands an answer on that is no stream, as the runner gave it.
 func (s *stream) pass(a Answer) error {
 	body, err := a.Body()
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -71,6 +71,8 @@
 	reason bergamotrequest.Reason
 	fault  string
 	cause  error
+	// allowed tells that the right to send the request once more has been taken from the budget.
+	allowed bool
 }
 
 // NewFailure returns a failure for a reason that states whether the request was run.
--- a/core/bergamotrelay/watch.go
+++ b/core/bergamotrelay/watch.go
@@ -2,32 +2,28 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
-	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 )
 
 const (
-	// lookPeriod is the time between two looks at a stream. A pause of more than about 200 ms makes a stream late,
-	// and a dead runner on the path is only known from such a pause.
+	// lookPeriod is the time between two looks at an attempt that has no event yet.
 	lookPeriod = 130 * time.Millisecond
-	// knownGap is the pause after which a stream leaves a path on which another stream found a dead runner.
+	// knownGap is the wait after which an attempt leaves a path on which another one found a dead runner.
 	knownGap = 120 * time.Millisecond
-	// askGap is the pause after which the first runner is asked what the stream waits for. A calm stream pauses for
-	// some 20 ms, one behind long prompts for some 100 ms.
+	// askGap is the wait after which the first runner is asked what the attempt waits for. A calm stream begins after
+	// some 45 ms, one behind long prompts after some 100 ms.
 	askGap = 250 * time.Millisecond
-	// askTime is how long the first runner may take to answer before it counts as silent itself.
+	// answerTime is how long the runners of a path on which a stream pauses may take for their reports before one of them
+	// counts as dead. A report takes two milliseconds; what is left of the allowed pause must suffice for another path.
+	answerTime = 25 * time.Millisecond
+	// askTime is how long a runner may take for its report before it counts as silent.
 	askTime = 250 * time.Millisecond
 )
 
-// errStalled is in the chain of the failure of a stalled attempt.
-var errStalled = errors.New("no event for too long")
-
 // Watch notices attempts that wait for a dead runner. The platform cuts them off only after a time that is longer
 // than callers are willing to wait.
 type Watch struct {
@@ -35,8 +31,9 @@
 	Reporter bergamotcluster.Reporter
 	Avoided  func(runner string) bool // tells whether a runner is known not to answer
 
-	mu    sync.Mutex
-	asked map[string]*question
+	pauses pauses
+	mu     sync.Mutex
+	asked  map[string]*question
 }
 
 // question is a report of a runner that several attempts wait for.
@@ -47,87 +44,68 @@
 	err    error
 }
 
-// watched is one attempt.
-type watched struct {
-	watch   *Watch
-	request string
-	plan    bergamotroute.Plan
-	cancel  context.CancelCauseFunc
-	last    atomic.Int64 // Unix nanoseconds of the last progress
-	timer   *time.Timer
-	ended   atomic.Bool
-}
-
-func (w *Watch) begin(request string, p bergamotroute.Plan, cancel context.CancelCauseFunc) *watched {
-	v := &watched{watch: w, request: request, plan: p, cancel: cancel}
-	v.progress()
-	v.timer = time.AfterFunc(lookPeriod, v.look)
-	return v
-}
-
-func (v *watched) end() {
-	v.ended.Store(true)
-	v.timer.Stop()
-}
-
-func (v *watched) progress() { v.last.Store(v.watch.Clock.Now().UnixNano()) }
-
-// look ends the attempt when it waits for a dead runner.
-func (v *watched) look() {
-	if v.ended.Load() {
-		return
-	}
-	gap := time.Duration(v.watch.Clock.Now().UnixNano() - v.last.Load())
-	if gap >= knownGap {
-		for _, s := range v.plan.Stages() {
-			if v.watch.Avoided(s.Instance()) {
-				v.stop(s.Address(), "another request found the runner silent")
-				return
-			}
-		}
+// unanswered asks all runners of a path and returns the address of one that does not answer.
+func (w *Watch) unanswered(p bergamotroute.Plan) (address string, found bool) {
+	questions := make([]*question, len(p.Stages()))
+	for n, s := range p.Stages() {
+		questions[n] = w.question(s.Address())
 	}
-	if gap >= askGap {
-		first := v.plan.Stages()[0].Address()
-		r, err := v.watch.ask(first)
-		if v.ended.Load() {
-			return
+	late := w.Clock.After(answerTime)
+	for n, q := range questions {
+		select {
+		case <-q.done:
+		case <-late:
+			late = closed
 		}
-		if err != nil {
-			v.stop(first, "the first runner of the path does not answer")
-			return
-		}
-		if address, ok := r.Stalled(v.request); ok {
-			v.stop(address, "the first runner of the path waits for it")
-			return
+		if !q.answered() {
+			return p.Stages()[n].Address(), true
 		}
 	}
-	v.timer.Reset(lookPeriod)
+	return "", false
 }
 
-func (v *watched) stop(address, why string) {
-	f := NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonStall, errors.Join(errStalled, errors.New(why)))
-	v.cancel(f.At(address))
+// closed is always ready.
+var closed = func() <-chan time.Time {
+	c := make(chan time.Time)
+	close(c)
+	return c
+}()
+
+// answered tells whether the report has come.
+func (q *question) answered() bool {
+	select {
+	case <-q.done:
+		return q.err == nil
+	default:
+		return false
+	}
 }
 
 // ask returns the report of a runner; attempts that wait for the same runner share one question.
 func (w *Watch) ask(address string) (bergamotcluster.Report, error) {
+	q := w.question(address)
+	<-q.done
+	return q.report, q.err
+}
+
+// question returns the question to a runner that is under way or was answered lately, or a new one.
+func (w *Watch) question(address string) *question {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.asked == nil {
 		w.asked = map[string]*question{}
 	}
-	q, ok := w.asked[address]
 	now := w.Clock.Now()
-	if !ok || now.Sub(q.at) > lookPeriod {
-		q = &question{done: make(chan struct{}), at: now}
-		w.asked[address] = q
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), askTime)
-			defer cancel()
-			q.report, q.err = w.Reporter.Report(ctx, address)
-			close(q.done)
-		}()
+	if q, ok := w.asked[address]; ok && now.Sub(q.at) <= lookPeriod {
+		return q
 	}
-	w.mu.Unlock()
-	<-q.done
-	return q.report, q.err
+	q := &question{done: make(chan struct{}), at: now}
+	w.asked[address] = q
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTime)
+		defer cancel()
+		q.report, q.err = w.Reporter.Report(ctx, address)
+		close(q.done)
+	}()
+	return q
 }
