--- a/core/bergamotcluster/placement.go
+++ b/core/bergamotcluster/placement.go
@@ -225,7 +225,12 @@
 				spec.Holdings = r.Holdings()
 				s.Put(spec)
 			}
-			if p := c.pending[name]; p != nil && !r.Busy() && span(r.Holdings()) != p.span && s.Now().Sub(p.given) > time.Second {
+			p := c.pending[name]
+			if p != nil && r.Busy() {
+				// Layers that are given up wait for the streams that pass through them.
+				p.given = s.Now()
+			}
+			if p != nil && !r.Busy() && span(r.Holdings()) != p.span && s.Now().Sub(p.given) > time.Second {
 				// The runner is idle and did not do what was ordered, so the order was lost or rejected.
 				c.Report(name, p.span, "not carried out", nil)
 				delete(c.pending, name)
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -5,9 +5,10 @@
 	"slices"
 )
 
-// shiftCost divides the score of a move for each runner that is shifted by it: a layer that is given up must wait for
-// the streams that pass through it, which takes seconds, before its memory is free.
-const shiftCost = 1.5
+// shiftCost divides the score of a move for each runner that is shifted by it. A layer that is given up must wait for the
+// streams that pass through it, 3 to 6 s in which the data centre has no path, while a runner that only takes a layer has
+// it after a fraction of a second. What becomes narrow by that is relaxed afterwards.
+const shiftCost = 10.0
 
 const (
 	bottleneckShare = 0.6 // part of the planned room below which layers are worth a move
