--- /dev/null
+++ b/core/bergamotcluster/calls_test.go
@@ -0,0 +1,83 @@
+package bergamotcluster_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotcluster"
+	"bergamotspur/core/bergamotlease"
+	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamottest"
+)
+
+// steps counts the steps of a lease that another entry holds.
+type steps struct{ n int }
+
+func (s *steps) Step(context.Context) (bergamotlease.Grant, error) {
+	s.n++
+	return bergamotlease.Grant{}, nil
+}
+
+func (s *steps) Release(context.Context) error { return nil }
+
+// place gives a fixed number of entries and place among them.
+type place struct{ entries, rank int }
+
+func (p place) Register(context.Context, string, time.Duration) (int, int, error) {
+	return p.entries, p.rank, nil
+}
+
+type seekCase struct {
+	place  place
+	counts int // how often the entries have been counted
+	most   int // steps in 16 s
+	least  int
+}
+
+var _ = ginkgo.Describe("calls to the store", func() {
+	// Guards against reads for every single change of a fleet that starts, 32 for each entry before the first request.
+	ginkgo.It("become rare while one change follows the other", func() {
+		f := newFollowing(newConfigs())
+		f.ctrl.Pause = 150 * time.Millisecond
+		f.feed.rows = []bergamotstore.Row{row("config", "\x01")}
+		f.pass(0)
+		f.feed.changes = []bergamotstore.Change{bergamotstore.NewChange(row("other", ""), false)}
+		for range 1000 {
+			f.pass(10 * time.Millisecond)
+		}
+		gomega.Expect(len(f.feed.waits)).To(gomega.BeNumerically("<=", 19))
+		f.feed.changes = nil
+		f.pass(600 * time.Millisecond)
+		before := len(f.feed.waits)
+		f.pass(0)
+		gomega.Expect(f.feed.waits).To(gomega.HaveLen(before + 1))
+	})
+
+	// Guards against entries that all seek the lease because they counted the others before these had registered, and
+	// against a lease that nobody seeks.
+	bergamottest.Entries(map[string]seekCase{
+		"seek the lease as a candidate":         {place: place{24, 2}, counts: 2, least: 14, most: 17},
+		"seek it rarely as one of the others":   {place: place{24, 3}, counts: 2, least: 1, most: 2},
+		"seek it now and then before the count": {place: place{1, 0}, counts: 1, least: 3, most: 5},
+	}, func(c seekCase) {
+		s, lease := newState(0), &steps{}
+		presence := &bergamotcluster.Presence{Register: c.place, Report: func(int, error) {}}
+		for range c.counts {
+			run(s, presence.Reconcile(s))
+			s.Wake(presence.Next(s))
+		}
+		lead := &bergamotcluster.Leadership{
+			Lease: lease, Renew: time.Second, Seek: time.Second, Rest: 16 * time.Second,
+			Report: func(bool, int64, error) {}, Leave: func() bool { return false },
+		}
+		for range 160 {
+			run(s, lead.Reconcile(s))
+			s.Wake(s.Now().Add(100 * time.Millisecond))
+		}
+		gomega.Expect(lease.n).To(gomega.BeNumerically(">=", c.least))
+		gomega.Expect(lease.n).To(gomega.BeNumerically("<=", c.most))
+	})
+})
--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -14,6 +14,9 @@
 	// retryBusy is the longest wait after a call beyond the store's rate. With retryMost 300 entries that restart
 	// together would make 1,500 calls a second and keep the store beyond its rate.
 	retryBusy = 1600 * time.Millisecond
+	// pauseMost is the longest time between two reads with changes. A runner that begins to leave must get no work 2 s
+	// later, and paths should leave it out much sooner.
+	pauseMost = 600 * time.Millisecond
 	// replyTime is added to the wait that is asked for; a reply that is later counts as lost with its connection.
 	// The store answers in 5 ms, and in 0.3 s when it is slow.
 	replyTime = 800 * time.Millisecond
@@ -51,7 +54,7 @@
 	Source Feed
 	Copy   Copy
 	Wait   time.Duration        // longest time that one read waits for a change
-	Pause  time.Duration        // time after a read with changes, so that one read takes several of them
+	Pause  time.Duration        // time after a read with changes, so that one read takes several of them; doubles up to pauseMost
 	Awake  func() time.Duration // clock that counts suspended time
 	Random func() float64       // from 0 (included) to 1 (excluded), nil for no spread of retries
 	Report func(table string, err error, down time.Duration)
@@ -62,6 +65,7 @@
 	running bool
 	due     time.Time
 	retry   time.Duration
+	pause   time.Duration // after the last read, 0 when it had no changes
 	failing time.Time
 
 	listTime time.Duration // for the next whole table, 0 for the least
@@ -127,13 +131,21 @@
 		for _, change := range changes {
 			c.Copy.Change(s, change)
 		}
-		if len(changes) > 0 {
-			c.due = s.Now().Add(c.Pause)
-		}
+		c.pause = c.paused(len(changes) > 0)
+		c.due = s.Now().Add(c.pause)
 		c.Copy.Confirm(s, c.clock.answered(began, at))
 	})
 }
 
+// paused returns the time until the next read. While one change follows the other, as when a fleet starts, reads become
+// rare, since each of them is priced.
+func (c *Follow) paused(changed bool) time.Duration {
+	if !changed {
+		return 0
+	}
+	return min(max(2*c.pause, c.Pause), max(c.Pause, pauseMost))
+}
+
 // done records the end of a read and tells whether it failed.
 func (c *Follow) done(s *State, err error) bool {
 	c.running = false
--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -17,6 +17,9 @@
 // with the entries; the loss of these few at once only delays the next holder.
 const candidates = 3
 
+// unrankedShare divides the rest of an entry that does not know its place among the others.
+const unrankedShare = 4
+
 // Leadership is the controller that keeps or seeks the lease of the placement, so that one entry at a time places
 // layers.
 type Leadership struct {
@@ -68,6 +71,9 @@
 			switch {
 			case holds:
 				c.due = s.Now().Add(c.Renew)
+			case !s.ranked:
+				// The entry may have counted the others before they had registered.
+				c.due = s.Now().Add(c.Rest / unrankedShare)
 			case s.rank < candidates:
 				c.due = s.Now().Add(c.Seek)
 			default:
--- a/core/bergamotcluster/presence.go
+++ b/core/bergamotcluster/presence.go
@@ -50,7 +50,7 @@
 				c.Report(s.entries, err)
 				return
 			}
-			s.rank = rank
+			s.rank, s.ranked = rank, s.ranked || c.known || n > 1 && rank >= candidates
 			if n = max(n, 1); n != s.entries || !c.known {
 				s.entries, c.known = n, true
 				c.Report(n, nil)
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -45,7 +45,8 @@
 	fleet     *bergamotfleet.Fleet // nil when a runner has changed since it was built
 	grant     bergamotlease.Grant
 	entries   int
-	rank      int // place of this entry among all, from 0
+	rank      int  // place of this entry among all, from 0
+	ranked    bool // the entries have been counted after all of a fresh fleet have registered
 }
 
 // failure is a runner that does not answer.
