--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -126,7 +126,10 @@
 }
 
 // budget allows a number of retries.
-type budget struct{ left int }
+type budget struct {
+	left   int
+	urgent float64 // retries of a full budget, of which a part is only for urgent ones
+}
 
 func (b *budget) First(string) {}
 
@@ -135,6 +138,10 @@
 	return b.left >= 0
 }
 
+func (b *budget) TakePart(service string, part float64) bool {
+	return float64(b.left) > b.urgent*(1-part) && b.Take(service)
+}
+
 // watchers hears of failed runners.
 type watchers struct {
 	mu     sync.Mutex
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -18,6 +18,9 @@
 	// extraSends are the attempts beyond those that the route allows to run: runners that rejected the request do not
 	// count. One whose connection broke may have run it to the end.
 	extraSends = 3
+	// beginPart is the part of the retry budget for requests that have no answer yet. The rest is for streams that break off:
+	// their callers lose what they have read, while a refused caller may come back.
+	beginPart = 0.7
 	// comeBackShare is the least part of the time left after which a refused caller may come back; the most is twice that.
 	comeBackShare = 0.05
 	// avoidTime keeps work from a runner that rejected a request until its check or its list entry tells more.
@@ -83,13 +86,21 @@
 		return false
 	case f.allowed:
 		return true
-	case !s.handler.Budget.Take(s.x.Service().Name()):
+	case !s.handler.Budget.TakePart(s.x.Service().Name(), s.part()):
 		s.x.Trace().Add("no retry budget")
 		return false
 	}
 	return true
 }
 
+// part returns the part of the retry budget that a further attempt may use.
+func (s *stream) part() float64 {
+	if s.started {
+		return 1
+	}
+	return beginPart
+}
+
 // maySend tells whether the route allows one more attempt after some that may have run to their end.
 func (s *stream) maySend(ran int) bool {
 	return ran < s.x.Route().Attempts() && s.sends < s.x.Route().Attempts()+extraSends
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -33,6 +33,8 @@
 type Budget interface {
 	First(service string)
 	Take(service string) bool
+	// TakePart allows a retry only while a part of the budget is not used up.
+	TakePart(service string, part float64) bool
 }
 
 // Observer hears of runners that fail. It never blocks.
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -44,6 +44,17 @@
 		gomega.Expect(g.caller.starts).To(gomega.BeNumerically("<=", 1))
 	})
 
+	// Guards against streams that are cut off because rejected requests have used up the retry budget.
+	ginkgo.It("goes on with the part of the budget that rejected requests may not use", func() {
+		r := route(bergamotconfig.RouteSpec{Repeat: bergamotconfig.RepeatStream, Resumable: true, Attempts: 2})
+		refused := newRig(r, model, reply{failure: rejected()}, reply{events: 1})
+		refused.budget.left, refused.budget.urgent = 3, 10
+		gomega.Expect(outcomeOf(refused.stream(context.Background()))).To(gomega.Equal("full no"))
+		continued := newRig(r, model, reply{events: 3, broken: true}, reply{events: 1})
+		continued.budget.left, continued.budget.urgent = 3, 10
+		gomega.Expect(outcomeOf(continued.stream(context.Background()))).To(gomega.Equal("answered"))
+	})
+
 	// Guards against a resumed stream that returns to the runner that has just failed.
 	ginkgo.It("goes on at another runner and names the position", func() {
 		g := newRig(route(bergamotconfig.RouteSpec{Repeat: bergamotconfig.RepeatStream, Resumable: true, Attempts: 2}), model,
--- a/core/bergamotretry/budget.go
+++ b/core/bergamotretry/budget.go
@@ -65,11 +65,15 @@
 }
 
 // Take counts a retry and tells whether the budget allows it; one that is not allowed is not counted.
-func (b *Budget) Take(key string) bool {
+func (b *Budget) Take(key string) bool { return b.TakePart(key, 1) }
+
+// TakePart does the same for a retry that is allowed only while a part of the budget, from 0 to 1, is not used up. What is
+// left then is for more urgent retries.
+func (b *Budget) TakePart(key string, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	u := b.usage(key)
-	if total(u.retries)+1 > b.reserve()+b.Ratio*total(u.firsts) {
+	if total(u.retries)+1 > part*(b.reserve()+b.Ratio*total(u.firsts)) {
 		return false
 	}
 	u.retries[u.now()]++
--- a/core/bergamotretry/retries_test.go
+++ b/core/bergamotretry/retries_test.go
@@ -69,6 +69,21 @@
 		gomega.Expect(take(b, "kitchen", 1000)).To(gomega.BeZero())
 	})
 
+	// Guards against retries of little urgency that use up the whole budget, and against a part that is given twice.
+	ginkgo.It("keeps a part for urgent retries", func() {
+		b := newBudget(bergamotclock.NewVirtual(time.Unix(0, 0)), 0.1, 10)
+		for range 100 {
+			b.First("kitchen")
+		}
+		n := 0
+		for b.TakePart("kitchen", 0.7) {
+			n++
+		}
+		gomega.Expect(n).To(gomega.Equal(14))
+		gomega.Expect(take(b, "kitchen", 1000)).To(gomega.Equal(6))
+		gomega.Expect(b.TakePart("kitchen", 0.7)).To(gomega.BeFalse())
+	})
+
 	// Guards against memory that grows with the number of keys.
 	ginkgo.It("keeps a bounded number of keys and forgets the least recently used", func() {
 		b := newBudget(bergamotclock.NewVirtual(time.Unix(0, 0)), 0, 1)
