--- a/core/bergamotcluster/follow_test.go
+++ b/core/bergamotcluster/follow_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotcluster"
+	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 )
@@ -163,7 +164,7 @@
 		"stays when it registers again after an outage": {outage: true, back: true, after: 5 * time.Second, want: true},
 		"is gone after an outage when it was leaving":   {outage: true, leaving: true, want: false},
 	}, func(c rosterCase) {
-		roster := &bergamotcluster.Roster{Decoder: decoder{}, Report: func(string, string, error) {}}
+		roster := &bergamotcluster.Roster{Decoder: decoder{}, Report: func(bergamotfleet.Instance, string, error) {}}
 		f := newFollowing(roster)
 		value := "ready"
 		if c.leaving {
@@ -191,7 +192,7 @@
 
 	// Guards against a stale or foreign entry that names a runner.
 	ginkgo.It("is not known by an entry that cannot be read", func() {
-		roster := &bergamotcluster.Roster{Decoder: decoder{}, Report: func(string, string, error) {}}
+		roster := &bergamotcluster.Roster{Decoder: decoder{}, Report: func(bergamotfleet.Instance, string, error) {}}
 		f := newFollowing(roster)
 		f.feed.rows = []bergamotstore.Row{row("x", "broken"), row("y", "ready")}
 		f.pass(0)
--- a/core/bergamotcluster/placement_test.go
+++ b/core/bergamotcluster/placement_test.go
@@ -48,7 +48,7 @@
 		Clock: p.clock, Orders: p.fleet, Reports: p.fleet, Report: func(string, bergamotlayout.Span, string, error) {},
 	}
 	p.state.SetConfig(bergamotconfig.New(bergamotconfig.Spec{Version: 1, Services: []bergamotconfig.Service{llm}}))
-	roster := &bergamotcluster.Roster{Decoder: decoder{}, Report: func(string, string, error) {}}
+	roster := &bergamotcluster.Roster{Decoder: decoder{}, Report: func(bergamotfleet.Instance, string, error) {}}
 	roster.Replace(p.state, []bergamotstore.Row{row("w", "ready"), row("x", "ready"), row("y", "ready"), row("z", "ready")})
 	return p
 }
--- a/core/bergamotcluster/roster.go
+++ b/core/bergamotcluster/roster.go
@@ -19,7 +19,7 @@
 // Roster takes the runners from the table in which they register themselves.
 type Roster struct {
 	Decoder RunnerDecoder
-	Report  func(name, what string, err error) // called for each runner that is added, leaves or cannot be read
+	Report  func(i bergamotfleet.Instance, what string, err error) // called for each runner that is added, leaves or cannot be read
 
 	grace time.Time // until then a missing entry may only have lapsed during an outage
 }
@@ -77,7 +77,8 @@
 func (c *Roster) Reconcile(s *State) []Task {
 	for name, t := range s.lapsed {
 		if !s.Now().Before(t) {
-			c.Report(name, "gone after an outage", nil)
+			i, _ := s.Runner(name)
+			c.Report(i, "gone after an outage", nil)
 			s.Remove(name)
 		}
 	}
@@ -88,16 +89,16 @@
 	spec, err := c.Decoder.Runner(r.Key(), r.Value())
 	if err != nil {
 		// An entry that cannot be read names no runner.
-		c.Report(r.Key(), "unreadable entry", err)
+		c.Report(bergamotfleet.NewInstance(bergamotfleet.Spec{Name: r.Key()}), "unreadable entry", err)
 		s.Remove(r.Key())
 		return
 	}
 	old, known := s.Runner(spec.Name)
 	switch {
 	case !known || old.Born() != spec.Born:
-		c.Report(spec.Name, "joined", nil)
+		c.Report(bergamotfleet.NewInstance(spec), "joined", nil)
 	case spec.Leaving && !old.Leaving():
-		c.Report(spec.Name, "leaving", nil)
+		c.Report(bergamotfleet.NewInstance(spec), "leaving", nil)
 	}
 	s.Put(spec)
 }
@@ -113,6 +114,6 @@
 		s.lapsed[name] = c.grace
 		return
 	}
-	c.Report(name, "gone", nil)
+	c.Report(i, "gone", nil)
 	s.Remove(name)
 }
