--- a/core/bergamotlease/lease.go
+++ b/core/bergamotlease/lease.go
@@ -19,6 +19,12 @@
 	CompareAndSet(ctx context.Context, key string, revision int64, value []byte) (row bergamotstore.Row, ok bool, err error)
 }
 
+// TableClock bounds the steady clock of the table service.
+type TableClock interface {
+	// TableTime returns the times between which the clock of the table service is now; ok is false when it is not known.
+	TableTime() (least, most time.Duration, ok bool)
+}
+
 // Clock tells the time with a monotonic reading.
 type Clock interface{ Now() time.Time }
 
@@ -31,6 +37,9 @@
 	Term   time.Duration // time without a renewal after which others may take the lease
 	Margin time.Duration // how much earlier the holder gives up; it covers the drift between two clocks
 	Stamp  func() string // returns a different value each time
+	// Times lets an entry take over a lease whose term has ended by the clock of the table service, although it did not see
+	// the last renewal, as after an outage; nil for none.
+	Times TableClock
 
 	grant   Grant
 	seen    bergamotstore.Row
@@ -68,13 +77,34 @@
 	switch {
 	case l.grant.Valid(now) && r.Holder == l.Holder && r.Number == l.grant.number:
 		return l.write(ctx, row, r.Number)
-	case r.Holder == "" || now.Sub(l.seenAt) >= l.Term:
+	case r.Holder == "" || now.Sub(l.seenAt) >= l.Term || l.ended(r):
 		return l.write(ctx, row, r.Number+1)
 	default:
 		return l.grant, nil
 	}
 }
 
+// ended tells whether the term of a record has ended by the clock of the table service.
+func (l *Lease) ended(r record) bool {
+	if l.Times == nil || r.Until == 0 {
+		return false
+	}
+	least, _, ok := l.Times.TableTime()
+	return ok && least >= time.Duration(r.Until)*time.Millisecond
+}
+
+// until returns the end of a term that begins now, in milliseconds of the clock of the table service, 0 when it is not known.
+func (l *Lease) until() int64 {
+	if l.Times == nil {
+		return 0
+	}
+	_, most, ok := l.Times.TableTime()
+	if !ok {
+		return 0
+	}
+	return (most + l.Term).Milliseconds() + 1
+}
+
 // Release gives the lease back, so that another entry need not wait for its term.
 func (l *Lease) Release(ctx context.Context) (err error) {
 	defer func() { err = oops.In("lease").Wrapf(err, "release %s", l.Key) }()
@@ -120,7 +150,7 @@
 // write stores the lease with a fencing number and reads it back when the reply is lost.
 func (l *Lease) write(ctx context.Context, row bergamotstore.Row, number int64) (g Grant, err error) {
 	stamp := l.Stamp()
-	value, err := json.Marshal(record{Holder: l.Holder, Number: number, Stamp: stamp})
+	value, err := json.Marshal(record{Holder: l.Holder, Number: number, Stamp: stamp, Until: l.until()})
 	if err != nil {
 		return l.grant, err
 	}
--- a/core/bergamotlease/lease_test.go
+++ b/core/bergamotlease/lease_test.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// tableTime is a clock of the table service that is known to 20 ms.
+type tableTime struct{ clock *bergamotclock.Virtual }
+
+func (t tableTime) TableTime() (least, most time.Duration, ok bool) {
+	at := time.Duration(t.clock.Now().UnixNano())
+	return at - 10*time.Millisecond, at + 10*time.Millisecond, true
+}
+
 var _ = ginkgo.Describe("Lease", func() {
 	var (
 		ctx   = context.Background()
@@ -68,6 +76,19 @@
 		gomega.Expect(held(a).Valid(clock.Now())).To(gomega.BeFalse())
 	})
 
+	// Guards against a fleet without a controller for a whole term after an outage, although the term has ended meanwhile.
+	ginkgo.It("is taken over at once when the table's clock shows that its term has ended", func() {
+		a.Times, b.Times = tableTime{clock}, tableTime{clock}
+		g := held(a)
+		clock.Advance(term - time.Millisecond)
+		gomega.Expect(g.Valid(clock.Now())).To(gomega.BeFalse())
+		gomega.Expect(held(b).Valid(clock.Now())).To(gomega.BeFalse())
+		b = newLease(store, clock, "b")
+		b.Times = tableTime{clock}
+		clock.Advance(100 * time.Millisecond)
+		gomega.Expect(held(b).Number()).To(gomega.Equal(int64(2)))
+	})
+
 	// Guards against a holder that gives commands after a pause in which another took over.
 	ginkgo.It("ends before another entry takes over, with a higher number", func() {
 		g := held(a)
