--- a/core/bergamotcluster/calls_test.go
+++ b/core/bergamotcluster/calls_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotcluster"
+	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlease"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
@@ -56,6 +57,18 @@
 		gomega.Expect(f.feed.waits).To(gomega.HaveLen(before + 1))
 	})
 
+	// Guards against neighbours that take the layers of a leaving runner because its replacement, which registers at the
+	// same time, is seen only after the pause.
+	ginkgo.It("follow soon after a runner began to leave", func() {
+		f := newFollowing(&bergamotcluster.Roster{Decoder: decoder{}, Report: func(bergamotfleet.Instance, string, error) {}})
+		f.ctrl.Pause = 150 * time.Millisecond
+		f.feed.rows = []bergamotstore.Row{row("x", "ready")}
+		f.pass(0)
+		f.feed.changes = []bergamotstore.Change{bergamotstore.NewChange(row("x", "leaving"), false)}
+		f.pass(0)
+		gomega.Expect(f.ctrl.Next(f.state).Sub(f.state.Now())).To(gomega.BeNumerically("<=", 40*time.Millisecond))
+	})
+
 	// Guards against entries that all seek the lease because they counted the others before these had registered, and
 	// against a lease that nobody seeks.
 	bergamottest.Entries(map[string]seekCase{
--- a/core/bergamotcluster/follow.go
+++ b/core/bergamotcluster/follow.go
@@ -17,6 +17,9 @@
 	// pauseMost is the longest time between two reads with changes. A runner that begins to leave must get no work 2 s
 	// later, and paths should leave it out much sooner.
 	pauseMost = 600 * time.Millisecond
+	// leavePause is the time to the next read after a runner began to leave: the one that replaces it registers some 15 ms
+	// later and must be known before others are ordered to take the layers (leaveTime).
+	leavePause = 40 * time.Millisecond
 	// outageLeast is the time without a successful read after which leases have run out.
 	outageLeast = 2 * time.Second
 	// replyTime is added to the wait that is asked for; a reply that is later counts as lost with its connection.
@@ -135,6 +138,9 @@
 		}
 		c.pause = c.paused(len(changes) > 0)
 		c.due = s.Now().Add(c.pause)
+		if s.left.Equal(s.Now()) {
+			c.due = s.Now().Add(min(leavePause, c.pause))
+		}
 		c.Copy.Confirm(s, c.clock.answered(began, at))
 	})
 }
--- a/core/bergamotcluster/placement.go
+++ b/core/bergamotcluster/placement.go
@@ -20,6 +20,8 @@
 	// joinTime is the same when layers are already placed, so that runners which are added together are planned
 	// together.
 	joinTime = 300 * time.Millisecond
+	// replaceTime is the same while a data centre lacks layers and has no path.
+	replaceTime = 150 * time.Millisecond
 	// leaveTime is the wait after a runner began to leave: in a release its replacement registers some 15 ms later and
 	// takes its layers, while its neighbours would have to shift.
 	leaveTime = 120 * time.Millisecond
@@ -69,8 +71,10 @@
 	if left := s.left.Add(leaveTime); left.After(s.Now()) && left.Before(next) {
 		next = left
 	}
-	if joined := s.joined.Add(joinTime); joined.After(s.Now()) && joined.Before(next) {
-		next = joined
+	for _, wait := range []time.Duration{replaceTime, joinTime} {
+		if joined := s.joined.Add(wait); joined.After(s.Now()) && joined.Before(next) {
+			next = joined
+		}
 	}
 	for _, f := range s.failed {
 		if dead := f.since.Add(deadTime); dead.After(s.Now()) && dead.Before(next) {
@@ -144,14 +148,18 @@
 		certain = append(certain, r.WithHeld(has))
 		fleet[i.Name()] = i
 	}
+	model := bergamotlayout.NewModel(e.Layers(), e.LayerMB(), e.TokenMB(), e.RequestTokens())
 	wait := settleTime
-	if placed {
+	switch {
+	case placed && bergamotlayout.Lacking(model, certain):
+		wait = replaceTime
+	case placed:
 		wait = joinTime
 	}
 	if s.Now().Sub(s.joined) < wait || s.Now().Sub(s.left) < leaveTime || float64(len(runners)) < failedShare*float64(known) {
 		return nil
 	}
-	layout := bergamotlayout.Layout{Model: bergamotlayout.NewModel(e.Layers(), e.LayerMB(), e.TokenMB(), e.RequestTokens())}
+	layout := bergamotlayout.Layout{Model: model}
 	plan := layout.Plan(runners)
 	var orders []bergamotlayout.Ordered
 	for n, r := range runners {
--- a/core/bergamotlayout/order.go
+++ b/core/bergamotlayout/order.go
@@ -12,15 +12,7 @@
 // runner gives one up only when another one has it already: otherwise no request finds a path there until the layer is
 // loaded. A data centre that lacks layers gets all orders at once.
 func Allowed(m Model, runners []Runner, orders []Ordered) (out []Ordered) {
-	cover := map[string][]int{}
-	for _, r := range runners {
-		if cover[r.centre] == nil {
-			cover[r.centre] = make([]int, m.layers)
-		}
-		for i := r.held.from; i < min(r.held.to, m.layers); i++ {
-			cover[r.centre][i]++
-		}
-	}
+	cover := covers(m, runners)
 	whole := map[string]bool{}
 	for centre, c := range cover {
 		whole[centre] = !slices.Contains(c, 0)
@@ -40,6 +32,30 @@
 	return out
 }
 
+// Lacking tells whether a data centre that holds layers lacks others.
+func Lacking(m Model, runners []Runner) bool {
+	for _, c := range covers(m, runners) {
+		if slices.Max(c) > 0 && slices.Contains(c, 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// covers returns how many runners of each data centre hold each layer.
+func covers(m Model, runners []Runner) map[string][]int {
+	out := map[string][]int{}
+	for _, r := range runners {
+		if out[r.centre] == nil {
+			out[r.centre] = make([]int, m.layers)
+		}
+		for i := r.held.from; i < min(r.held.to, m.layers); i++ {
+			out[r.centre][i]++
+		}
+	}
+	return out
+}
+
 // spared tells whether others have all layers that a runner is to give up.
 func spared(cover []int, o Ordered) bool {
 	for i := o.Runner.held.from; i < min(o.Runner.held.to, len(cover)); i++ {
