--- a/cmd/bergamotcommand/command.go
+++ b/cmd/bergamotcommand/command.go
@@ -17,6 +17,7 @@
 	Bundle   bundleCommand   `cmd:"" help:"Take a bundle from a text to the one in force."`
 	Check    checkCommand    `cmd:"" help:"Check a settings file or a bundle and print every fault."`
 	Status   statusCommand   `cmd:"" help:"Show the state of entries."`
+	Layout   layoutCommand   `cmd:"" help:"Show the entries on the users' platform and which runners hold which layers."`
 	Claims   claimsCommand   `cmd:"" help:"List and settle calls that may not be repeated."`
 	Demo     demoCommand     `cmd:"" help:"Run fakes and two entries on loopback and send sample requests."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/cmd/bergamotcommand/layout_test.go
@@ -0,0 +1,53 @@
+package bergamotcommand_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/cmd/bergamotcommand"
+	"bergamotspur/core/bergamottest"
+)
+
+const entryStatus = `{"entry":"e1","centre":"a","ready":true,"version":7,"age":40,"entries":4,"holder":true,"active":3,"runners":[
+	{"name":"r1","service":"llm","centre":"a","kind":"l4","state":"live","from":0,"to":8},
+	{"name":"r2","service":"llm","centre":"a","kind":"l4","state":"failed","from":8,"to":16},
+	{"name":"r3","service":"llm","centre":"a","kind":"l4","state":"live","from":16,"to":80},
+	{"name":"r4","service":"app","centre":"b","kind":"","state":"leaving","from":0,"to":0}]}`
+
+type layoutCase struct {
+	status string // of the entry, empty when it does not run
+	code   int
+	want   []string
+}
+
+var _ = ginkgo.Describe("layout", func() {
+	// Guards against an operator who does not see which layers are missing, and against an entry that looks well because it
+	// does not answer.
+	bergamottest.Entries(map[string]layoutCase{
+		"shows the entry, its runners and missing layers": {entryStatus, 0, []string{
+			"entry e1 centre a ready true version 7 confirmed 40 ms ago 4 entries places layers true 3 active",
+			"llm a 8 to 16 l4 r2 failed", "llm a 8 to 16 missing", "app b - r4 leaving",
+		}},
+		"fails when an entry does not answer": {"", 1, []string{"does not answer, check that the process runs"}},
+	}, func(c layoutCase) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, c.status) // a client that has gone away fails the test by itself
+		}))
+		if c.status == "" {
+			server.Close()
+		}
+		defer server.Close()
+		var out bytes.Buffer
+		gomega.Expect(bergamotcommand.Main([]string{"layout", strings.TrimPrefix(server.URL, "http://")}, &out, &out)).To(gomega.Equal(c.code))
+		lines := strings.Join(strings.Fields(out.String()), " ")
+		for _, want := range c.want {
+			gomega.Expect(lines).To(gomega.ContainSubstring(want))
+		}
+	})
+})
--- a/core/bergamotcluster/placement_test.go
+++ b/core/bergamotcluster/placement_test.go
@@ -21,7 +21,7 @@
 
 var llm = bergamotconfig.NewService("llm", bergamotconfig.NewEngine(bergamotconfig.EngineSpec{
 	Model: "m", Layers: 8, LayerMB: 1000, TokenKB: 1, Step: time.Millisecond, Load: time.Second, PromptLen: 100, AnswerLen: 100,
-	Kinds: []bergamotconfig.Kind{bergamotconfig.NewKind("l4", 4000, 1, 1)},
+	Kinds: []bergamotconfig.Kind{bergamotconfig.NewKind("l4", 4000, 1)},
 }))
 
 // placing is a state with runners, a lease and a placement controller.
--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -16,7 +16,6 @@
 	Born     int64 // start of the process in Unix milliseconds
 	Holdings []bergamotfleet.Holding
 	Busy     bool              // an order is in progress
-	Pace     float64           // factor on the times of the kind; above 1 the runner is slow
 	Used     float64           // memory that requests hold, in tokens times layers
 	Total    float64           // memory for requests, in tokens times layers
 	Stalled  map[string]string // address of the silent runner by request
@@ -37,9 +36,6 @@
 // Busy tells whether an order is in progress.
 func (r Report) Busy() bool { return r.spec.Busy }
 
-// Pace returns the factor on the times of the kind; above 1 the runner is slow.
-func (r Report) Pace() float64 { return r.spec.Pace }
-
 // Used returns the memory that requests hold, in tokens times layers.
 func (r Report) Used() float64 { return r.spec.Used }
 
--- a/core/bergamotconfig/service.go
+++ b/core/bergamotconfig/service.go
@@ -81,12 +81,11 @@
 	name   string
 	memory float64
 	pace   float64
-	read   float64
 }
 
-// NewKind returns a kind with its memory in MB and the factors on the times of steps and of reading prompts.
-func NewKind(name string, memory, pace, read float64) Kind {
-	return Kind{name: name, memory: memory, pace: pace, read: read}
+// NewKind returns a kind with its memory in MB and the factor on the time of a step.
+func NewKind(name string, memory, pace float64) Kind {
+	return Kind{name: name, memory: memory, pace: pace}
 }
 
 // Name returns the unique name.
@@ -97,6 +96,3 @@
 
 // Pace returns the factor on the time of a step.
 func (k Kind) Pace() float64 { return k.pace }
-
-// Read returns the factor on the time of reading a prompt.
-func (k Kind) Read() float64 { return k.read }
--- a/core/bergamotpath/router_test.go
+++ b/core/bergamotpath/router_test.go
@@ -19,7 +19,7 @@
 var engine = bergamotconfig.NewEngine(bergamotconfig.EngineSpec{
 	Model: "m", Layers: 80, LayerMB: 1750, TokenKB: 7.375, Step: 850 * time.Microsecond, PromptLen: 770, AnswerLen: 170,
 	Crossing: 20 * time.Millisecond,
-	Kinds:    []bergamotconfig.Kind{bergamotconfig.NewKind("big", 160000, 1, 1), bergamotconfig.NewKind("l4", 21600, 16, 8)},
+	Kinds:    []bergamotconfig.Kind{bergamotconfig.NewKind("big", 160000, 1), bergamotconfig.NewKind("l4", 21600, 16)},
 })
 
 func held(name, centre, kind string, from, to int) bergamotfleet.Instance {
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -184,7 +184,7 @@
 	now    = time.Unix(1000, 0)
 	engine = bergamotconfig.NewEngine(bergamotconfig.EngineSpec{
 		Model: "m", Layers: 8, LayerMB: 1, TokenKB: 1, Step: time.Millisecond, PromptLen: 10, AnswerLen: 10,
-		Kinds: []bergamotconfig.Kind{bergamotconfig.NewKind("l4", 1000, 1, 1)},
+		Kinds: []bergamotconfig.Kind{bergamotconfig.NewKind("l4", 1000, 1)},
 	})
 	model = bergamotconfig.NewService("llm", engine)
 	plain = bergamotconfig.NewService("app", nil)
