--- a/core/bergamotlayout/order.go
+++ b/core/bergamotlayout/order.go
@@ -1,6 +1,9 @@
 package bergamotlayout
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Ordered is a runner with the range that it should hold.
 type Ordered struct {
@@ -8,18 +11,15 @@
 	Span   Span
 }
 
-// Allowed returns the orders of a plan that may be given now. While the runners of a data centre have all layers, a
-// runner gives one up only when another one has it already: otherwise no request finds a path there until the layer is
-// loaded. A data centre that lacks layers gets all orders at once.
+// Allowed returns the orders of a plan that may be given now. A runner gives a layer up only when another one of its data
+// centre has it already: otherwise no request finds a path there until the layer is loaded. Of the data centres that
+// lack layers, the one that lacks the fewest gets all orders at once; paths may lead over what the others have meanwhile.
 func Allowed(m Model, runners []Runner, orders []Ordered) (out []Ordered) {
 	cover := covers(m, runners)
-	whole := map[string]bool{}
-	for centre, c := range cover {
-		whole[centre] = !slices.Contains(c, 0)
-	}
+	free := freed(cover)
 	for _, o := range orders {
 		c := cover[o.Runner.centre]
-		if whole[o.Runner.centre] && !spared(c, o) {
+		if o.Runner.centre != free && !spared(c, o) {
 			continue
 		}
 		for i := o.Runner.held.from; i < min(o.Runner.held.to, m.layers); i++ {
@@ -32,6 +32,23 @@
 	return out
 }
 
+// freed returns the data centre that lacks layers, and of several the one that lacks the fewest; empty for none.
+func freed(cover map[string][]int) (centre string) {
+	fewest := 0
+	for _, name := range slices.Sorted(maps.Keys(cover)) {
+		missing := 0
+		for _, n := range cover[name] {
+			if n == 0 {
+				missing++
+			}
+		}
+		if missing > 0 && (centre == "" || missing < fewest) {
+			centre, fewest = name, missing
+		}
+	}
+	return centre
+}
+
 // Lacking tells whether a data centre that holds layers lacks others.
 func Lacking(m Model, runners []Runner) bool {
 	for _, c := range covers(m, runners) {
--- a/core/bergamotlayout/relax_test.go
+++ b/core/bergamotlayout/relax_test.go
@@ -113,11 +113,19 @@
 		"change anything while layers are missing": {
 			map[string]bergamotlayout.Span{"x": span(0, 40), "y": span(41, 80)}, map[string]bergamotlayout.Span{"x": span(1, 41)}, []string{"x"},
 		},
+		"change one data centre that lacks layers after the other": {
+			map[string]bergamotlayout.Span{"x": span(0, 40), "y": span(41, 80), "z": span(0, 70)},
+			map[string]bergamotlayout.Span{"x": span(1, 41), "z": span(10, 80)},
+			[]string{"x"},
+		},
 	}, func(c allowedCase) {
 		var runners []bergamotlayout.Runner
 		var orders []bergamotlayout.Ordered
-		for _, name := range []string{"x", "y"} {
-			r := runner(name, "a", "h100", c.held[name])
+		for _, name := range []string{"x", "y", "z"} {
+			if c.held[name].Len() == 0 {
+				continue
+			}
+			r := runner(name, map[string]string{"x": "a", "y": "a", "z": "b"}[name], "h100", c.held[name])
 			runners = append(runners, r)
 			if s, ok := c.orders[name]; ok {
 				orders = append(orders, bergamotlayout.Ordered{Runner: r, Span: s})
