--- a/core/bergamotlayout/relax.go
+++ b/core/bergamotlayout/relax.go
@@ -168,22 +168,10 @@
 // take changes the ranges of a step and the rooms with them.
 func (r *repair) take(s step) {
 	if s.runner >= 0 {
-		span := r.spans[r.runners[s.runner].name]
-		if s.up {
-			span.to--
-		} else {
-			span.from++
-		}
-		r.set(s.runner, span)
+		r.set(s.runner, r.spans[r.runners[s.runner].name].resize(s.up, -1))
 	}
 	if s.other >= 0 {
-		span := r.spans[r.runners[s.other].name]
-		if s.up {
-			span.from--
-		} else {
-			span.to++
-		}
-		r.set(s.other, span)
+		r.set(s.other, r.spans[r.runners[s.other].name].resize(!s.up, 1))
 	}
 }
 
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -1,21 +1,12 @@
 package bergamotlayout
 
-import (
-	"math"
-	"slices"
-)
+import "slices"
 
 // shiftCost divides the score of a move for each runner that is shifted by it. A layer that is given up must wait for the
 // streams that pass through it, 3 to 6 s in which the data centre has no path, while a runner that only takes a layer has
 // it after a fraction of a second. What becomes narrow by that is relaxed afterwards.
 const shiftCost = 10.0
 
-const (
-	bottleneckShare = 0.6 // part of the planned room below which layers are worth a move
-	slowShare       = 0.5 // pace relative to the slowest runner from which a runner may be moved
-	rebalanceGain   = 1.3 // how much more room the moved runner must leave behind than there is at the bottleneck
-)
-
 // shiftMost bounds how many runners one move shifts, and with it the time of the search.
 const shiftMost = 6
 
@@ -191,90 +182,12 @@
 
 func (r *repair) apply(m move) {
 	name := r.runners[m.runner].name
-	s := r.spans[name]
-	switch {
-	case m.up:
-		s.to++
-	default:
-		s.from--
-	}
-	if m.drops && m.up {
-		s.from++
-	} else if m.drops {
-		s.to--
+	s := r.spans[name].resize(m.up, 1)
+	if m.drops {
+		s = s.resize(!m.up, -1)
 	}
 	r.spans[name] = s
 	if m.then != nil {
 		r.apply(*m.then)
 	}
 }
-
-// replicate gives each runner that still holds nothing the range of layers whose holders have the least room.
-func (r *repair) replicate() {
-	for {
-		v, ok := r.empty()
-		if !ok {
-			return
-		}
-		n := max(r.model.Fit(v.memory, planRequests), 1)
-		at, least := 0, math.Inf(1)
-		for from := 0; from+n <= r.model.layers; from++ {
-			if room := slices.Min(r.room[from:from+n]) + sum(r.room[from:from+n])/float64(n); room < least {
-				at, least = from, room
-			}
-		}
-		r.spans[v.name] = NewSpan(at, at+n)
-		r.count()
-	}
-}
-
-// rebalance moves one runner whose layers others hold as well to the layers with the least room, if these have much less
-// than planned and less than its own layers keep. Repairs leave such bottlenecks behind.
-func (r *repair) rebalance() {
-	least := r.room[r.bottleneck()]
-	if least >= bottleneckShare*planRequests*r.model.request {
-		return
-	}
-	slowest := 0.0
-	for _, v := range r.runners {
-		slowest = max(slowest, v.pace)
-	}
-	best, most := -1, least*rebalanceGain
-	for i, v := range r.runners {
-		// A fast runner that moves makes every path slower that led over it.
-		if left, ok := r.without(v); ok && left > most && v.pace >= slowShare*slowest {
-			best, most = i, left
-		}
-	}
-	if best < 0 {
-		return
-	}
-	v := r.runners[best]
-	delete(r.spans, v.name)
-	r.count()
-	r.replicate()
-}
-
-// without returns the least room that the layers of a runner have without it, and whether others hold all of them.
-func (r *repair) without(v Runner) (room float64, ok bool) {
-	s := r.spans[v.name]
-	if s.Len() == 0 {
-		return 0, false
-	}
-	room = math.Inf(1)
-	own := r.tokens(v, s.Len())
-	for i := s.from; i < min(s.to, len(r.cover)); i++ {
-		if r.cover[i] < 2 {
-			return 0, false
-		}
-		room = min(room, r.room[i]-own)
-	}
-	return room, true
-}
-
-func sum(list []float64) (s float64) {
-	for _, v := range list {
-		s += v
-	}
-	return s
-}
--- a/core/bergamotlayout/span.go
+++ b/core/bergamotlayout/span.go
@@ -25,6 +25,16 @@
 	return s.from
 }
 
+// resize returns the range with by more layers at its last end, or at its first one.
+func (s Span) resize(last bool, by int) Span {
+	if last {
+		s.to += by
+	} else {
+		s.from -= by
+	}
+	return s
+}
+
 // Len returns the number of layers.
 func (s Span) Len() int { return max(s.to-s.from, 0) }
 
