--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -159,12 +159,12 @@
 		// The runner failed at a call that may be repeated; another one may do better.
 		c.fallback, c.ran = &o, c.ran+1
 		c.failure = NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, fmt.Errorf("status %d", o.status))
-		c.x.Trace().Fail(c.failure)
+		c.x.Trace().Fail(o.runner, c.failure)
 		return false
 	}
 	f := o.failure
 	c.failure = f
-	c.x.Trace().Fail(f)
+	c.x.Trace().Fail(o.runner, f)
 	if f.run != bergamotrequest.RunNo {
 		c.ran++
 	}
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -30,19 +30,14 @@
 // note tells the parts that choose runners about a failed attempt.
 func (s *stream) note(p bergamotroute.Plan) {
 	f := s.failure
-	s.x.Trace().Fail(f)
+	name := atFault(p, f)
+	s.x.Trace().Fail(name, f)
 	if f.reason == bergamotrequest.ReasonCancel || f.reason == bergamotrequest.ReasonDeadline {
 		return
 	}
 	if f.run != bergamotrequest.RunNo {
 		s.ran++
 	}
-	name := p.Stages()[0].Instance()
-	for _, stage := range p.Stages() {
-		if stage.Address() == f.fault {
-			name = stage.Instance()
-		}
-	}
 	s.avoid[name] = true
 	if f.reason == bergamotrequest.ReasonFull && s.full(p, name) {
 		return
@@ -51,6 +46,16 @@
 	s.handler.Observer.Failed(name, f.Error())
 }
 
+// atFault returns the name of the runner of a path that a failure blames, the first one when it names none.
+func atFault(p bergamotroute.Plan, f *Failure) string {
+	for _, stage := range p.Stages() {
+		if stage.Address() == f.fault {
+			return stage.Instance()
+		}
+	}
+	return p.Stages()[0].Instance()
+}
+
 // full finds out whether a runner rejected the request for want of memory, and lets the router know what the requests
 // of all entries hold there. Any other cause needs a check of the runner.
 func (s *stream) full(p bergamotroute.Plan, name string) bool {
--- a/core/bergamotrelay/trace.go
+++ b/core/bergamotrelay/trace.go
@@ -22,10 +22,10 @@
 // Add records a step.
 func (t *Trace) Add(step string) { t.steps = append(t.steps, step) }
 
-// Fail records an attempt that failed.
-func (t *Trace) Fail(f *Failure) {
+// Fail records an attempt that failed, and the runner at fault.
+func (t *Trace) Fail(runner string, f *Failure) {
 	t.failed = append(t.failed, f.reason)
-	t.Add(f.Error())
+	t.Add(runner + ": " + f.Error())
 }
 
 // Failed returns the reason of each attempt that failed.
