--- a/core/bergamotcluster/fakes_test.go
+++ b/core/bergamotcluster/fakes_test.go
@@ -84,7 +84,7 @@
 	orders []string
 }
 
-func (f *targets) Place(_ context.Context, address string, s bergamotlayout.Span) error {
+func (f *targets) Place(_ context.Context, address string, s bergamotlayout.Span, _ bool) error {
 	f.orders = append(f.orders, address)
 	if f.err == nil {
 		f.held[address] = s
--- a/core/bergamotcluster/placement.go
+++ b/core/bergamotcluster/placement.go
@@ -169,13 +169,14 @@
 		}
 	}
 	for _, o := range bergamotlayout.Allowed(layout.Model, certain, orders) {
-		tasks = append(tasks, c.order(s, fleet[o.Runner.Name()], o.Span, e))
+		tasks = append(tasks, c.order(s, fleet[o.Runner.Name()], o, e))
 	}
 	return tasks
 }
 
 // order gives one order. The lease is checked again right before it is sent, since the process may have been paused.
-func (c *Placement) order(s *State, i bergamotfleet.Instance, span bergamotlayout.Span, e *bergamotconfig.Engine) Task {
+func (c *Placement) order(s *State, i bergamotfleet.Instance, o bergamotlayout.Ordered, e *bergamotconfig.Engine) Task {
+	span := o.Span
 	loads := max(span.Len()-overlap(span, held(i)), 0)
 	load := time.Duration(float64(e.Load()) * float64(loads) / float64(e.Layers()))
 	p := &pending{span: span, born: i.Born(), given: s.Now(), ask: s.Now().Add(orderTime + loadMargin)}
@@ -188,7 +189,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTime)
 		defer cancel()
-		err := c.Orders.Place(ctx, i.Address(), span)
+		err := c.Orders.Place(ctx, i.Address(), span, o.Cut)
 		return EventFunc(func(s *State) {
 			c.Report(i.Name(), span, "ordered after "+s.Now().Sub(began).Round(time.Millisecond).String(), err)
 			if c.pending[i.Name()] != p {
--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -56,5 +56,7 @@
 // Orderer tells a runner which layers to hold. After an error other than bergamotstore.ErrRejected the runner may
 // carry out the order, also later.
 type Orderer interface {
-	Place(ctx context.Context, address string, s bergamotlayout.Span) error
+	// Place orders a range; with cut set the runner cuts off requests for which no memory is left or whose layers it gives
+	// up, instead of waiting for their end.
+	Place(ctx context.Context, address string, s bergamotlayout.Span, cut bool) error
 }
--- a/core/bergamotlayout/order.go
+++ b/core/bergamotlayout/order.go
@@ -9,11 +9,15 @@
 type Ordered struct {
 	Runner Runner // with the layers that it has for certain
 	Span   Span
+	// Cut tells that the runner takes layers for which it has memory only without some of the requests that it runs. With it
+	// these are cut off and go on at another path; otherwise the layers wait, 8 s and more, until enough of them have ended.
+	Cut bool
 }
 
 // Allowed returns the orders of a plan that may be given now. A runner gives a layer up only when another one of its data
 // centre has it already: otherwise no request finds a path there until the layer is loaded. Of the data centres that
 // lack layers, the one that lacks the fewest gets all orders at once; paths may lead over what the others have meanwhile.
+// Its runners that only take layers make room for them.
 func Allowed(m Model, runners []Runner, orders []Ordered) (out []Ordered) {
 	cover := covers(m, runners)
 	free := freed(cover)
@@ -27,6 +31,7 @@
 				c[i]--
 			}
 		}
+		o.Cut = o.Runner.centre == free && o.Runner.held.Len() > 0 && o.Span.covers(o.Runner.held)
 		out = append(out, o)
 	}
 	return out
--- a/core/bergamotlayout/relax_test.go
+++ b/core/bergamotlayout/relax_test.go
@@ -88,7 +88,7 @@
 type allowedCase struct {
 	held   map[string]bergamotlayout.Span
 	orders map[string]bergamotlayout.Span
-	want   []string
+	want   []string // runners, with an exclamation mark where requests may be cut off
 }
 
 var _ = ginkgo.Describe("the orders that may be given", func() {
@@ -113,6 +113,10 @@
 		"change anything while layers are missing": {
 			map[string]bergamotlayout.Span{"x": span(0, 40), "y": span(41, 80)}, map[string]bergamotlayout.Span{"x": span(1, 41)}, []string{"x"},
 		},
+		// Guards against missing layers that wait for the end of streams, and against streams that are cut off without need.
+		"make room for missing layers": {
+			map[string]bergamotlayout.Span{"x": span(0, 39), "y": span(40, 80)}, map[string]bergamotlayout.Span{"x": span(0, 40)}, []string{"x!"},
+		},
 		"change one data centre that lacks layers after the other": {
 			map[string]bergamotlayout.Span{"x": span(0, 40), "y": span(41, 80), "z": span(0, 70)},
 			map[string]bergamotlayout.Span{"x": span(1, 41), "z": span(10, 80)},
@@ -133,7 +137,7 @@
 		}
 		var names []string
 		for _, o := range bergamotlayout.Allowed(model, runners, orders) {
-			names = append(names, o.Runner.Name())
+			names = append(names, o.Runner.Name()+map[bool]string{true: "!"}[o.Cut])
 		}
 		gomega.Expect(names).To(gomega.Equal(c.want))
 	})
--- a/core/bergamotlayout/span.go
+++ b/core/bergamotlayout/span.go
@@ -25,6 +25,9 @@
 	return s.from
 }
 
+// covers tells whether a range has all layers of another one.
+func (s Span) covers(o Span) bool { return s.from <= o.from && o.to <= s.to }
+
 // resize returns the range with by more layers at its last end, or at its first one.
 func (s Span) resize(last bool, by int) Span {
 	if last {
