--- a/core/bergamotlayout/relax_test.go
+++ b/core/bergamotlayout/relax_test.go
@@ -57,6 +57,20 @@
 		gomega.Expect(leastRequests(runners)).To(gomega.BeNumerically(">=", c.least))
 	})
 
+	// Guards against a control loop that ends because an entry of the list names layers which the model does not have.
+	bergamottest.Entries(map[string]bergamotlayout.Span{
+		"is planned beside layers after the last one":   bergamotlayout.NewSpan(70, 200),
+		"is planned beside layers before the first one": bergamotlayout.NewSpan(-9, 5),
+		"is planned beside a range that is reversed":    bergamotlayout.NewSpan(40, 3),
+	}, func(odd bergamotlayout.Span) {
+		runners, _ := settle(centre("a", large))
+		runners = append(runners, runner("odd", "a", "h100", odd))
+		_, plan := settle(runners, "a-t4-03", "a-t4-04", "a-l4-02", "a-h100-00")
+		gomega.Expect(uncovered(plan)).To(gomega.BeEmpty())
+		gomega.Expect(bergamotlayout.Lacking(model, runners)).To(gomega.BeFalse())
+		gomega.Expect(bergamotlayout.Allowed(model, runners, []bergamotlayout.Ordered{{Runner: runners[len(runners)-1], Span: plan["odd"]}})).To(gomega.HaveLen(1))
+	})
+
 	// Guards against plans that change for ever: each change loads weights.
 	ginkgo.It("settles for any fleet", func() {
 		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -22,8 +22,8 @@
 func newRepair(m Model, runners []Runner) *repair {
 	r := &repair{model: m, runners: runners, spans: map[string]Span{}}
 	for _, v := range runners {
-		if v.held.Len() > 0 {
-			r.spans[v.name] = v.held
+		if held := v.held.clip(m.layers); held.Len() > 0 {
+			r.spans[v.name] = held
 		}
 	}
 	r.count()
--- a/core/bergamotlayout/span.go
+++ b/core/bergamotlayout/span.go
@@ -8,8 +8,8 @@
 	to   int
 }
 
-// NewSpan returns the layers from (included) to to (excluded).
-func NewSpan(from, to int) Span { return Span{from: from, to: to} }
+// NewSpan returns the layers from (included) to to (excluded). There is no layer before 0, whatever a runner reports.
+func NewSpan(from, to int) Span { return Span{from: max(from, 0), to: max(to, 0)} }
 
 // From returns the first layer.
 func (s Span) From() int { return s.from }
@@ -25,6 +25,9 @@
 	return s.from
 }
 
+// clip returns the part of a range that a model with a number of layers has.
+func (s Span) clip(layers int) Span { return NewSpan(s.from, min(s.to, layers)) }
+
 // covers tells whether a range has all layers of another one.
 func (s Span) covers(o Span) bool { return s.from <= o.from && o.to <= s.to }
 
--- a/core/bergamotpath/index.go
+++ b/core/bergamotpath/index.go
@@ -46,6 +46,9 @@
 			continue
 		}
 		h := i.Holdings()[0]
+		if h.From() < 0 || h.To() > w.Engine.Layers() {
+			continue // an entry that another writer made
+		}
 		byCentre[i.DataCentre()] = append(byCentre[i.DataCentre()], holder{
 			name: i.Name(), address: i.Address(), from: h.From(), to: h.To(), room: room,
 			layer: float64(w.Engine.Step()) * k.Pace() / float64(w.Engine.Layers()),
--- a/core/bergamotpath/router_test.go
+++ b/core/bergamotpath/router_test.go
@@ -57,10 +57,13 @@
 	failed.Failed = true
 	// Guards against gaps and overlaps, and against work for runners that must get none.
 	bergamottest.Entries(map[string]pathCase{
-		"joins ranges":                {[]bergamotfleet.Instance{held("x", "a", "big", 0, 40), held("y", "a", "big", 40, 80)}, nil, []string{"x", "y"}},
-		"cuts overlapping ranges":     {[]bergamotfleet.Instance{held("x", "a", "big", 0, 50), held("y", "a", "big", 30, 80)}, nil, []string{"x", "y"}},
-		"does not exist with a gap":   {[]bergamotfleet.Instance{held("x", "a", "big", 0, 40), held("y", "a", "big", 41, 80)}, nil, nil},
-		"does not exist for no fleet": {nil, nil, nil},
+		"joins ranges":            {[]bergamotfleet.Instance{held("x", "a", "big", 0, 40), held("y", "a", "big", 40, 80)}, nil, []string{"x", "y"}},
+		"cuts overlapping ranges": {[]bergamotfleet.Instance{held("x", "a", "big", 0, 50), held("y", "a", "big", 30, 80)}, nil, []string{"x", "y"}},
+		// An entry of another writer must not take the path from the runners of its data centre.
+		"leaves out layers after the last one":   {[]bergamotfleet.Instance{held("x", "a", "big", 0, 40), held("y", "a", "big", 40, 80), held("z", "a", "big", 70, 200)}, nil, []string{"x", "y"}},
+		"leaves out layers before the first one": {[]bergamotfleet.Instance{held("x", "a", "big", 0, 40), held("y", "a", "big", 40, 80), held("z", "a", "big", -5, 20)}, nil, []string{"x", "y"}},
+		"does not exist with a gap":              {[]bergamotfleet.Instance{held("x", "a", "big", 0, 40), held("y", "a", "big", 41, 80)}, nil, nil},
+		"does not exist for no fleet":            {nil, nil, nil},
 		"stays in one data centre": {
 			[]bergamotfleet.Instance{held("x", "a", "big", 0, 40), held("y", "b", "big", 40, 80), held("z", "a", "big", 40, 80)},
 			nil,
