--- a/cmd/bergamotcommand/bundlestatus.go
+++ b/cmd/bergamotcommand/bundlestatus.go
@@ -7,6 +7,7 @@
 	"text/tabwriter"
 
 	"bergamotspur/core/bergamotrollout"
+	"bergamotspur/io/bergamotentry"
 	"bergamotspur/io/bergamotwire"
 )
 
@@ -63,7 +64,7 @@
 	wire := bergamotwire.NewClient()
 	defer wire.Close()
 	for _, address := range c.Entries {
-		m, err := askStatus(ctx, wire, address)
+		m, err := askStatus[bergamotentry.StatusMessage](ctx, wire, address)
 		if err != nil {
 			behind++
 			_, _ = fmt.Fprintf(w, "%s\tno answer: %s\t\t\t\n", address, err)
--- a/cmd/bergamotcommand/layout.go
+++ b/cmd/bergamotcommand/layout.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"slices"
 	"text/tabwriter"
@@ -22,7 +21,7 @@
 	defer wire.Close()
 	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
 	for _, address := range c.Entries {
-		m, askErr := askLayout(s.ctx, wire, address)
+		m, askErr := askStatus[bergamotplatform.StatusMessage](s.ctx, wire, address)
 		if askErr != nil {
 			err = fmt.Errorf("entry at %s does not answer, check that the process runs: %w", address, askErr)
 			continue
@@ -35,13 +34,6 @@
 	return err
 }
 
-func askLayout(ctx context.Context, wire *bergamotwire.Client, address string) (m bergamotplatform.StatusMessage, err error) {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	err = wire.Get(ctx, address, "/status", &m)
-	return m, err
-}
-
 func printLayout(w *tabwriter.Writer, m bergamotplatform.StatusMessage) {
 	_, _ = fmt.Fprintf(w, "entry %s\tcentre %s\tready %v\tversion %d\tconfirmed %d ms ago\t%d entries\tplaces layers %v\t%d active\n",
 		m.Entry, m.Centre, m.Ready, m.Version, m.Age, m.Entries, m.Holder, m.Active)
--- a/cmd/bergamotcommand/status.go
+++ b/cmd/bergamotcommand/status.go
@@ -26,7 +26,7 @@
 	_, _ = fmt.Fprintln(w, "ENTRY\tCENTRE\tREADY\tVERSION\tDIGEST\tAGE\tENTRIES\tLIVE\tLEAVING\tFAILED\tNEXT")
 	var all []bergamotentry.StatusMessage
 	for _, address := range c.Entries {
-		m, askErr := askStatus(s.ctx, wire, address)
+		m, askErr := askStatus[bergamotentry.StatusMessage](s.ctx, wire, address)
 		if askErr != nil {
 			err = fmt.Errorf("entry at %s does not answer, check that the process runs: %w", address, askErr)
 			continue
@@ -75,7 +75,8 @@
 	return fmt.Sprintf("%d of %d", live, len(m.Members))
 }
 
-func askStatus(ctx context.Context, wire *bergamotwire.Client, address string) (m bergamotentry.StatusMessage, err error) {
+// askStatus returns what an entry says about itself; the two front ends say different things.
+func askStatus[M any](ctx context.Context, wire *bergamotwire.Client, address string) (m M, err error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	err = wire.Get(ctx, address, "/status", &m)
--- a/core/bergamotlayout/repair.go
+++ b/core/bergamotlayout/repair.go
@@ -34,15 +34,7 @@
 func (r *repair) count() {
 	r.cover, r.room = make([]int, r.model.layers), make([]float64, r.model.layers)
 	for _, v := range r.runners {
-		s := r.spans[v.name]
-		if s.Len() == 0 {
-			continue
-		}
-		tokens := r.tokens(v, s.Len())
-		for i := s.from; i < min(s.to, r.model.layers); i++ {
-			r.cover[i]++
-			r.room[i] += tokens
-		}
+		r.hold(v, r.spans[v.name], 1)
 	}
 }
 
