End answers without end, and leave runners that never answer

Comments counted as progress of a stream, so that one of nothing else went on for its whole time, and an event that the caller already had was passed on again. A runner that takes requests, answers its checks and never answers held each request until the caller gave up after two seconds.

Only an event with a new number is progress; one with an old number ends the attempt. An attempt without an event for as long as callers wait is cancelled. A stream that may be resumed moves to another path when its first event is overdue, for up to half of the retry budget; the time that counts as overdue rises when all paths are slow.

--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"bergamotspur/core/bergamotconfig"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 )
@@ -18,8 +19,25 @@
 	request      string // ID of the request
 	plan         bergamotroute.Plan
 	maxPause     time.Duration // longest pause that the route allows, 0 for the default
+	maxSilence   time.Duration // time without an event after which callers have given up, 0 for no limit
+	maxFirst     time.Duration // time in which the first event is on time, 0 for the default
 	failoverFunc func() bool   // takes a retry for a failover; nil if no further attempt is allowed
-	cancel       context.CancelCauseFunc
+	// firstFailoverFunc is failoverFunc for an attempt that has no event yet.
+	firstFailoverFunc func() bool
+	cancel            context.CancelCauseFunc
+}
+
+// Callers give up on a stream without an event for the longest of these times, also before its first event.
+const (
+	minCallerPatience       = 2 * time.Second
+	patienceLatencyMultiple = 4 // of the time in which the first event is on time
+	patienceGapMultiple     = 8 // of the longest pause of a stream that is on time
+)
+
+// maxSilence returns how long callers wait for an event of a route. A slow stream may take that long for each event; one
+// that takes longer only occupies its runners.
+func maxSilence(r bergamotconfig.Route) time.Duration {
+	return max(minCallerPatience, patienceLatencyMultiple*r.TargetLatency(), patienceGapMultiple*r.TargetGap())
 }
 
 // attemptWatch monitors one attempt for stalls.
@@ -60,6 +78,8 @@
 	w.delivering.Store(true)
 	if w.hasEvents.Swap(true) {
 		w.longestPause = max(w.longestPause, w.idleTime())
+	} else {
+		w.detector.firstEventStats.observe(w.idleTime())
 	}
 }
 
@@ -82,18 +102,39 @@
 	next := checkPeriod
 	switch {
 	case w.delivering.Load():
+	case w.maxSilence > 0 && w.idleTime() >= w.maxSilence:
+		w.cancelAttempt(w.plan.Stages()[0].Address(), "no event although all runners answer")
+		return
 	case w.hasEvents.Load():
 		if left := w.detector.pauseStats.stallTimeout(w.maxPause) - w.idleTime(); left > 0 {
 			next = left
 		} else if w.failOver() || w.cancelIfStalled() {
 			return
 		}
-	case w.cancelIfStalled():
+	case w.cancelIfStalled() || w.failOverFirst():
 		return
 	}
 	w.timer.Reset(next)
 }
 
+// failOverFirst cancels an attempt whose first event is overdue although all runners answer, so that another path still
+// gives it in time, and reports whether it did. Runners in trouble may accept requests and never answer them. The time of
+// such an attempt counts for what is usual, so that attempts stay when all paths are slow.
+func (w *attemptWatch) failOverFirst() bool {
+	idleTime := w.idleTime()
+	if w.firstFailoverFunc == nil || idleTime < w.detector.firstEventStats.stallTimeout(w.maxFirst) {
+		return false
+	}
+	w.detector.firstEventStats.observe(idleTime)
+	if w.hasEvents.Load() || w.stopped.Load() || !w.firstFailoverFunc() {
+		return false
+	}
+	f := NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonStall, errors.Join(errStalled, errors.New("the first event is overdue")))
+	f.retryTaken = true
+	w.cancel(f.WithFaultAddress(w.plan.Stages()[0].Address()))
+	return true
+}
+
 // failOver cancels an attempt whose stream pauses, so that the stream resumes on another path before the pause exceeds
 // what the route allows, and reports whether it did. It does so only if a runner of the path does not answer: a pause
 // on a path of slow runners is not worth one of the few attempts.
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -24,6 +24,7 @@
 	body    string        // body of a response that is not a stream
 	events  int           // number of events in a stream, numbered from the position at which the attempt resumes
 	broken  bool          // the stream breaks off after its events
+	again   bool          // the events are numbered from 0 wherever the attempt resumes
 	hangs   bool          // no response until the attempt is cancelled
 	delay   chan struct{} // the response is held back until the channel is closed
 }
@@ -54,7 +55,11 @@
 	if r.failure != nil {
 		return nil, r.failure
 	}
-	return &fakeResponse{reply: r, next: a.ResumeAfter() + 1, left: r.events}, nil
+	next := a.ResumeAfter() + 1
+	if r.again {
+		next = 0
+	}
+	return &fakeResponse{reply: r, next: next, left: r.events}, nil
 }
 
 func (u *upstream) runners() (out []string) {
--- a/core/bergamotrelay/pausestats.go
+++ b/core/bergamotrelay/pausestats.go
@@ -16,11 +16,11 @@
 	// that the estimate stays near the 95th percentile.
 	estimateRise = 0.2
 	estimateFall = 0.01
-	// defaultMaxPause is the allowed pause of routes that set none.
+	// defaultMaxPause is the allowed pause, and the time allowed for the first event, of routes that set none.
 	defaultMaxPause = 200 * time.Millisecond
 )
 
-// pauseStats estimates the longest pause in streams of healthy runners.
+// pauseStats estimates the longest pause in streams of healthy runners, or their time to the first event.
 type pauseStats struct {
 	mu       sync.Mutex
 	estimate float64 // estimated longest pause in nanoseconds
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -21,6 +21,8 @@
 	// newRequestBudgetShare is the share of the retry budget for requests that have no response yet. The rest is
 	// reserved for interrupted streams: their callers lose what they have read, while a refused caller can retry.
 	newRequestBudgetShare = 0.7
+	// firstFailoverBudgetShare is the share of the retry budget for requests whose first event is overdue.
+	firstFailoverBudgetShare = 0.5
 	// retryDelayRatio is the shortest Retry-After time as a share of the time left until the deadline; the longest is
 	// twice that.
 	retryDelayRatio = 0.05
--- a/core/bergamotrelay/stalldetector.go
+++ b/core/bergamotrelay/stalldetector.go
@@ -33,9 +33,10 @@
 	Reporter       bergamotcluster.Reporter
 	IsUnresponsive func(runner string) bool // reports whether a runner is known to be unresponsive
 
-	pauseStats pauseStats
-	mu         sync.Mutex
-	queries    map[string]*reportQuery
+	pauseStats      pauseStats // pauses between two events
+	firstEventStats pauseStats // times to the first event
+	mu              sync.Mutex
+	queries         map[string]*reportQuery
 }
 
 // reportQuery is a request for a runner's report, shared by all attempts that wait for it.
--- a/core/bergamotrelay/stalldetector_test.go
+++ b/core/bergamotrelay/stalldetector_test.go
@@ -32,7 +32,9 @@
 	knownUnresponsive bool          // another request found y unresponsive
 	stalled           map[string]string
 	err               error
-	fault             string // address of the runner at fault, empty if the attempt continues
+	usual             time.Duration // time to the first event of earlier streams, 0 for none
+	resumable         bool          // the attempt may be repeated
+	fault             string        // address of the runner at fault, empty if the attempt continues
 }
 
 var _ = ginkgo.Describe("the stall detector before the first event", func() {
@@ -42,6 +44,11 @@
 		"keeps an attempt that has just started":                      {idle: 100 * time.Millisecond, knownUnresponsive: true, err: errors.New("silent")},
 		"cancels when another request found a runner unresponsive":    {idle: 130 * time.Millisecond, knownUnresponsive: true, fault: "y:1"},
 		"keeps a slow stream":                                         {idle: time.Second},
+		"keeps a slow stream until callers give up":                   {idle: 1900 * time.Millisecond},
+		"fails over when the first event is overdue":                  {idle: 340 * time.Millisecond, resumable: true, fault: "x:1"},
+		"keeps a stream whose first event is not overdue yet":         {idle: 320 * time.Millisecond, resumable: true},
+		"keeps a stream when all first events take that long":         {idle: 700 * time.Millisecond, usual: 600 * time.Millisecond, resumable: true},
+		"cancels when callers have given up":                          {idle: 2 * time.Second, fault: "x:1"},
 		"keeps a stream when only another request is stalled":         {idle: time.Second, stalled: map[string]string{"other": "y:1"}},
 		"cancels because of the runner that the first one waits for":  {idle: 260 * time.Millisecond, stalled: map[string]string{"1": "y:1"}, fault: "y:1"},
 		"cancels because of the first runner when it does not answer": {idle: 260 * time.Millisecond, err: errors.New("silent"), fault: "x:1"},
@@ -53,7 +60,14 @@
 		}
 		ctx, cancel := context.WithCancelCause(context.Background())
 		defer cancel(nil)
-		w := d.watch(watchSpec{request: "1", plan: twoStages, cancel: cancel})
+		for range 100 {
+			d.firstEventStats.observe(c.usual)
+		}
+		spec := watchSpec{request: "1", plan: twoStages, maxSilence: 2 * time.Second, maxFirst: 600 * time.Millisecond, cancel: cancel}
+		if c.resumable {
+			spec.firstFailoverFunc = func() bool { return true }
+		}
+		w := d.watch(spec)
 		defer w.stop()
 		clock.Advance(c.idle)
 		w.check()
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -169,7 +169,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := h.StallDetector.watch(watchSpec{
-		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), failoverFunc: s.failoverFunc(), cancel: cancel,
+		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
+		maxFirst: s.x.Route().TargetLatency(), failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.failoverFunc(firstFailoverBudgetShare), cancel: cancel,
 	})
 	defer w.stop()
 	response, err := h.Upstream.Send(ctx, Attempt{
@@ -193,13 +194,9 @@
 	for {
 		events, lastEvent, err := response.Next()
 		if len(events) > 0 {
-			w.eventsReceived()
-			if err := s.x.Sink().WriteEvents(events); err != nil {
-				return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonCancel, err)
+			if err := s.forwardEvents(w, events, lastEvent, response.Status()); err != nil {
+				return err
 			}
-			w.eventsDelivered()
-			s.lastEvent = max(s.lastEvent, lastEvent)
-			s.x.Trace().RecordChunk(h.Clock.Now(), response.Status())
 		}
 		if errors.Is(err, io.EOF) {
 			w.streamCompleted()
@@ -211,6 +208,27 @@
 	}
 }
 
+// forwardEvents sends events to the caller. Only those with a new number show that the request makes progress: a runner in
+// trouble may send comments without end, or events that the caller already has.
+func (s *streamState) forwardEvents(w *attemptWatch, events []byte, lastEvent, status int) error {
+	isProgress := lastEvent > s.lastEvent
+	if lastEvent >= 0 && !isProgress {
+		return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, fmt.Errorf("event %d after %d", lastEvent, s.lastEvent))
+	}
+	if isProgress {
+		w.eventsReceived()
+	}
+	if err := s.x.Sink().WriteEvents(events); err != nil {
+		return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonCancel, err)
+	}
+	if isProgress {
+		w.eventsDelivered()
+		s.lastEvent = lastEvent
+		s.x.Trace().RecordChunk(s.handler.Clock.Now(), status)
+	}
+	return nil
+}
+
 // priority returns the priority of an attempt. A stream that the caller is already reading goes first: its pause must
 // be shorter than the wait for a new stream.
 func (s *streamState) priority() int {
@@ -220,13 +238,13 @@
 	return s.x.Priority()
 }
 
-// failoverFunc returns a function that takes a retry from the budget for a failover during an attempt, or nil if the
-// route allows no further attempt.
-func (s *streamState) failoverFunc() func() bool {
+// failoverFunc returns a function that takes a retry for a failover during an attempt while less than the given share of
+// the budget is used, or nil if the route allows no further attempt.
+func (s *streamState) failoverFunc(share float64) func() bool {
 	if !s.x.Route().IsRetryable() || !s.canAttempt(s.possibleRuns+1) {
 		return nil
 	}
-	return func() bool { return s.handler.Budget.Take(s.x.Service().Name()) }
+	return func() bool { return s.handler.Budget.TakeWithin(s.x.Service().Name(), share) }
 }
 
 // forwardResponse forwards a response that is not a stream to the caller unchanged.
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -25,16 +25,17 @@
 	// Guards against missing or duplicate events, against a second run that the route does not allow, and against an
 	// incomplete response that looks complete.
 	bergamottest.Cases(map[string]streamCase{
-		"is forwarded completely":                           {true, 9, []reply{{events: 4}}, "answered", "0 1 2 3 ", 1},
-		"is resumed after its last event at another runner": {true, 9, []reply{broken, {events: 2}}, "answered", "0 1 2 3 4 ", 2},
-		"ends with a failure when it is not resumable":      {false, 9, []reply{broken, {events: 2}}, "target yes", "0 1 2 ", 1},
-		"runs at no more runners than the route allows":     {true, 9, []reply{broken, broken, broken}, "target yes", "0 1 2 3 4 5 ", 2},
-		"is retried when a runner rejects it":               {false, 9, []reply{{failure: rejected()}, {events: 2}}, "answered", "0 1 ", 2},
-		"is retried after a reset when resumable":           {true, 9, []reply{{failure: reset()}, {events: 2}}, "answered", "0 1 ", 2},
-		"is not retried after a reset otherwise":            {false, 9, []reply{{failure: reset()}, {events: 2}}, "target unknown", "", 1},
-		"is refused as not run when all runners reject it":  {true, 9, []reply{{failure: rejected()}}, "full no", "", 5},
-		"is not retried without a retry budget":             {true, 0, []reply{{failure: rejected()}, {events: 2}}, "full no", "", 1},
-		"returns a status 500 of its runner":                {true, 9, []reply{{status: 500, body: "no"}}, "answered", "no", 1},
+		"is forwarded completely":                              {true, 9, []reply{{events: 4}}, "answered", "0 1 2 3 ", 1},
+		"is resumed after its last event at another runner":    {true, 9, []reply{broken, {events: 2}}, "answered", "0 1 2 3 4 ", 2},
+		"ends with a failure when it is not resumable":         {false, 9, []reply{broken, {events: 2}}, "target yes", "0 1 2 ", 1},
+		"runs at no more runners than the route allows":        {true, 9, []reply{broken, broken, broken}, "target yes", "0 1 2 3 4 5 ", 2},
+		"is retried when a runner rejects it":                  {false, 9, []reply{{failure: rejected()}, {events: 2}}, "answered", "0 1 ", 2},
+		"is retried after a reset when resumable":              {true, 9, []reply{{failure: reset()}, {events: 2}}, "answered", "0 1 ", 2},
+		"is not retried after a reset otherwise":               {false, 9, []reply{{failure: reset()}, {events: 2}}, "target unknown", "", 1},
+		"is refused as not run when all runners reject it":     {true, 9, []reply{{failure: rejected()}}, "full no", "", 5},
+		"ends with a failure when a runner sends events again": {true, 9, []reply{broken, {events: 5, again: true}}, "target yes", "0 1 2 ", 2},
+		"is not retried without a retry budget":                {true, 0, []reply{{failure: rejected()}, {events: 2}}, "full no", "", 1},
+		"returns a status 500 of its runner":                   {true, 9, []reply{{status: 500, body: "no"}}, "answered", "no", 1},
 	}, func(c streamCase) {
 		g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: c.resumable, MaxAttempts: 2}), model, c.replies...)
 		g.budget.left = c.budget
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -26,8 +26,21 @@
 	breaks      int // answers still to be broken off
 	after       int // events before a stream is broken off
 	wrongID     bool
+	endless     EndlessPart // part of answers that never ends, empty for none
+	endlessSent int64       // bytes of endless parts that were sent
 }
 
+// An EndlessPart is the part of an answer that a runner in trouble sends until its caller closes the connection.
+type EndlessPart string
+
+// Endless parts of an answer.
+const (
+	EndlessHead     EndlessPart = "head"
+	EndlessBody     EndlessPart = "body"     // of an answer that is no stream
+	EndlessEvent    EndlessPart = "event"    // of a stream, after its first event
+	EndlessComments EndlessPart = "comments" // between the events of a stream, one each 20 ms
+)
+
 // A RelayRun is a request that a runner has started to run.
 type RelayRun struct {
 	ID            string
@@ -97,6 +110,20 @@
 	f.wrongID = wrong
 }
 
+// SendEndless makes the runner send a part of its answers without end; an empty part ends that.
+func (f *RelayRunner) SendEndless(p EndlessPart) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endless, f.endlessSent = p, 0
+}
+
+// EndlessSent returns how many bytes of endless parts were sent since SendEndless.
+func (f *RelayRunner) EndlessSent() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endlessSent
+}
+
 // Handler returns the HTTP interface with the faults.
 func (f *RelayRunner) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -166,13 +193,17 @@
 	if breaks {
 		f.breaks--
 	}
-	after, pause := f.after, f.EventInterval
+	after, pause, endless := f.after, f.EventInterval, f.endless
 	if f.wrongID {
 		id = "another"
 	}
 	f.mu.Unlock()
 	w.Header().Set("X-Bergamotspur-Attempt-Id", id)
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp-"+f.ID)
+	if endless != "" {
+		f.sendEndless(w, endless)
+		return
+	}
 	if run.Path == "" {
 		if breaks {
 			panic(http.ErrAbortHandler)
