Share the load of the runners between the entries

Cause: each of 118 entries sends a runner so few requests that it cannot tell from its own how full the runner is.

A path leaves out a runner that a shared report shows as full, and entries do not ask such runners themselves.

Ruled out: choosing paths by the shared reports alone.

--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -39,6 +39,9 @@
 // UsedMemory returns the memory that requests occupy, in tokens times layers.
 func (r Report) UsedMemory() float64 { return r.spec.UsedMemory }
 
+// TotalMemory returns the memory available for requests, in token-layers.
+func (r Report) TotalMemory() float64 { return r.spec.TotalMemory }
+
 // Full reports whether requests occupy so much memory that the runner may reject more.
 func (r Report) Full() bool { return r.spec.UsedMemory >= fullMemoryShare*r.spec.TotalMemory }
 
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -142,7 +142,8 @@
 		return c, false
 	}
 	// The estimate assumes that every other entry uses as much of the runner as this one. This is wrong while entries
-	// restart, so it only raises the cost; the capacity check above relies on known usage alone.
+	// restart, so it only raises the cost; the capacity check above relies on known usage alone. It also makes entries
+	// spread their requests: if all went by the shared reports alone, they would choose the same runners until the next.
 	utilization := min(max(used, r.used[runner.name]*float64(max(q.Entries, 1)))/runner.capacity, maxUtilization)
 	return candidate{
 		name: runner.name, address: runner.address, centre: centre, from: runner.from, to: runner.to,
--- a/core/bergamotpath/router_test.go
+++ b/core/bergamotpath/router_test.go
@@ -176,3 +176,59 @@
 		gomega.Expect(r.IsAvoided("x")).To(gomega.BeFalse())
 	})
 })
+
+var _ = ginkgo.Describe("118 routers that share reports", func() {
+	fleet := []bergamotfleet.Instance{newRunner("x", "a", "l4", 0, 10), newRunner("x2", "a", "big", 10, 80), newRunner("y", "b", "l4", 0, 10), newRunner("y2", "b", "big", 10, 80)}
+	// chosen returns how many of the routers choose the path over x, each at its first request.
+	chosen := func(report func(r *bergamotpath.Router)) (n int) {
+		for i := range 118 {
+			r := &bergamotpath.Router{Clock: bergamotclock.NewVirtual(time.Unix(0, 0)), Random: rand.New(rand.NewPCG(1, uint64(i))), Centre: "c"}
+			q := newQuery(900, fleet...)
+			q.Entries = 118
+			report(r)
+			p, ok := r.Route(q)
+			gomega.Expect(ok).To(gomega.BeTrue())
+			if p.Stages()[0].Instance() == "x" {
+				n++
+			}
+		}
+		return n
+	}
+	const full = 530000.0 // token-layers, over nine tenths of the memory of x
+
+	// Guards against a runner that each of 118 entries sends a request which it rejects, since each knows only its own
+	// requests (olilaud-large trouble-3, 28 to 34 s: 720 rejections).
+	ginkgo.It("send nothing to a runner that is full with requests of others", func() {
+		gomega.Expect(chosen(func(*bergamotpath.Router) {})).To(gomega.BeNumerically(">", 20))
+		gomega.Expect(chosen(func(r *bergamotpath.Router) { r.RecordShared("x", full, 500*time.Millisecond) })).To(gomega.Equal(0))
+	})
+
+	// Guards against a runner that stays unused because of a report from before its requests ended.
+	ginkgo.It("ignore a report that is too old", func() {
+		gomega.Expect(chosen(func(r *bergamotpath.Router) { r.RecordShared("x", full, 2*time.Second) })).To(gomega.BeNumerically(">", 20))
+	})
+
+	// Guards against an older report that arrives over a longer way and replaces a newer one.
+	ginkgo.It("keep the newest report", func() {
+		gomega.Expect(chosen(func(r *bergamotpath.Router) {
+			r.RecordShared("x", full, 100*time.Millisecond)
+			r.RecordShared("x", 0, 600*time.Millisecond)
+		})).To(gomega.Equal(0))
+	})
+
+	// Guards against a report for each runner of each path although one that is shared says the same.
+	ginkgo.It("ask no runner whose report is shared", func() {
+		r, _ := newRouter()
+		q := newQuery(4000, fleet...)
+		q.Entries = 118
+		p, ok := r.Route(q)
+		gomega.Expect(ok).To(gomega.BeTrue())
+		_, _, asks := r.FullestRunner(p, q)
+		gomega.Expect(asks).To(gomega.BeTrue())
+		for _, s := range p.Stages() {
+			r.RecordShared(s.Instance(), 1000, 0)
+		}
+		_, _, asks = r.FullestRunner(p, q)
+		gomega.Expect(asks).To(gomega.BeFalse())
+	})
+})
--- a/core/bergamotpath/usage.go
+++ b/core/bergamotpath/usage.go
@@ -18,12 +18,15 @@
 	// pays off.
 	minProbeUtilization = 0.7
 	maxFreshAge         = 350 * time.Millisecond // age up to which a report is fresh; reports lag by about 200 ms themselves
+	// sharedTTL is the age up to which a report that entries share is used. The next one of a busy runner is due before.
+	sharedTTL = 1500 * time.Millisecond
 )
 
 // usageReport is the memory that requests of other entries use on a runner.
 type usageReport struct {
-	used float64 // token-layers
-	at   time.Time
+	used   float64 // token-layers
+	at     time.Time
+	shared bool // the entries share reports of the runner, so that the next one is due soon
 }
 
 // RecordUsage records the memory, in token-layers, that the requests of all entries use on a runner according to its
@@ -37,6 +40,25 @@
 	r.otherUsage[runner] = usageReport{used: max(used-r.used[runner], 0), at: r.Clock.Now()}
 }
 
+// RecordShared is RecordUsage for a report that entries share and that has the given age.
+func (r *Router) RecordShared(runner string, used float64, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.otherUsage == nil {
+		r.otherUsage = map[string]usageReport{}
+	}
+	at := r.Clock.Now().Add(-age)
+	if age < sharedTTL && !at.Before(r.otherUsage[runner].at) {
+		r.otherUsage[runner] = usageReport{used: max(used-r.used[runner], 0), at: at, shared: true}
+	}
+}
+
+// hasShared reports whether a report of the runner that entries share is in use.
+func (r *Router) hasShared(runner string) bool {
+	o, ok := r.otherUsage[runner]
+	return ok && o.shared && r.Clock.Now().Sub(o.at) < sharedTTL
+}
+
 // FullestRunner returns the runner of a plan with the highest estimated memory utilization among those without a fresh
 // report; ok is false if none of them is nearly full.
 func (r *Router) FullestRunner(p bergamotroute.Plan, q Query) (runner, address string, ok bool) {
@@ -45,7 +67,7 @@
 	highest := minProbeUtilization
 	for _, s := range p.Stages() {
 		i, known := q.Fleet.Instance(s.Instance())
-		if !known || r.Clock.Now().Sub(r.otherUsage[s.Instance()].at) < maxFreshAge {
+		if !known || r.hasShared(s.Instance()) || r.Clock.Now().Sub(r.otherUsage[s.Instance()].at) < maxFreshAge {
 			continue
 		}
 		capacity, _ := capacity(q.Engine, i)
@@ -77,13 +99,16 @@
 }
 
 // usedByOthers returns the token-layers of other entries on a runner from its last report, decayed linearly with the age
-// of the report.
+// of the report unless the entries share it.
 func (r *Router) usedByOthers(runner string) float64 {
 	o, ok := r.otherUsage[runner]
 	if !ok {
 		return 0
 	}
 	age := r.Clock.Now().Sub(o.at)
+	if o.shared && age < sharedTTL {
+		return o.used
+	}
 	if age >= reportDecay {
 		delete(r.otherUsage, runner)
 		return 0
--- a/core/bergamotreplica/peers.go
+++ b/core/bergamotreplica/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -122,6 +123,36 @@
 	return p.isHub
 }
 
+// Leads returns the first hub of each data centre, except this entry. A lead collects reports of the runners there.
+func (p *Peers) Leads() (leads []Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.leads() {
+		if h.name != p.Name && !p.isAvoided(h.name) {
+			leads = append(leads, h.Peer)
+		}
+	}
+	return leads
+}
+
+// IsLead reports whether this entry is the first hub of its data centre.
+func (p *Peers) IsLead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.leads(), func(h Hub) bool { return h.name == p.Name })
+}
+
+// leads returns the hub with the lowest slot in each data centre.
+func (p *Peers) leads() (out []Hub) {
+	first := map[string]Hub{}
+	for _, h := range p.hubs {
+		if other, ok := first[h.centre]; !ok || h.slot < other.slot {
+			first[h.centre] = h
+		}
+	}
+	return slices.Collect(maps.Values(first))
+}
+
 // Upstream returns the entry to follow. While the store cannot be reached, it may also be a hub of another data centre,
 // which a hub then follows as well. ok is false if the store itself must be read.
 func (p *Peers) Upstream(storeUnreachable bool) (peer Peer, ok bool) {
--- a/io/bergamotreplication/client.go
+++ b/io/bergamotreplication/client.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/samber/oops"
 
+	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotreplica"
 	"bergamotspur/io/bergamotwire"
 )
@@ -27,7 +29,7 @@
 		Entry: q.Entry(), Address: self.Address(), Table: q.Table(), Version: q.Version(), Time: q.StoreTime(), Wait: q.Wait(), Entries: q.Entries(),
 	}
 	var out reply
-	if err = c.client.Post(ctx, to.Address(), path, in, &out); err != nil {
+	if err = c.client.Post(ctx, to.Address(), pathFollow, in, &out); err != nil {
 		return r, err
 	}
 	if n := len(out.Path); n > 0 && out.Path[n-1] != to.Name() {
@@ -38,3 +40,19 @@
 	}
 	return out.decode(), nil
 }
+
+// Reports returns the reports of runners that were added to the board of an entry after a version, and the new version. If
+// own is set, it returns only those of runners that the entry has asked itself.
+func (c *Client) Reports(ctx context.Context, to bergamotreplica.Peer, version int64, own bool, wait time.Duration) (
+	reports []bergamotload.Report, now int64, err error,
+) {
+	defer func() { err = oops.In("replication").Wrapf(err, "ask %s for reports", to.Name()) }()
+	var out loadReply
+	if err = c.client.Post(ctx, to.Address(), pathLoad, loadQuery{Version: version, Own: own, Wait: wait}, &out); err != nil {
+		return nil, 0, err
+	}
+	for _, r := range out.Reports {
+		reports = append(reports, bergamotload.NewReport(r.Runner, float64(r.Used), r.Time))
+	}
+	return reports, out.Version, nil
+}
--- a/io/bergamotreplication/handler.go
+++ b/io/bergamotreplication/handler.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
+	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/io/bergamotwire"
 )
 
 // maxQueryBytes is the maximum size of a query; one has about 200 bytes.
@@ -17,19 +20,44 @@
 	Answer(ctx context.Context, peer bergamotreplica.Peer, q bergamotreplica.Query) bergamotreplica.Reply
 }
 
+// LoadSource answers queries for reports of runners.
+type LoadSource interface {
+	// Answer returns the reports that were added after a version, and the new version.
+	Answer(ctx context.Context, version int64, own bool, wait time.Duration) (reports []bergamotload.Report, now int64)
+}
+
 // NewHandler returns a handler that answers the queries of other entries.
-func NewHandler(s Source) http.Handler {
+func NewHandler(s Source, l LoadSource) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+pathFollow, func(w http.ResponseWriter, r *http.Request) {
 		var in query
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQueryBytes)).Decode(&in); err != nil || in.Entry == "" {
-			http.Error(w, "not a query", http.StatusBadRequest)
+		if !decode(w, r, &in) {
 			return
 		}
 		q := bergamotreplica.NewQuery(in.Entry, in.Table, in.Version, in.Time, min(in.Wait, bergamotreplica.MaxWait), in.Entries)
 		out := s.Answer(r.Context(), bergamotreplica.NewPeer(in.Entry, in.Address), q)
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(encodeReply(out)) // fails only if the other entry has disconnected
+		bergamotwire.Write(w, http.StatusOK, encodeReply(out))
+	})
+	mux.HandleFunc("POST "+pathLoad, func(w http.ResponseWriter, r *http.Request) {
+		var in loadQuery
+		if !decode(w, r, &in) {
+			return
+		}
+		reports, now := l.Answer(r.Context(), in.Version, in.Own, in.Wait)
+		out := loadReply{Version: now}
+		for _, r := range reports {
+			out.Reports = append(out.Reports, report{Runner: r.Runner(), Used: int64(r.Used()), Time: r.At()})
+		}
+		bergamotwire.Write(w, http.StatusOK, out)
 	})
 	return mux
 }
+
+// decode decodes a query and reports whether it is valid; it answers one that is not.
+func decode(w http.ResponseWriter, r *http.Request, q any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQueryBytes)).Decode(q); err != nil {
+		http.Error(w, "not a query", http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- a/io/bergamotreplication/message.go
+++ b/io/bergamotreplication/message.go
@@ -7,8 +7,11 @@
 	"bergamotspur/core/bergamotstore"
 )
 
-// path is the path of queries.
-const path = "/follow"
+// Paths of queries.
+const (
+	pathFollow = "/follow" // for changes of a table
+	pathLoad   = "/load"   // for reports of runners
+)
 
 // query is a bergamotreplica.Query in JSON.
 type query struct {
@@ -46,6 +49,26 @@
 	Address string `json:"address"`
 }
 
+// loadQuery asks for the reports of runners that were added after a version.
+type loadQuery struct {
+	Version int64         `json:"version"`
+	Own     bool          `json:"own"`  // only reports of runners that the entry has asked itself
+	Wait    time.Duration `json:"wait"` // in nanoseconds
+}
+
+// loadReply is the answer to a loadQuery.
+type loadReply struct {
+	Version int64    `json:"version"`
+	Reports []report `json:"reports"`
+}
+
+// report is a bergamotload.Report in JSON.
+type report struct {
+	Runner string        `json:"runner"`
+	Used   int64         `json:"used"` // token-layers
+	Time   time.Duration `json:"time"` // of the store's clock, in nanoseconds
+}
+
 func encodeReply(r bergamotreplica.Reply) reply {
 	u := r.Update()
 	out := reply{Whole: u.Whole(), Version: u.Version(), Time: u.StoreTime(), Path: r.Path(), Entries: r.Entries(), Vacant: r.Vacant()}
--- a/io/bergamotreplication/replication_test.go
+++ b/io/bergamotreplication/replication_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotreplica"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
@@ -45,7 +46,7 @@
 		"fails when the path has no names": {reply: bergamotreplica.NewReply(update, []string{"", "hub"}, 5, false), err: "without a name"},
 	}, func(c exchangeCase) {
 		s := &source{reply: c.reply}
-		server := httptest.NewServer(bergamotreplication.NewHandler(s))
+		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil))
 		defer server.Close()
 		q := bergamotreplica.NewQuery("me", "t", 6, 2*time.Second, time.Minute, 3)
 		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
@@ -61,3 +62,30 @@
 		gomega.Expect(got).To(gomega.Equal(c.reply))
 	})
 })
+
+// loadSource answers each query with the same report and records what it was asked.
+type loadSource struct {
+	version int64
+	own     bool
+	wait    time.Duration
+}
+
+func (s *loadSource) Answer(_ context.Context, version int64, own bool, wait time.Duration) ([]bergamotload.Report, int64) {
+	s.version, s.own, s.wait = version, own, wait
+	return []bergamotload.Report{bergamotload.NewReport("r", 700, time.Hour)}, 9
+}
+
+var _ = ginkgo.Describe("a query for reports", func() {
+	// Guards against fields that are lost on the way.
+	ginkgo.It("returns all fields", func() {
+		s := &loadSource{}
+		server := httptest.NewServer(bergamotreplication.NewHandler(nil, s))
+		defer server.Close()
+		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
+		reports, version, err := bergamotreplication.NewClient().Reports(context.Background(), hub, 4, true, time.Second)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(*s).To(gomega.Equal(loadSource{version: 4, own: true, wait: time.Second}))
+		gomega.Expect(reports).To(gomega.Equal([]bergamotload.Report{bergamotload.NewReport("r", 700, time.Hour)}))
+		gomega.Expect(version).To(gomega.Equal(int64(9)))
+	})
+})
