--- a/core/bergamotreplica/peers.go
+++ b/core/bergamotreplica/peers.go
@@ -135,6 +135,17 @@
 	return leads
 }
 
+// hub returns the hub of that name.
+func (p *Peers) hub(name string) (hub Peer, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.hubs, func(h Hub) bool { return h.name == name })
+	if i < 0 {
+		return Peer{}, false
+	}
+	return p.hubs[i].Peer, true
+}
+
 // IsLead reports whether this entry is the first hub of its data centre.
 func (p *Peers) IsLead() bool {
 	p.mu.Lock()
--- a/core/bergamotreplica/reader.go
+++ b/core/bergamotreplica/reader.go
@@ -282,6 +282,17 @@
 	return r.path
 }
 
+// Hub returns the hub through which this entry reads the store, which may be itself; ok is false if there is none.
+func (r *Reader) Hub() (hub Peer, ok bool) {
+	if r.Peers.IsHub() {
+		return r.Self(), true
+	}
+	if path := r.Path(); len(path) > 0 {
+		return r.Peers.hub(path[0])
+	}
+	return Peer{}, false
+}
+
 // Downstream returns how many entries read through this one, including itself.
 func (r *Reader) Downstream() int { return r.downstreams.Count() }
 
--- a/io/bergamotreplication/client.go
+++ b/io/bergamotreplication/client.go
@@ -56,3 +56,12 @@
 	}
 	return reports, out.Version, nil
 }
+
+// Borrow borrows a retry of a service and reports whether the hub lends it, which it does while less than a share of its
+// budget is used.
+func (c *Client) Borrow(ctx context.Context, hub bergamotreplica.Peer, service string, share float64) (lent bool, err error) {
+	defer func() { err = oops.In("replication").Wrapf(err, "borrow a retry from %s", hub.Name()) }()
+	var out borrowReply
+	err = c.client.Post(ctx, hub.Address(), pathBorrow, borrowQuery{Service: service, Share: share}, &out)
+	return out.Lent, err
+}
--- a/io/bergamotreplication/handler.go
+++ b/io/bergamotreplication/handler.go
@@ -26,8 +26,14 @@
 	Answer(ctx context.Context, version int64, own bool, wait time.Duration) (reports []bergamotload.Report, now int64)
 }
 
+// Lender lends retries.
+type Lender interface {
+	// Lend lends a retry of a service while less than a share of the budget to lend is used, and reports whether it did.
+	Lend(service string, share float64) bool
+}
+
 // NewHandler returns a handler that answers the queries of other entries.
-func NewHandler(s Source, l LoadSource) http.Handler {
+func NewHandler(s Source, l LoadSource, lender Lender) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathFollow, func(w http.ResponseWriter, r *http.Request) {
 		var in query
@@ -50,6 +56,12 @@
 		}
 		bergamotwire.Write(w, http.StatusOK, out)
 	})
+	mux.HandleFunc("POST "+pathBorrow, func(w http.ResponseWriter, r *http.Request) {
+		var in borrowQuery
+		if decode(w, r, &in) {
+			bergamotwire.Write(w, http.StatusOK, borrowReply{Lent: lender.Lend(in.Service, in.Share)})
+		}
+	})
 	return mux
 }
 
--- a/io/bergamotreplication/message.go
+++ b/io/bergamotreplication/message.go
@@ -11,6 +11,7 @@
 const (
 	pathFollow = "/follow" // for changes of a table
 	pathLoad   = "/load"   // for reports of runners
+	pathBorrow = "/borrow" // for retries
 )
 
 // query is a bergamotreplica.Query in JSON.
@@ -69,6 +70,17 @@
 	Time   time.Duration `json:"time"` // of the store's clock, in nanoseconds
 }
 
+// borrowQuery asks for a retry of a service.
+type borrowQuery struct {
+	Service string  `json:"service"`
+	Share   float64 `json:"share"` // of the shared budget up to which it may be lent, from 0 to 1
+}
+
+// borrowReply is the answer to a borrowQuery.
+type borrowReply struct {
+	Lent bool `json:"lent"`
+}
+
 func encodeReply(r bergamotreplica.Reply) reply {
 	u := r.Update()
 	out := reply{Whole: u.Whole(), Version: u.Version(), Time: u.StoreTime(), Path: r.Path(), Entries: r.Entries(), Vacant: r.Vacant()}
--- a/io/bergamotreplication/replication_test.go
+++ b/io/bergamotreplication/replication_test.go
@@ -46,7 +46,7 @@
 		"fails when the path has no names": {reply: bergamotreplica.NewReply(update, []string{"", "hub"}, 5, false), err: "without a name"},
 	}, func(c exchangeCase) {
 		s := &source{reply: c.reply}
-		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil))
+		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil, nil))
 		defer server.Close()
 		q := bergamotreplica.NewQuery("me", "t", 6, 2*time.Second, time.Minute, 3)
 		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
@@ -79,7 +79,7 @@
 	// Guards against fields that are lost on the way.
 	ginkgo.It("returns all fields", func() {
 		s := &loadSource{}
-		server := httptest.NewServer(bergamotreplication.NewHandler(nil, s))
+		server := httptest.NewServer(bergamotreplication.NewHandler(nil, s, nil))
 		defer server.Close()
 		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
 		reports, version, err := bergamotreplication.NewClient().Reports(context.Background(), hub, 4, true, time.Second)
@@ -89,3 +89,28 @@
 		gomega.Expect(version).To(gomega.Equal(int64(9)))
 	})
 })
+
+// lender lends each retry.
+type lender struct {
+	service string
+	share   float64
+}
+
+func (l *lender) Lend(service string, share float64) bool {
+	l.service, l.share = service, share
+	return true
+}
+
+var _ = ginkgo.Describe("a query for a retry", func() {
+	// Guards against fields that are lost on the way.
+	ginkgo.It("returns whether it is lent", func() {
+		l := &lender{}
+		server := httptest.NewServer(bergamotreplication.NewHandler(nil, nil, l))
+		defer server.Close()
+		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
+		lent, err := bergamotreplication.NewClient().Borrow(context.Background(), hub, "llm", 0.7)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(lent).To(gomega.BeTrue())
+		gomega.Expect(*l).To(gomega.Equal(lender{service: "llm", share: 0.7}))
+	})
+})
