Never go back to an older table, and bound the age of what is passed on

Cause: a whole table from an entry that is behind replaced a newer one, so that a runner that had left was in use again until the other entry caught up. An answer could wait a second beyond the two at which a copy counted as old, so that a change took up to three seconds to reach an entry whose hub was cut off right after an answer.

Change: an update older than what the entry has read is refused. An answer waits at most until the copy is 1.6 s old; hubs that others follow read the store at least each 0.8 s.

--- a/core/bergamotreplica/fakes_test.go
+++ b/core/bergamotreplica/fakes_test.go
@@ -86,6 +86,8 @@
 	readers map[string]*bergamotreplica.Reader
 	silent  map[string]bool // entries that do not answer others
 	asked   map[string]int  // queries by the entry that answered
+
+	lastWait time.Duration // of the last query
 }
 
 func newFleet() *fleet {
@@ -130,6 +132,7 @@
 		return bergamotreplica.Reply{}, errDown
 	}
 	f.asked[to.Name()]++
+	f.lastWait = q.Wait()
 	return f.readers[to.Name()].Answer(ctx, self, q), nil
 }
 
--- a/core/bergamotreplica/reader.go
+++ b/core/bergamotreplica/reader.go
@@ -11,20 +11,23 @@
 	"bergamotspur/core/bergamotstore"
 )
 
-// MaxWait is how long a read of an entry that others follow, and a query to another entry, waits for changes. Each
-// answer shows that the store and the entries in between are still reached, so that it bounds how long an entry can miss
-// a change without noticing.
+// MaxWait is how long a query to another entry waits for changes. Each answer shows that the entries in between are still
+// reached, so that it bounds how long an entry can miss a change without noticing.
 const MaxWait = time.Second
 
 const (
+	// hubWait is how long a read of the store waits for changes at an entry that others follow. Each answer shows that the
+	// store is still reached.
+	hubWait = 800 * time.Millisecond
 	// answerTimeout is the time for an answer in addition to the wait. Between two entries of a region it takes 2 ms, on
 	// a machine that is slowed down by other work 100 ms.
 	answerTimeout = 300 * time.Millisecond
 	// minDirectTimeout is the part of the time of a read that is left for the store after a query to another entry.
 	minDirectTimeout = 400 * time.Millisecond
-	// maxRelayedAge is the age from which an answer that was passed on does not count as current. It exceeds MaxWait by
-	// the longest pause between two reads of a hub.
-	maxRelayedAge = 2 * time.Second
+	// maxRelayedAge is the age from which an answer that was passed on does not count as current, and the store is read
+	// instead. It exceeds hubWait by the longest pause between two reads of a hub. A change must be in force two seconds
+	// after its acknowledgement even if the entry in between is frozen or cut off.
+	maxRelayedAge = 1600 * time.Millisecond
 	// unreachableInterval is the time between two calls to the store while it does not answer and other entries do. They
 	// pass the end of the outage on, so that only the hubs have to look for it more often.
 	unreachableInterval    = 2 * time.Second
@@ -176,7 +179,7 @@
 	case following:
 		wait = 0 // the table may have changed while the other entry did not answer
 	case r.downstreams.Serving():
-		wait = min(wait, MaxWait)
+		wait = min(wait, hubWait)
 	}
 	return r.readStore(ctx, table, wait, call)
 }
@@ -224,7 +227,7 @@
 		if !ok {
 			return reading, false
 		}
-		wait, timeout := r.queryTimes(ctx, after)
+		wait, timeout := r.queryTimes(ctx, after, replica)
 		q := NewQuery(r.Self().name, table, after, replica.StoreTime(), wait, r.downstreams.Count())
 		reply, err := r.query(ctx, peer, q, timeout)
 		switch {
@@ -238,8 +241,8 @@
 		}
 		u := reply.update
 		asOf, known := r.offset.localTime(u.storeTime)
-		if !known || u.version < after {
-			return reading, false
+		if !known || u.version < max(after, replica.Version()) {
+			return reading, false // the entry is behind this one
 		}
 		replica.Apply(u)
 		r.setSource(peer.name, reply.path)
@@ -247,7 +250,7 @@
 			r.CountEntries(reply.entries)
 		}
 		r.SetVacant(reply.vacant && !r.Peers.IsRemote())
-		if r.Clock.Uptime()-asOf > maxRelayedAge {
+		if r.Clock.Uptime()-asOf >= maxRelayedAge {
 			// The entry does not reach the store at present. While this one does not either, it still hears from the other
 			// one when that changes.
 			if !r.unreachable.Load() {
@@ -261,11 +264,17 @@
 }
 
 // queryTimes returns how long the answer to a query may wait for changes after a version, and how long it may take in all.
-func (r *Reader) queryTimes(ctx context.Context, after int64) (wait, timeout time.Duration) {
+// The answer does not wait for longer than the copy counts as current.
+func (r *Reader) queryTimes(ctx context.Context, after int64, replica *Replica) (wait, timeout time.Duration) {
 	if after == 0 {
 		return listWait, listTimeout
 	}
 	wait = MaxWait
+	if asOf, known := r.offset.localTime(replica.StoreTime()); known {
+		if left := asOf + maxRelayedAge - r.Clock.Uptime(); left > 0 {
+			wait = min(wait, left)
+		}
+	}
 	if end, ok := ctx.Deadline(); ok {
 		wait = max(min(wait, time.Until(end)-answerTimeout-minDirectTimeout), 0)
 	}
--- a/core/bergamotreplica/reader_test.go
+++ b/core/bergamotreplica/reader_test.go
@@ -155,6 +155,41 @@
 		gomega.Expect(reply.Path()).To(gomega.BeEmpty())
 	})
 
+	// Guards against a change that takes effect only three seconds after its acknowledgement because the entry in between is
+	// cut off just after it has answered: the next answer must not wait past the time at which the copy counts as old.
+	ginkgo.It("does not wait for longer than its copy counts as current", func() {
+		f := newSmallFleet()
+		f.clock.now += 1500 * time.Millisecond
+		_, err := f.changes("leaf", 1)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(f.lastWait).To(gomega.BeNumerically("<=", 100*time.Millisecond))
+		f.clock.now += 100 * time.Millisecond
+		f.store.put("x", "2")
+		reading, err := f.changes("leaf", 1)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(reading.Relayed()).To(gomega.BeFalse())
+		gomega.Expect(reading.Rows()).To(gomega.HaveLen(1))
+	})
+
+	// Guards against a runner that has left, or a key that was withdrawn, in use again because the whole table is read from
+	// an entry that is behind (it has read the store a second ago).
+	ginkgo.It("does not go back to an older table", func() {
+		f := newSmallFleet()
+		f.clock.now += time.Second
+		f.store.put("x", "2")
+		f.silent["a1"], f.silent["a2"] = true, true
+		reading, err := f.changes("leaf", 1)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(reading.Version()).To(gomega.Equal(int64(2)))
+		f.silent["a1"], f.silent["a2"] = false, false
+		f.clock.now += 2 * time.Second // the hubs are asked again, but their copies still count as current
+		f.readers["a1"].Replica("t").Apply(bergamotreplica.NewUpdate(nil, false, 1, f.clock.now+f.store.offset))
+		f.readers["a2"].Replica("t").Apply(bergamotreplica.NewUpdate(nil, false, 1, f.clock.now+f.store.offset))
+		reading, err = f.readers["leaf"].List(context.Background(), "t")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(reading.Version()).To(gomega.Equal(int64(2)))
+	})
+
 	// Guards against changes that are lost because the entry is behind the history of the one that it follows.
 	ginkgo.It("reads the whole table when it is behind the history", func() {
 		f := newSmallFleet()
--- a/core/bergamotreplica/replica.go
+++ b/core/bergamotreplica/replica.go
@@ -80,6 +80,13 @@
 	return u, r.updated, r.known
 }
 
+// Version returns the version of the latest update, 0 before the first.
+func (r *Replica) Version() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
 // StoreTime returns the store's clock at the latest update.
 func (r *Replica) StoreTime() time.Duration {
 	r.mu.Lock()
