--- a/core/bergamotcluster/hubs.go
+++ b/core/bergamotcluster/hubs.go
@@ -32,33 +32,6 @@
 	orphanDelay = 1500 * time.Millisecond
 )
 
-// HubSlot is the row of a hub, or the row that a hub of that slot would have.
-type HubSlot struct {
-	hub      bergamotreplica.Hub
-	revision int64
-	age      time.Duration
-}
-
-// NewHubSlot returns the slot that a hub holds; its row has the given revision and was written age ago by the store's
-// clock.
-func NewHubSlot(h bergamotreplica.Hub, revision int64, age time.Duration) HubSlot {
-	return HubSlot{hub: h, revision: revision, age: age}
-}
-
-// Hub returns the hub that holds the slot; its name is empty if none does.
-func (s HubSlot) Hub() bergamotreplica.Hub { return s.hub }
-
-// Revision returns the revision of the row, 0 if there is none.
-func (s HubSlot) Revision() int64 { return s.revision }
-
-// HubTable reads and writes the rows of the hubs.
-type HubTable interface {
-	// Hubs returns the slots that have a row.
-	Hubs(ctx context.Context) ([]HubSlot, error)
-	// PutHub writes the row of a hub if it has the given revision, and returns the slot as it is stored afterwards.
-	PutHub(ctx context.Context, h bergamotreplica.Hub, revision int64) (s HubSlot, ok bool, err error)
-}
-
 // HubPeers learns which entries are hubs and selects the one to follow.
 type HubPeers interface {
 	SetHubs(hubs []bergamotreplica.Hub)
@@ -203,9 +176,6 @@
 	return candidates[int(c.Random()*float64(len(candidates)))], true
 }
 
-// isLive reports whether a hub holds the slot and has registered recently.
-func (s HubSlot) isLive() bool { return s.hub.Name() != "" && s.age < hubTTL }
-
 // withSlot returns the slots with one added or replaced.
 func (c *Hubs) withSlot(slots []HubSlot, stored HubSlot) []HubSlot {
 	out := slices.DeleteFunc(slices.Clone(slots), func(s HubSlot) bool {
