--- a/core/bergamotcluster/calls_test.go
+++ b/core/bergamotcluster/calls_test.go
@@ -11,7 +11,7 @@
 	"bergamotspur/core/bergamotcluster"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlease"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 )
@@ -80,12 +80,12 @@
 		s, lease := newState(0), &countingLease{freeIn: c.freeIn}
 		table := newHubTable(s.Now)
 		for n := range c.hubs {
-			table.put(bergamotreplica.NewHub(bergamotreplica.NewPeer(fmt.Sprint("e", n), "x:1"), fmt.Sprint("c", n), 0, 1))
+			table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer(fmt.Sprint("e", n), "x:1"), fmt.Sprint("c", n), 0, 1))
 		}
 		hubs := newHubs(table, "self", "d")
 		if c.hubs < 0 {
 			for n := range 2 {
-				table.put(bergamotreplica.NewHub(bergamotreplica.NewPeer(fmt.Sprint("e", n), "x:1"), "d", n, 1))
+				table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer(fmt.Sprint("e", n), "x:1"), "d", n, 1))
 			}
 		}
 		runTasks(s, hubs.Reconcile(s))
--- a/core/bergamotcluster/fakes_test.go
+++ b/core/bergamotcluster/fakes_test.go
@@ -9,7 +9,7 @@
 	"bergamotspur/core/bergamotconfig"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlayout"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
 )
 
@@ -46,7 +46,7 @@
 	timeouts  []time.Duration // timeouts of the calls of List
 }
 
-func (f *fakeFeed) List(ctx context.Context, _ string) (bergamotreplica.Reading, error) {
+func (f *fakeFeed) List(ctx context.Context, _ string) (bergamotmirror.Reading, error) {
 	f.listCalls++
 	if end, ok := ctx.Deadline(); ok {
 		f.timeouts = append(f.timeouts, time.Until(end))
@@ -55,12 +55,12 @@
 	for _, r := range f.rows {
 		changes = append(changes, bergamotstore.NewChange(r, false))
 	}
-	return bergamotreplica.NewReading(bergamotreplica.NewUpdate(changes, true, f.version, 0), f.asOf, f.relayed), f.err
+	return bergamotmirror.NewReading(bergamotmirror.NewUpdate(changes, true, f.version, 0), f.asOf, f.relayed), f.err
 }
 
-func (f *fakeFeed) Changes(_ context.Context, _ string, _ int64, wait time.Duration) (bergamotreplica.Reading, error) {
+func (f *fakeFeed) Changes(_ context.Context, _ string, _ int64, wait time.Duration) (bergamotmirror.Reading, error) {
 	f.waits = append(f.waits, wait)
-	return bergamotreplica.NewReading(bergamotreplica.NewUpdate(f.changes, false, f.version, 0), f.asOf, f.relayed), f.err
+	return bergamotmirror.NewReading(bergamotmirror.NewUpdate(f.changes, false, f.version, 0), f.asOf, f.relayed), f.err
 }
 
 // fakeDecoder decodes the first byte of a row as the version of a configuration, and the whole row as the state of a
--- a/core/bergamotcluster/hubs.go
+++ b/core/bergamotcluster/hubs.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 )
 
 const (
@@ -34,10 +34,10 @@
 
 // HubPeers learns which entries are hubs and selects the one to follow.
 type HubPeers interface {
-	SetHubs(hubs []bergamotreplica.Hub)
+	SetHubs(hubs []bergamotmirror.Hub)
 	SetHubsUnknown()
 	// Upstream returns the entry to follow; ok is false if there is none.
-	Upstream(storeUnreachable bool) (peer bergamotreplica.Peer, ok bool)
+	Upstream(storeUnreachable bool) (peer bergamotmirror.Peer, ok bool)
 }
 
 // HubReader knows about the entries between which the tables are passed on.
@@ -53,7 +53,7 @@
 // centres.
 type Hubs struct {
 	Centre   string
-	Self     func() bergamotreplica.Peer // this entry; its address is empty until other entries can follow it
+	Self     func() bergamotmirror.Peer // this entry; its address is empty until other entries can follow it
 	Table    HubTable
 	Peers    HubPeers
 	Reader   HubReader
@@ -150,10 +150,10 @@
 
 // freeSlot returns the slot of the data centre that this entry should take; ok is false if all are taken. A slot that an
 // earlier process of this entry held is its own, and its count of entries holds until the entries follow it again.
-func (c *Hubs) freeSlot(slots []HubSlot, self bergamotreplica.Peer) (free HubSlot, ok bool) {
+func (c *Hubs) freeSlot(slots []HubSlot, self bergamotmirror.Peer) (free HubSlot, ok bool) {
 	var candidates []HubSlot
 	for n := range hubsPerCentre {
-		slot := HubSlot{hub: bergamotreplica.NewHub(self, c.Centre, n, 0)}
+		slot := HubSlot{hub: bergamotmirror.NewHub(self, c.Centre, n, 0)}
 		taken := false
 		for _, held := range slots {
 			if held.hub.Centre() != c.Centre || held.hub.Slot() != n {
@@ -161,7 +161,7 @@
 			}
 			slot.revision = held.revision
 			if held.hub.Name() == self.Name() {
-				slot.hub = bergamotreplica.NewHub(self, c.Centre, n, held.hub.Entries())
+				slot.hub = bergamotmirror.NewHub(self, c.Centre, n, held.hub.Entries())
 				return slot, true
 			}
 			taken = held.isLive()
@@ -188,7 +188,7 @@
 func (c *Hubs) renew(ctx context.Context) Event {
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
-	hub := bergamotreplica.NewHub(c.Self(), c.Centre, c.own.hub.Slot(), c.Reader.Downstream())
+	hub := bergamotmirror.NewHub(c.Self(), c.Centre, c.own.hub.Slot(), c.Reader.Downstream())
 	own, ok, err := c.Table.PutHub(ctx, hub, c.own.revision)
 	slots := c.slots
 	if err == nil && c.renewals%2 == 1 {
@@ -241,7 +241,7 @@
 
 // publish passes the live hubs on and counts the entries that read through them.
 func (c *Hubs) publish(s *State) {
-	var hubs []bergamotreplica.Hub
+	var hubs []bergamotmirror.Hub
 	entries, local := 0, 0
 	for _, slot := range c.slots {
 		if slot.isLive() {
@@ -252,12 +252,12 @@
 			}
 		}
 	}
-	slices.SortFunc(hubs, func(a, b bergamotreplica.Hub) int {
+	slices.SortFunc(hubs, func(a, b bergamotmirror.Hub) int {
 		return cmp.Or(cmp.Compare(a.Slot(), b.Slot()), cmp.Compare(a.Centre(), b.Centre()))
 	})
 	s.hubRank = -1
 	if c.isHub() {
-		s.hubRank = slices.IndexFunc(hubs, func(h bergamotreplica.Hub) bool { return h.Name() == c.own.hub.Name() })
+		s.hubRank = slices.IndexFunc(hubs, func(h bergamotmirror.Hub) bool { return h.Name() == c.own.hub.Name() })
 		if c.counted || c.renewals > 0 {
 			// The first two registrations of new hubs do not count all entries that will follow them.
 			c.Reader.CountEntries(entries)
@@ -273,7 +273,7 @@
 	if !c.isHub() {
 		return nil
 	}
-	empty, revision := bergamotreplica.NewHub(bergamotreplica.Peer{}, c.Centre, c.own.hub.Slot(), 0), c.own.revision
+	empty, revision := bergamotmirror.NewHub(bergamotmirror.Peer{}, c.Centre, c.own.hub.Slot(), 0), c.own.revision
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, replyTimeout)
 		defer cancel()
--- a/core/bergamotcluster/hubs_test.go
+++ b/core/bergamotcluster/hubs_test.go
@@ -10,14 +10,14 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotcluster"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamottest"
 )
 
 // hubTable is the table of the hubs in memory.
 type hubTable struct {
 	now      func() time.Time
-	rows     map[string]bergamotreplica.Hub
+	rows     map[string]bergamotmirror.Hub
 	writtens map[string]time.Time
 	revision map[string]int64
 	calls    int
@@ -26,10 +26,10 @@
 }
 
 func newHubTable(now func() time.Time) *hubTable {
-	return &hubTable{now: now, rows: map[string]bergamotreplica.Hub{}, writtens: map[string]time.Time{}, revision: map[string]int64{}}
+	return &hubTable{now: now, rows: map[string]bergamotmirror.Hub{}, writtens: map[string]time.Time{}, revision: map[string]int64{}}
 }
 
-func (t *hubTable) put(h bergamotreplica.Hub) (key string) {
+func (t *hubTable) put(h bergamotmirror.Hub) (key string) {
 	key = fmt.Sprint(h.Centre(), h.Slot())
 	t.rows[key], t.writtens[key] = h, t.now()
 	t.revision[key]++
@@ -48,7 +48,7 @@
 	return slots, t.err
 }
 
-func (t *hubTable) PutHub(_ context.Context, h bergamotreplica.Hub, revision int64) (s bergamotcluster.HubSlot, ok bool, err error) {
+func (t *hubTable) PutHub(_ context.Context, h bergamotmirror.Hub, revision int64) (s bergamotcluster.HubSlot, ok bool, err error) {
 	t.calls++
 	key := fmt.Sprint(h.Centre(), h.Slot())
 	if t.err != nil || t.revision[key] != revision {
@@ -72,8 +72,8 @@
 // newHubs returns the controller of an entry whose name is also its address.
 func newHubs(t *hubTable, name, centre string) *bergamotcluster.Hubs {
 	return &bergamotcluster.Hubs{
-		Centre: centre, Self: func() bergamotreplica.Peer { return bergamotreplica.NewPeer(name, name) }, Table: t, Reader: &hubReader{table: t},
-		Peers: &bergamotreplica.Peers{
+		Centre: centre, Self: func() bergamotmirror.Peer { return bergamotmirror.NewPeer(name, name) }, Table: t, Reader: &hubReader{table: t},
+		Peers: &bergamotmirror.Peers{
 			Centre: centre, Name: name, Random: func(int) int { return 0 }, Now: func() time.Duration { return t.now().Sub(start) },
 		},
 		Random: rand.New(rand.NewPCG(1, 2)).Float64, Stopping: func() bool { return false },
@@ -116,7 +116,7 @@
 // hubs returns the entries that are hubs by their own account.
 func (f *hubFleet) hubs() (names []string) {
 	for name, e := range f.entries {
-		if e.Peers.(*bergamotreplica.Peers).IsHub() {
+		if e.Peers.(*bergamotmirror.Peers).IsHub() {
 			names = append(names, name)
 		}
 	}
@@ -179,8 +179,8 @@
 	ginkgo.It("give way to the entry that holds their slot", func() {
 		f := newHubFleet(1)
 		f.run(5 * time.Second)
-		f.table.put(bergamotreplica.NewHub(bergamotreplica.NewPeer("x", "x"), "a", 0, 1))
-		f.table.put(bergamotreplica.NewHub(bergamotreplica.NewPeer("y", "y"), "a", 1, 1))
+		f.table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("x", "x"), "a", 0, 1))
+		f.table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("y", "y"), "a", 1, 1))
 		f.run(5 * time.Second)
 		gomega.Expect(f.hubs()).To(gomega.BeEmpty())
 	})
--- a/core/bergamotcluster/hubslot.go
+++ b/core/bergamotcluster/hubslot.go
@@ -4,24 +4,24 @@
 	"context"
 	"time"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 )
 
 // HubSlot is the row of a hub, or the row that a hub of that slot would have.
 type HubSlot struct {
-	hub      bergamotreplica.Hub
+	hub      bergamotmirror.Hub
 	revision int64
 	age      time.Duration
 }
 
 // NewHubSlot returns the slot that a hub holds; its row has the given revision and was written age ago by the store's
 // clock.
-func NewHubSlot(h bergamotreplica.Hub, revision int64, age time.Duration) HubSlot {
+func NewHubSlot(h bergamotmirror.Hub, revision int64, age time.Duration) HubSlot {
 	return HubSlot{hub: h, revision: revision, age: age}
 }
 
 // Hub returns the hub that holds the slot; its name is empty if none does.
-func (s HubSlot) Hub() bergamotreplica.Hub { return s.hub }
+func (s HubSlot) Hub() bergamotmirror.Hub { return s.hub }
 
 // Revision returns the revision of the row, 0 if there is none.
 func (s HubSlot) Revision() int64 { return s.revision }
@@ -31,7 +31,7 @@
 	// Hubs returns the slots that have a row.
 	Hubs(ctx context.Context) ([]HubSlot, error)
 	// PutHub writes the row of a hub if it has the given revision, and returns the slot as it is stored afterwards.
-	PutHub(ctx context.Context, h bergamotreplica.Hub, revision int64) (s HubSlot, ok bool, err error)
+	PutHub(ctx context.Context, h bergamotmirror.Hub, revision int64) (s HubSlot, ok bool, err error)
 }
 
 // isLive reports whether a hub holds the slot and has registered recently.
--- a/core/bergamotcluster/tablewatcher.go
+++ b/core/bergamotcluster/tablewatcher.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
 )
 
@@ -35,10 +35,10 @@
 // Feed reads a table, whole or only its changes.
 type Feed interface {
 	// List returns all rows of a table.
-	List(ctx context.Context, table string) (bergamotreplica.Reading, error)
+	List(ctx context.Context, table string) (bergamotmirror.Reading, error)
 	// Changes returns the changes after a version as soon as there is one, or none when the wait, or a shorter time, has
 	// passed. It fails with bergamotstore.ErrHistoryDropped when these changes are no longer known.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (bergamotreplica.Reading, error)
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (bergamotmirror.Reading, error)
 }
 
 // TableHandler applies the rows and changes of a table to the control state.
--- a/core/bergamotload/exchange.go
+++ b/core/bergamotload/exchange.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 )
 
 const (
@@ -20,18 +20,18 @@
 type Network interface {
 	// Reports returns the reports that were added to the board of an entry after a version, and the new version. If own is
 	// set, it returns only those of runners that the entry has asked itself.
-	Reports(ctx context.Context, to bergamotreplica.Peer, version int64, own bool, wait time.Duration) (reports []Report, now int64, err error)
+	Reports(ctx context.Context, to bergamotmirror.Peer, version int64, own bool, wait time.Duration) (reports []Report, now int64, err error)
 }
 
 // Peers selects the entries to get reports from.
 type Peers interface {
 	// Upstream returns the entry that this one follows; ok is false if there is none.
-	Upstream(storeUnreachable bool) (peer bergamotreplica.Peer, ok bool)
+	Upstream(storeUnreachable bool) (peer bergamotmirror.Peer, ok bool)
 	// IsLead reports whether this entry asks the runners of its data centre.
 	IsLead() bool
 	// Leads returns the entries that ask the runners of the other data centres, and the one of this data centre unless
 	// this entry does.
-	Leads() []bergamotreplica.Peer
+	Leads() []bergamotmirror.Peer
 }
 
 // Exchange gets reports from other entries: an entry that asks runners itself gets the others' own reports, and all others
@@ -81,7 +81,7 @@
 }
 
 // ask sends a query to an entry and applies its answer.
-func (e *Exchange) ask(ctx context.Context, p bergamotreplica.Peer, version int64, own bool) {
+func (e *Exchange) ask(ctx context.Context, p bergamotmirror.Peer, version int64, own bool) {
 	ctx, cancel := context.WithTimeout(ctx, MaxWait+answerTimeout)
 	defer cancel()
 	reports, version, err := e.Network.Reports(ctx, p, version, own, MaxWait)
@@ -101,9 +101,9 @@
 func (e *Exchange) Wait() { e.inFlight.Wait() }
 
 // sources returns the entries to get reports from, and whether to get only those that they asked runners for.
-func (e *Exchange) sources() (peers []bergamotreplica.Peer, own bool) {
+func (e *Exchange) sources() (peers []bergamotmirror.Peer, own bool) {
 	if p, ok := e.Peers.Upstream(false); ok {
-		return []bergamotreplica.Peer{p}, false
+		return []bergamotmirror.Peer{p}, false
 	}
 	return e.Peers.Leads(), true
 }
--- a/core/bergamotload/load_test.go
+++ b/core/bergamotload/load_test.go
@@ -12,7 +12,7 @@
 
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotload"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamottest"
 )
 
@@ -104,7 +104,7 @@
 	known   map[string]map[string]float64 // memory by entry and runner
 }
 
-func (m *mesh) Reports(ctx context.Context, to bergamotreplica.Peer, version int64, own bool, _ time.Duration) ([]bergamotload.Report, int64, error) {
+func (m *mesh) Reports(ctx context.Context, to bergamotmirror.Peer, version int64, own bool, _ time.Duration) ([]bergamotload.Report, int64, error) {
 	m.mu.Lock()
 	silent := m.silent[to.Name()]
 	m.asked[to.Name()]++
@@ -120,14 +120,14 @@
 // newMesh returns 118 entries in five data centres with two hubs each.
 func newMesh() *mesh {
 	m := &mesh{entries: map[string]*bergamotload.Exchange{}, silent: map[string]bool{}, asked: map[string]int{}, known: map[string]map[string]float64{}}
-	var hubs []bergamotreplica.Hub
+	var hubs []bergamotmirror.Hub
 	for n := range 10 {
 		name := fmt.Sprint("e", n)
-		hubs = append(hubs, bergamotreplica.NewHub(bergamotreplica.NewPeer(name, name), fmt.Sprint("c", n%5), n/5, 1))
+		hubs = append(hubs, bergamotmirror.NewHub(bergamotmirror.NewPeer(name, name), fmt.Sprint("c", n%5), n/5, 1))
 	}
 	for n := range 118 {
 		name := fmt.Sprint("e", n)
-		peers := &bergamotreplica.Peers{
+		peers := &bergamotmirror.Peers{
 			Centre: fmt.Sprint("c", n%5), Name: name, Random: func(k int) int { return n % k }, Now: func() time.Duration { return 0 },
 		}
 		peers.SetHubs(hubs)
--- a/core/bergamotreplica/answer.go
+++ b/core/bergamotmirror/answer.go
@@ -1,4 +1,4 @@
-package bergamotreplica
+package bergamotmirror
 
 import (
 	"context"
@@ -10,10 +10,10 @@
 	if slices.Contains(r.Path(), q.entry) || !r.downstreams.Admit(NewPeer(q.entry, peer.address), q.entries) {
 		return NewRedirect(r.downstreams.Peers())
 	}
-	replica := r.Replica(q.table)
+	mirror := r.Mirror(q.table)
 	timeout := r.Clock.After(q.wait)
 	for {
-		u, updated, ok := replica.Since(q.version)
+		u, updated, ok := mirror.Since(q.version)
 		if ok && (u.version > q.version || u.storeTime > q.storeTime) {
 			return r.reply(u)
 		}
@@ -34,14 +34,14 @@
 	return NewReply(u, append(slices.Clone(r.Path()), r.Self().name), r.Entries(), r.Vacant())
 }
 
-// Replica returns this entry's copy of a table.
-func (r *Reader) Replica(table string) *Replica {
+// Mirror returns this entry's copy of a table.
+func (r *Reader) Mirror(table string) *Mirror {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.replicas[table] == nil {
-		r.replicas[table] = NewReplica()
+	if r.mirrors[table] == nil {
+		r.mirrors[table] = NewMirror()
 	}
-	return r.replicas[table]
+	return r.mirrors[table]
 }
 
 // Path returns the names of the entries between the store and this one, the hub first.
--- a/core/bergamotreplica/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -1,4 +1,4 @@
-package bergamotreplica
+package bergamotmirror
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 	if r.Network == nil {
 		return reading, false
 	}
-	replica := r.Replica(table)
+	mirror := r.Mirror(table)
 	for range maxRedirects {
 		peer, ok := r.Peers.Upstream(r.unreachable.Load())
 		if !ok {
 			return reading, false
 		}
-		wait, timeout := r.queryTimes(ctx, after, replica)
-		q := NewQuery(r.Self().name, table, after, replica.StoreTime(), wait, r.downstreams.Count())
+		wait, timeout := r.queryTimes(ctx, after, mirror)
+		q := NewQuery(r.Self().name, table, after, mirror.StoreTime(), wait, r.downstreams.Count())
 		reply, err := r.query(ctx, peer, q, timeout)
 		switch {
 		case err != nil || slices.Contains(reply.path, r.Self().name):
@@ -32,10 +32,10 @@
 		}
 		u := reply.update
 		asOf, known := r.offset.localTime(u.storeTime)
-		if !known || u.version < max(after, replica.Version()) {
+		if !known || u.version < max(after, mirror.Version()) {
 			return reading, false // the entry is behind this one
 		}
-		replica.Apply(u)
+		mirror.Apply(u)
 		r.setSource(peer.name, reply.path)
 		if reply.entries > 0 {
 			r.CountEntries(reply.entries)
@@ -56,12 +56,12 @@
 
 // queryTimes returns how long the answer to a query may wait for changes after a version, and how long it may take in all.
 // The answer does not wait for longer than the copy counts as current.
-func (r *Reader) queryTimes(ctx context.Context, after int64, replica *Replica) (wait, timeout time.Duration) {
+func (r *Reader) queryTimes(ctx context.Context, after int64, mirror *Mirror) (wait, timeout time.Duration) {
 	if after == 0 {
 		return listWait, listTimeout
 	}
 	wait = MaxWait
-	if asOf, known := r.offset.localTime(replica.StoreTime()); known {
+	if asOf, known := r.offset.localTime(mirror.StoreTime()); known {
 		if left := asOf + maxRelayedAge - r.Clock.Uptime(); left > 0 {
 			wait = min(wait, left)
 		}
--- a/core/bergamotreplica/clockoffset.go
+++ b/core/bergamotmirror/clockoffset.go
@@ -1,4 +1,4 @@
-package bergamotreplica
+package bergamotmirror
 
 import (
 	"sync"
--- a/core/bergamotreplica/fakes_test.go
+++ b/core/bergamotmirror/fakes_test.go
@@ -1,4 +1,4 @@
-package bergamotreplica_test
+package bergamotmirror_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/onsi/gomega"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
 )
 
@@ -81,9 +81,9 @@
 type fleet struct {
 	clock   *clock
 	store   *store
-	hubs    []bergamotreplica.Hub
+	hubs    []bergamotmirror.Hub
 	names   []string // in the order in which they were started
-	readers map[string]*bergamotreplica.Reader
+	readers map[string]*bergamotmirror.Reader
 	silent  map[string]bool // entries that do not answer others
 	asked   map[string]int  // queries by the entry that answered
 
@@ -93,23 +93,23 @@
 func newFleet() *fleet {
 	c := &clock{now: time.Hour}
 	return &fleet{
-		clock: c, readers: map[string]*bergamotreplica.Reader{}, silent: map[string]bool{}, asked: map[string]int{},
+		clock: c, readers: map[string]*bergamotmirror.Reader{}, silent: map[string]bool{}, asked: map[string]int{},
 		store: &store{clock: c, offset: 1000 * time.Hour, down: map[string]bool{}, calls: map[string]int{}},
 	}
 }
 
 // add starts an entry. A hub gets the next slot of its data centre.
-func (f *fleet) add(name, centre string, isHub bool) *bergamotreplica.Reader {
+func (f *fleet) add(name, centre string, isHub bool) *bergamotmirror.Reader {
 	random := rand.New(rand.NewPCG(1, uint64(len(f.names))))
-	r := &bergamotreplica.Reader{
+	r := &bergamotmirror.Reader{
 		Clock: f.clock, Store: client{f.store, name}, Network: f,
-		Self:  func() bergamotreplica.Peer { return bergamotreplica.NewPeer(name, name) },
-		Peers: &bergamotreplica.Peers{Centre: centre, Name: name, Random: random.IntN, Now: f.clock.Uptime},
+		Self:  func() bergamotmirror.Peer { return bergamotmirror.NewPeer(name, name) },
+		Peers: &bergamotmirror.Peers{Centre: centre, Name: name, Random: random.IntN, Now: f.clock.Uptime},
 	}
 	r.Init()
 	f.names, f.readers[name] = append(f.names, name), r
 	if isHub {
-		f.hubs = append(f.hubs, bergamotreplica.NewHub(r.Self(), centre, len(f.hubs), 1))
+		f.hubs = append(f.hubs, bergamotmirror.NewHub(r.Self(), centre, len(f.hubs), 1))
 	}
 	r.ObserveStore(f.clock.now, f.clock.now+f.store.offset)
 	return r
@@ -127,9 +127,9 @@
 }
 
 // Ask passes a query on to the entry that it is for.
-func (f *fleet) Ask(ctx context.Context, to, self bergamotreplica.Peer, q bergamotreplica.Query) (bergamotreplica.Reply, error) {
+func (f *fleet) Ask(ctx context.Context, to, self bergamotmirror.Peer, q bergamotmirror.Query) (bergamotmirror.Reply, error) {
 	if f.silent[to.Name()] {
-		return bergamotreplica.Reply{}, errDown
+		return bergamotmirror.Reply{}, errDown
 	}
 	f.asked[to.Name()]++
 	f.lastWait = q.Wait()
@@ -137,7 +137,7 @@
 }
 
 // changes lets an entry read what changed after a version.
-func (f *fleet) changes(name string, after int64) (bergamotreplica.Reading, error) {
+func (f *fleet) changes(name string, after int64) (bergamotmirror.Reading, error) {
 	return f.readers[name].Changes(context.Background(), "t", after, 4*time.Second)
 }
 
--- a/core/bergamotreplica/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -1,4 +1,4 @@
-package bergamotreplica
+package bergamotmirror
 
 import (
 	"context"
@@ -87,18 +87,18 @@
 	unreachable atomic.Bool  // the last call to the store failed
 	lastDirect  atomic.Int64 // start of the last call to the store, in nanoseconds of the clock
 
-	mu       sync.Mutex
-	replicas map[string]*Replica
-	source   string   // entry that answered last, empty for the store
-	path     []string // entries between the store and this one
-	counts   entryCounts
-	vacant   bool // the data centre has too few hubs
+	mu      sync.Mutex
+	mirrors map[string]*Mirror
+	source  string   // entry that answered last, empty for the store
+	path    []string // entries between the store and this one
+	counts  entryCounts
+	vacant  bool // the data centre has too few hubs
 }
 
 // Init prepares the reader for use.
 func (r *Reader) Init() {
 	r.downstreams.Now = r.Clock.Uptime
-	r.replicas = map[string]*Replica{}
+	r.mirrors = map[string]*Mirror{}
 }
 
 // List returns a whole table. The deadline of ctx is for the answer of the store; another entry may take up to
@@ -203,7 +203,7 @@
 	if err != nil {
 		return reading, err
 	}
-	r.Replica(table).Apply(u)
+	r.Mirror(table).Apply(u)
 	r.setSource("", nil)
 	return NewReading(u, r.offset.earliestAnswer(start, u.storeTime), false), nil
 }
--- a/core/bergamotreplica/reader_test.go
+++ b/core/bergamotmirror/reader_test.go
@@ -1,4 +1,4 @@
-package bergamotreplica_test
+package bergamotmirror_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 )
@@ -45,9 +45,9 @@
 		"ignores reads from before the previous window":          {[][2]time.Duration{{9 * s, 100 * s}, {400 * s, 495 * s}, {800 * s, 895 * s}, {1200 * s, 1297 * s}}, 1202 * s},
 	}, func(c confirmCase) {
 		clock, store := &clock{}, &fixedStore{}
-		r := &bergamotreplica.Reader{Clock: clock, Store: store, Peers: &bergamotreplica.Peers{Now: clock.Uptime}}
+		r := &bergamotmirror.Reader{Clock: clock, Store: store, Peers: &bergamotmirror.Peers{Now: clock.Uptime}}
 		r.Init()
-		var reading bergamotreplica.Reading
+		var reading bergamotmirror.Reading
 		for n, read := range c.reads {
 			clock.now, store.storeTime = read[0], read[1]
 			var err error
@@ -113,14 +113,14 @@
 				f.store.down["leaf"] = true
 			}, rows: 1, relayed: true, direct: 1,
 		},
-		"rarely calls a store that answers nobody": {fault: func(f *fleet) { f.store.down[""] = true }, err: bergamotreplica.ErrStale, direct: 1},
+		"rarely calls a store that answers nobody": {fault: func(f *fleet) { f.store.down[""] = true }, err: bergamotmirror.ErrStale, direct: 1},
 	}, func(c faultCase) {
 		f := newSmallFleet()
 		f.clock.now += 3 * time.Second
 		f.store.put("x", "2")
 		c.fault(f)
 		clear(f.store.calls)
-		var reading bergamotreplica.Reading
+		var reading bergamotmirror.Reading
 		var err error
 		for range 4 { // hubs read, then the entry that follows them, in turn
 			for _, hub := range []string{"a1", "a2", "b1"} {
@@ -148,10 +148,10 @@
 	// Guards against two entries that confirm each other's stale copy after one of them has lost its hub.
 	ginkgo.It("is not answered by an entry that reads through it", func() {
 		f := newSmallFleet()
-		f.add("lower", "a", false).Peers.Redirect([]bergamotreplica.Peer{f.readers["leaf"].Self()})
+		f.add("lower", "a", false).Peers.Redirect([]bergamotmirror.Peer{f.readers["leaf"].Self()})
 		_, err := f.readers["lower"].List(context.Background(), "t")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		reply := f.readers["lower"].Answer(context.Background(), f.readers["leaf"].Self(), bergamotreplica.NewQuery("leaf", "t", 1, 0, 0, 1))
+		reply := f.readers["lower"].Answer(context.Background(), f.readers["leaf"].Self(), bergamotmirror.NewQuery("leaf", "t", 1, 0, 0, 1))
 		gomega.Expect(reply.Path()).To(gomega.BeEmpty())
 	})
 
@@ -183,8 +183,8 @@
 		gomega.Expect(reading.Version()).To(gomega.Equal(int64(2)))
 		f.silent["a1"], f.silent["a2"] = false, false
 		f.clock.now += 2 * time.Second // the hubs are asked again, but their copies still count as current
-		f.readers["a1"].Replica("t").Apply(bergamotreplica.NewUpdate(nil, false, 1, f.clock.now+f.store.offset))
-		f.readers["a2"].Replica("t").Apply(bergamotreplica.NewUpdate(nil, false, 1, f.clock.now+f.store.offset))
+		f.readers["a1"].Mirror("t").Apply(bergamotmirror.NewUpdate(nil, false, 1, f.clock.now+f.store.offset))
+		f.readers["a2"].Mirror("t").Apply(bergamotmirror.NewUpdate(nil, false, 1, f.clock.now+f.store.offset))
 		reading, err = f.readers["leaf"].List(context.Background(), "t")
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(reading.Version()).To(gomega.Equal(int64(2)))
--- a/core/bergamotretry/hub.go
+++ b/core/bergamotretry/hub.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 )
 
 const (
@@ -25,7 +25,7 @@
 // HubSource knows the hub of this entry.
 type HubSource interface {
 	// Hub returns the hub through which this entry reads the store, which may be itself; ok is false if there is none.
-	Hub() (hub bergamotreplica.Peer, ok bool)
+	Hub() (hub bergamotmirror.Peer, ok bool)
 	Downstream() int // entries that read through this one, including itself
 	Entries() int    // entries of all data centres, 0 if that is not known
 }
@@ -34,7 +34,7 @@
 type Network interface {
 	// Borrow borrows a retry of a service and reports whether the hub lends it, which it does while less than a share of
 	// what it may lend is used.
-	Borrow(ctx context.Context, hub bergamotreplica.Peer, service string, share float64) (lent bool, err error)
+	Borrow(ctx context.Context, hub bergamotmirror.Peer, service string, share float64) (lent bool, err error)
 }
 
 // HubLender is the Lender that borrows from the hub of this entry, and lends to others while this entry is a hub.
--- a/core/bergamotretry/hub_test.go
+++ b/core/bergamotretry/hub_test.go
@@ -9,7 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotclock"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotretry"
 	"bergamotspur/core/bergamottest"
 )
@@ -21,8 +21,8 @@
 	entries    int
 }
 
-func (h hubs) Hub() (bergamotreplica.Peer, bool) {
-	return bergamotreplica.NewPeer(h.hub, h.hub), h.hub != ""
+func (h hubs) Hub() (bergamotmirror.Peer, bool) {
+	return bergamotmirror.NewPeer(h.hub, h.hub), h.hub != ""
 }
 func (h hubs) Downstream() int { return h.downstream }
 func (h hubs) Entries() int    { return h.entries }
@@ -33,7 +33,7 @@
 	err   error
 }
 
-func (n *lendingNetwork) Borrow(_ context.Context, hub bergamotreplica.Peer, _ string, _ float64) (bool, error) {
+func (n *lendingNetwork) Borrow(_ context.Context, hub bergamotmirror.Peer, _ string, _ float64) (bool, error) {
 	n.asked = append(n.asked, hub.Name())
 	return true, n.err
 }
--- a/io/bergamotreplication/client.go
+++ b/io/bergamotreplication/client.go
@@ -9,7 +9,7 @@
 	"github.com/samber/oops"
 
 	"bergamotspur/core/bergamotload"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/io/bergamotwire"
 )
 
@@ -23,7 +23,7 @@
 
 // Ask returns the reply of the entry to; self is the address at which others can follow the entry that asks. A reply of
 // another entry that has taken over the address is an error.
-func (c *Client) Ask(ctx context.Context, to, self bergamotreplica.Peer, q bergamotreplica.Query) (r bergamotreplica.Reply, err error) {
+func (c *Client) Ask(ctx context.Context, to, self bergamotmirror.Peer, q bergamotmirror.Query) (r bergamotmirror.Reply, err error) {
 	defer func() { err = oops.In("replication").Wrapf(err, "ask %s for %s", to.Name(), q.Table()) }()
 	in := query{
 		Entry: q.Entry(), Address: self.Address(), Table: q.Table(), Version: q.Version(), Time: q.StoreTime(), Wait: q.Wait(), Entries: q.Entries(),
@@ -48,7 +48,7 @@
 
 // Reports returns the reports of runners that were added to the board of an entry after a version, and the new version. If
 // own is set, it returns only those of runners that the entry has asked itself.
-func (c *Client) Reports(ctx context.Context, to bergamotreplica.Peer, version int64, own bool, wait time.Duration) (
+func (c *Client) Reports(ctx context.Context, to bergamotmirror.Peer, version int64, own bool, wait time.Duration) (
 	reports []bergamotload.Report, now int64, err error,
 ) {
 	defer func() { err = oops.In("replication").Wrapf(err, "ask %s for reports", to.Name()) }()
@@ -64,7 +64,7 @@
 
 // Borrow borrows a retry of a service and reports whether the hub lends it, which it does while less than a share of its
 // budget is used.
-func (c *Client) Borrow(ctx context.Context, hub bergamotreplica.Peer, service string, share float64) (lent bool, err error) {
+func (c *Client) Borrow(ctx context.Context, hub bergamotmirror.Peer, service string, share float64) (lent bool, err error) {
 	defer func() { err = oops.In("replication").Wrapf(err, "borrow a retry from %s", hub.Name()) }()
 	var out borrowReply
 	err = c.client.Post(ctx, hub.Address(), pathBorrow, borrowQuery{Service: service, Share: share}, &out)
--- a/io/bergamotreplication/doc.go
+++ b/io/bergamotreplication/doc.go
@@ -1,2 +1,2 @@
-// Package bergamotreplication carries the queries of bergamotreplica between entries over HTTP.
+// Package bergamotreplication carries the queries of bergamotmirror between entries over HTTP.
 package bergamotreplication
--- a/io/bergamotreplication/handler.go
+++ b/io/bergamotreplication/handler.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bergamotspur/core/bergamotload"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/io/bergamotwire"
 )
 
@@ -17,7 +17,7 @@
 // Source answers queries.
 type Source interface {
 	// Answer answers the query of an entry that can itself be followed at the address of peer.
-	Answer(ctx context.Context, peer bergamotreplica.Peer, q bergamotreplica.Query) bergamotreplica.Reply
+	Answer(ctx context.Context, peer bergamotmirror.Peer, q bergamotmirror.Query) bergamotmirror.Reply
 }
 
 // LoadSource answers queries for reports of runners.
@@ -40,8 +40,8 @@
 		if !decode(w, r, &in) {
 			return
 		}
-		q := bergamotreplica.NewQuery(in.Entry, in.Table, in.Version, in.Time, min(in.Wait, bergamotreplica.MaxWait), in.Entries)
-		out := s.Answer(r.Context(), bergamotreplica.NewPeer(in.Entry, in.Address), q)
+		q := bergamotmirror.NewQuery(in.Entry, in.Table, in.Version, in.Time, min(in.Wait, bergamotmirror.MaxWait), in.Entries)
+		out := s.Answer(r.Context(), bergamotmirror.NewPeer(in.Entry, in.Address), q)
 		message := encodeReply(out)
 		u := out.Update()
 		if u.Whole() && len(u.Changes()) >= minPacked {
--- a/io/bergamotreplication/message.go
+++ b/io/bergamotreplication/message.go
@@ -4,7 +4,7 @@
 	"time"
 	"unicode/utf8"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
 )
 
@@ -15,7 +15,7 @@
 	pathBorrow = "/borrow" // for retries
 )
 
-// query is a bergamotreplica.Query in JSON.
+// query is a bergamotmirror.Query in JSON.
 type query struct {
 	Entry   string        `json:"entry"`
 	Address string        `json:"address"` // at which other entries can follow the one that asks
@@ -26,7 +26,7 @@
 	Entries int           `json:"entries"`
 }
 
-// reply is a bergamotreplica.Reply in JSON.
+// reply is a bergamotmirror.Reply in JSON.
 type reply struct {
 	Changes  []change      `json:"changes"`
 	Packed   []byte        `json:"packed"` // a long list of changes instead of Changes, as gzip of its JSON
@@ -98,7 +98,7 @@
 }
 
 // encodeReply returns the reply without its changes.
-func encodeReply(r bergamotreplica.Reply) reply {
+func encodeReply(r bergamotmirror.Reply) reply {
 	u := r.Update()
 	out := reply{Whole: u.Whole(), Version: u.Version(), Time: u.StoreTime(), Path: r.Path(), Entries: r.Entries(), Vacant: r.Vacant()}
 	for _, p := range r.Redirect() {
@@ -107,13 +107,13 @@
 	return out
 }
 
-func (r reply) decode() bergamotreplica.Reply {
+func (r reply) decode() bergamotmirror.Reply {
 	if len(r.Path) == 0 {
-		var to []bergamotreplica.Peer
+		var to []bergamotmirror.Peer
 		for _, p := range r.Redirect {
-			to = append(to, bergamotreplica.NewPeer(p.Name, p.Address))
+			to = append(to, bergamotmirror.NewPeer(p.Name, p.Address))
 		}
-		return bergamotreplica.NewRedirect(to)
+		return bergamotmirror.NewRedirect(to)
 	}
 	changes := make([]bergamotstore.Change, len(r.Changes))
 	for i, c := range r.Changes {
@@ -123,5 +123,5 @@
 		}
 		changes[i] = bergamotstore.NewChange(bergamotstore.NewRow(c.Key, c.Revision, value), c.Deleted)
 	}
-	return bergamotreplica.NewReply(bergamotreplica.NewUpdate(changes, r.Whole, r.Version, r.Time), r.Path, r.Entries, r.Vacant)
+	return bergamotmirror.NewReply(bergamotmirror.NewUpdate(changes, r.Whole, r.Version, r.Time), r.Path, r.Entries, r.Vacant)
 }
--- a/io/bergamotreplication/pack.go
+++ b/io/bergamotreplication/pack.go
@@ -9,7 +9,7 @@
 
 	"github.com/samber/oops"
 
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 )
 
 const (
@@ -34,7 +34,7 @@
 }
 
 // pack returns the rows of a table as gzip of their JSON, or nil if they cannot be encoded.
-func (p *packedTables) pack(table string, u bergamotreplica.Update) []byte {
+func (p *packedTables) pack(table string, u bergamotmirror.Update) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t, ok := p.latest[table]; ok && t.version == u.Version() {
--- a/io/bergamotreplication/replication_test.go
+++ b/io/bergamotreplication/replication_test.go
@@ -12,7 +12,7 @@
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamotload"
-	"bergamotspur/core/bergamotreplica"
+	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 	"bergamotspur/io/bergamotreplication"
@@ -20,42 +20,42 @@
 
 // source answers each query with a fixed reply and records what it was asked.
 type source struct {
-	reply bergamotreplica.Reply
-	peer  bergamotreplica.Peer
-	query bergamotreplica.Query
+	reply bergamotmirror.Reply
+	peer  bergamotmirror.Peer
+	query bergamotmirror.Query
 }
 
-func (s *source) Answer(_ context.Context, peer bergamotreplica.Peer, q bergamotreplica.Query) bergamotreplica.Reply {
+func (s *source) Answer(_ context.Context, peer bergamotmirror.Peer, q bergamotmirror.Query) bergamotmirror.Reply {
 	s.peer, s.query = peer, q
 	return s.reply
 }
 
 type exchangeCase struct {
-	reply bergamotreplica.Reply
+	reply bergamotmirror.Reply
 	err   string // part of the error, empty for none
 }
 
 var _ = ginkgo.Describe("a query to another entry", func() {
 	change := bergamotstore.NewChange(bergamotstore.NewRow("k", 7, []byte{0, 255}), false)
 	deletion := bergamotstore.NewChange(bergamotstore.NewRow("d", 8, nil), true)
-	update := bergamotreplica.NewUpdate([]bergamotstore.Change{change, deletion}, true, 8, 3*time.Second)
+	update := bergamotmirror.NewUpdate([]bergamotstore.Change{change, deletion}, true, 8, 3*time.Second)
 	// Guards against fields that are lost on the way, and against the reply of an entry that has taken over the address of
 	// the one that was asked.
 	bergamottest.Cases(map[string]exchangeCase{
-		"returns all fields":               {reply: bergamotreplica.NewReply(update, []string{"hub"}, 5, true)},
-		"returns whom to ask instead":      {reply: bergamotreplica.NewRedirect([]bergamotreplica.Peer{bergamotreplica.NewPeer("o", "o:1")})},
-		"fails when another entry answers": {reply: bergamotreplica.NewReply(update, []string{"other"}, 5, false), err: "other answers"},
-		"fails when the path has no names": {reply: bergamotreplica.NewReply(update, []string{"", "hub"}, 5, false), err: "without a name"},
+		"returns all fields":               {reply: bergamotmirror.NewReply(update, []string{"hub"}, 5, true)},
+		"returns whom to ask instead":      {reply: bergamotmirror.NewRedirect([]bergamotmirror.Peer{bergamotmirror.NewPeer("o", "o:1")})},
+		"fails when another entry answers": {reply: bergamotmirror.NewReply(update, []string{"other"}, 5, false), err: "other answers"},
+		"fails when the path has no names": {reply: bergamotmirror.NewReply(update, []string{"", "hub"}, 5, false), err: "without a name"},
 	}, func(c exchangeCase) {
 		s := &source{reply: c.reply}
 		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil, nil))
 		defer server.Close()
-		q := bergamotreplica.NewQuery("me", "t", 6, 2*time.Second, time.Minute, 3)
-		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
-		self := bergamotreplica.NewPeer("me", "me:1")
+		q := bergamotmirror.NewQuery("me", "t", 6, 2*time.Second, time.Minute, 3)
+		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
+		self := bergamotmirror.NewPeer("me", "me:1")
 		got, err := bergamotreplication.NewClient().Ask(context.Background(), hub, self, q)
 		gomega.Expect(s.peer).To(gomega.Equal(self))
-		gomega.Expect(s.query).To(gomega.Equal(bergamotreplica.NewQuery("me", "t", 6, 2*time.Second, bergamotreplica.MaxWait, 3)))
+		gomega.Expect(s.query).To(gomega.Equal(bergamotmirror.NewQuery("me", "t", 6, 2*time.Second, bergamotmirror.MaxWait, 3)))
 		if c.err != "" {
 			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.err)))
 			return
@@ -81,17 +81,17 @@
 			rows = append(rows, tableRow(n))
 		}
 		binary := bergamotstore.NewChange(bergamotstore.NewRow("other", 1, []byte{0xff}), false)
-		u := bergamotreplica.NewUpdate(append(rows, binary), true, 4000, time.Hour)
-		want := bergamotreplica.NewReply(u, []string{"hub"}, 5, false)
+		u := bergamotmirror.NewUpdate(append(rows, binary), true, 4000, time.Hour)
+		want := bergamotmirror.NewReply(u, []string{"hub"}, 5, false)
 		sent := int64(0)
 		handler := bergamotreplication.NewHandler(&source{reply: want}, nil, nil)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			handler.ServeHTTP(&countingWriter{ResponseWriter: w, n: &sent}, r)
 		}))
 		defer server.Close()
-		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
+		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
 		for range 2 { // the second time from what was kept
-			got, err := bergamotreplication.NewClient().Ask(context.Background(), hub, hub, bergamotreplica.NewQuery("me", "t", 0, 0, 0, 1))
+			got, err := bergamotreplication.NewClient().Ask(context.Background(), hub, hub, bergamotmirror.NewQuery("me", "t", 0, 0, 0, 1))
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			gomega.Expect(got).To(gomega.Equal(want))
 		}
@@ -128,7 +128,7 @@
 		s := &loadSource{}
 		server := httptest.NewServer(bergamotreplication.NewHandler(nil, s, nil))
 		defer server.Close()
-		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
+		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
 		reports, version, err := bergamotreplication.NewClient().Reports(context.Background(), hub, 4, true, time.Second)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(*s).To(gomega.Equal(loadSource{version: 4, own: true, wait: time.Second}))
@@ -154,7 +154,7 @@
 		l := &lender{}
 		server := httptest.NewServer(bergamotreplication.NewHandler(nil, nil, l))
 		defer server.Close()
-		hub := bergamotreplica.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
+		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
 		lent, err := bergamotreplication.NewClient().Borrow(context.Background(), hub, "llm", 0.7)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		gomega.Expect(lent).To(gomega.BeTrue())
