Divide no more than the reserve among the entries

Cause: each entry's fixed part of the retry budget was at least one retry; 840 entries had 840 of an allowed 774. Change: the floor is gone, since retries beyond the fixed part are lent.

--- a/core/bergamotmirror/peers.go
+++ b/core/bergamotmirror/peers.go
@@ -56,10 +56,10 @@
 
 // Peers selects the entry that this one follows. It may be used concurrently.
 type Peers struct {
-	Centre string          // data centre of this entry
-	Name   string          // of this entry
-	Random func(n int) int // returns a number from 0 to n-1
-	Now    func() time.Duration
+	Centre string               // data centre of this entry
+	Name   string               // of this entry
+	Random func(n int) int      // returns a number from 0 to n-1
+	Now    func() time.Duration // time since the machine booted
 
 	mu       sync.Mutex
 	hubs     []Hub
--- a/core/bergamotretry/hub.go
+++ b/core/bergamotretry/hub.go
@@ -48,7 +48,7 @@
 }
 
 // OwnReserve returns the fixed part of the reserve that each of n entries has.
-func (l *HubLender) OwnReserve(n int) float64 { return max(ownFraction*l.perEntry(n), 1) }
+func (l *HubLender) OwnReserve(n int) float64 { return ownFraction * l.perEntry(n) }
 
 // perEntry returns the part of the reserve for each of n entries.
 func (l *HubLender) perEntry(n int) float64 { return l.Reserve / float64(max(n, minEntries)) }
--- a/core/bergamotretry/hub_test.go
+++ b/core/bergamotretry/hub_test.go
@@ -76,4 +76,16 @@
 			gomega.Expect(l.Lend("llm", 1)).To(gomega.BeFalse())
 		}
 	})
+
+	// Guards against fixed parts of at least one retry each, which at 840 entries exceed what the platform allows.
+	ginkgo.It("divides no more than the reserve among 840 entries", func() {
+		clock := bergamotclock.NewVirtual(time.Unix(1000, 0))
+		lendable := &bergamotretry.Budget{Clock: clock, Window: 10 * time.Second, MaxKeys: 10}
+		l := &bergamotretry.HubLender{Name: "self", Hubs: hubs{"self", 84, 840}, Reserve: 600, Lendable: lendable}
+		lent := 0
+		for l.Lend("llm", 1) {
+			lent++
+		}
+		gomega.Expect(840*l.OwnReserve(840) + 10*float64(lent)).To(gomega.BeNumerically("<=", 600))
+	})
 })
