--- a/cmd/bergamotcommand/failure_test.go
+++ b/cmd/bergamotcommand/failure_test.go
@@ -70,7 +70,7 @@
 		}
 		var m struct{ Choices []struct{ Text string } }
 		if json.Unmarshal([]byte(data), &m) != nil || len(m.Choices) == 0 {
-			return text, false
+			return text + "\nended by the event " + data, false
 		}
 		text += m.Choices[0].Text
 		if n++; n == eventNumber {
