Count queries for load that fail, and remove what nothing uses

Cause: an entry that did not answer a query for the load of runners left no trace. HubSlot had two accessors and the exchange's Peers a method that nothing called. Checked: formatter, linter and vet, the tests of platform/, and with the race detector those of core/bergamotload, core/bergamotcluster, core/bergamotmirror and io/bergamotreplication.

--- a/core/bergamotcluster/hubs_test.go
+++ b/core/bergamotcluster/hubs_test.go
@@ -18,7 +18,7 @@
 type hubTable struct {
 	now      func() time.Time
 	rows     map[string]bergamotmirror.Hub
-	writtens map[string]time.Time
+	written  map[string]time.Time
 	revision map[string]int64
 	calls    int
 	vacant   bool // the other hub says that one is missing
@@ -26,18 +26,18 @@
 }
 
 func newHubTable(now func() time.Time) *hubTable {
-	return &hubTable{now: now, rows: map[string]bergamotmirror.Hub{}, writtens: map[string]time.Time{}, revision: map[string]int64{}}
+	return &hubTable{now: now, rows: map[string]bergamotmirror.Hub{}, written: map[string]time.Time{}, revision: map[string]int64{}}
 }
 
 func (t *hubTable) put(h bergamotmirror.Hub) (key string) {
 	key = fmt.Sprint(h.Centre(), h.Slot())
-	t.rows[key], t.writtens[key] = h, t.now()
+	t.rows[key], t.written[key] = h, t.now()
 	t.revision[key]++
 	return key
 }
 
 func (t *hubTable) slot(key string) bergamotcluster.HubSlot {
-	return bergamotcluster.NewHubSlot(t.rows[key], t.revision[key], t.now().Sub(t.writtens[key]))
+	return bergamotcluster.NewHubSlot(t.rows[key], t.revision[key], t.now().Sub(t.written[key]))
 }
 
 func (t *hubTable) Hubs(context.Context) (slots []bergamotcluster.HubSlot, err error) {
--- a/core/bergamotcluster/hubslot.go
+++ b/core/bergamotcluster/hubslot.go
@@ -20,12 +20,6 @@
 	return HubSlot{hub: h, revision: revision, age: age}
 }
 
-// Hub returns the hub that holds the slot; its name is empty if none does.
-func (s HubSlot) Hub() bergamotmirror.Hub { return s.hub }
-
-// Revision returns the revision of the row, 0 if there is none.
-func (s HubSlot) Revision() int64 { return s.revision }
-
 // HubTable reads and writes the rows of the hubs.
 type HubTable interface {
 	// Hubs returns the slots that have a row.
--- a/core/bergamotload/exchange.go
+++ b/core/bergamotload/exchange.go
@@ -27,8 +27,6 @@
 type Peers interface {
 	// Upstream returns the entry that this one follows; ok is false if there is none.
 	Upstream(storeUnreachable bool) (peer bergamotmirror.Peer, ok bool)
-	// IsLead reports whether this entry asks the runners of its data centre.
-	IsLead() bool
 	// Leads returns the entries that ask the runners of the other data centres, and the one of this data centre unless
 	// this entry does.
 	Leads() []bergamotmirror.Peer
@@ -42,6 +40,8 @@
 	Peers     Peers
 	Board     *Board
 	OnReports func(reports []Report) // called with reports that are new to the board
+	// OnFailure is called for each entry that did not answer, nil for none.
+	OnFailure func(peer string, err error)
 
 	mu       sync.Mutex
 	versions map[string]int64 // version of the board of each entry, by name
@@ -92,6 +92,9 @@
 		e.versions[p.Name()] = version
 	}
 	e.mu.Unlock()
+	if err != nil && e.OnFailure != nil {
+		e.OnFailure(p.Name(), err)
+	}
 	if news := e.Board.Put(reports, false); err == nil && len(news) > 0 {
 		e.OnReports(news)
 	}
--- a/core/bergamotload/load_test.go
+++ b/core/bergamotload/load_test.go
@@ -102,6 +102,7 @@
 	silent  map[string]bool
 	asked   map[string]int
 	known   map[string]map[string]float64 // memory by entry and runner
+	failed  map[string]int                // failures recorded, by the entry that did not answer
 }
 
 func (m *mesh) Reports(ctx context.Context, to bergamotmirror.Peer, version int64, own bool, _ time.Duration) ([]bergamotload.Report, int64, error) {
@@ -119,7 +120,7 @@
 
 // newMesh returns 118 entries in five data centres with two hubs each.
 func newMesh() *mesh {
-	m := &mesh{entries: map[string]*bergamotload.Exchange{}, silent: map[string]bool{}, asked: map[string]int{}, known: map[string]map[string]float64{}}
+	m := &mesh{entries: map[string]*bergamotload.Exchange{}, silent: map[string]bool{}, asked: map[string]int{}, known: map[string]map[string]float64{}, failed: map[string]int{}}
 	var hubs []bergamotmirror.Hub
 	for n := range 10 {
 		name := fmt.Sprint("e", n)
@@ -134,6 +135,11 @@
 		m.known[name] = map[string]float64{}
 		m.entries[name] = &bergamotload.Exchange{
 			Clock: bergamotclock.Real{}, Network: m, Peers: peers, Board: bergamotload.NewBoard(),
+			OnFailure: func(peer string, _ error) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.failed[peer]++
+			},
 			OnReports: func(reports []bergamotload.Report) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
@@ -206,5 +212,6 @@
 		for _, e := range m.entries {
 			e.Wait()
 		}
+		gomega.Expect(m.failed["e0"]).To(gomega.BeNumerically(">", 0))
 	})
 })
