--- a/core/bergamotrelay/request.go
+++ b/core/bergamotrelay/request.go
@@ -15,9 +15,10 @@
 	APIKey        string // identifies the workspace, empty for none
 	CallerTimeout time.Duration
 	Model         string
-	PromptTokens  int // tokens in the prompt
-	AnswerTokens  int // expected tokens in the answer
-	LastEvent     int // last event of the stream that the caller has received, -1 for none
+	PromptTokens  int      // tokens in the prompt
+	AnswerTokens  int      // expected tokens in the answer
+	PromptParts   []string // identifiers of the parts of the prompt in order; the last one belongs to the request or its session
+	LastEvent     int      // last event of the stream that the caller has received, -1 for none
 	Fields        Fields
 	Body          []byte
 	ArrivedAt     time.Time
@@ -56,6 +57,14 @@
 // Tokens returns the sum of the prompt tokens and the expected answer tokens.
 func (r *Request) Tokens() float64 { return float64(r.spec.PromptTokens + r.spec.AnswerTokens) }
 
+// SharedParts returns the identifiers of the parts of the prompt that other requests may have too.
+func (r *Request) SharedParts() []string {
+	if len(r.spec.PromptParts) == 0 {
+		return nil
+	}
+	return r.spec.PromptParts[:len(r.spec.PromptParts)-1]
+}
+
 // LastEvent returns the number of the last event of the stream that the caller has received, -1 for none.
 func (r *Request) LastEvent() int { return r.spec.LastEvent }
 
