--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +27,8 @@
 	breaks      int // answers still to be broken off
 	after       int // events before a stream is broken off
 	wrongID     bool
+	deadlyPart  string      // part of prompts on which the process ends, empty for none
+	end         func()      // ends the process
 	endless     EndlessPart // part of answers that never ends, empty for none
 	endlessSent int64       // bytes of endless parts that were sent
 }
@@ -52,6 +55,7 @@
 	Path          string // the header that lists the runners on the path, empty for a plain call
 	Deadline      int    // milliseconds
 	Body          string
+	Parts         string    // the header that lists the parts of the prompt
 	StartTime     time.Time // when the runner started to run the request
 }
 
@@ -110,6 +114,13 @@
 	f.wrongID = wrong
 }
 
+// EndOn makes the process end, which end does, when it begins to answer a request with a part in its prompt.
+func (f *RelayRunner) EndOn(part string, end func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deadlyPart, f.end = part, end
+}
+
 // SendEndless makes the runner send a part of its answers without end; an empty part ends that.
 func (f *RelayRunner) SendEndless(p EndlessPart) {
 	f.mu.Lock()
@@ -180,7 +191,7 @@
 	}
 	run := RelayRun{
 		ID: id, Method: r.Method, Target: r.RequestURI, Workspace: h.Get("X-Bergamotspur-Tenant"), Authorization: h.Get("Authorization"),
-		LastEvent: -1, Path: h.Get("X-Bergamotspur-Hop-Count"), StartTime: time.Now(),
+		LastEvent: -1, Path: h.Get("X-Bergamotspur-Hop-Count"), Parts: h.Get("X-Bergamotspur-Prompt-Prefix"), StartTime: time.Now(),
 	}
 	if n, err := strconv.Atoi(h.Get("Last-Event-Id")); err == nil {
 		run.LastEvent = n
@@ -193,13 +204,19 @@
 	if breaks {
 		f.breaks--
 	}
-	after, pause, endless := f.after, f.EventInterval, f.endless
+	after, pause, endless, end := f.after, f.EventInterval, f.endless, f.end
+	isDeadly := f.deadlyPart != "" && strings.Contains(run.Parts, f.deadlyPart)
 	if f.wrongID {
 		id = "another"
 	}
 	f.mu.Unlock()
 	w.Header().Set("X-Bergamotspur-Attempt-Id", id)
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp-"+f.ID)
+	if isDeadly {
+		_ = http.NewResponseController(w).Flush() // the header; a caller that has gone away misses nothing
+		end()
+		return
+	}
 	if endless != "" {
 		f.sendEndless(w, endless)
 		return
