Attribute a failure to all contents of a request

Cause: the ledger knew one digest for each request. Of a prompt with several parts it could not find the deadly one, nor spare the others. Change: a failure has all contents of its request. Two failures, one of them of a known suspect, show that what both requests have in common is the cause; requests with all of that are rejected. A request that completes takes its contents out of all failures. The first front end has one content for each request and behaves as before. Ruled out: a count for each part, which confirms a first part that all deadly requests share. Checked: go test ./core/bergamotsuspect ./core/bergamotcontrol ./core/bergamotfilter ./io/bergamotengine; the cases of a group failed to compile before.

--- a/core/bergamotcontrol/suspects.go
+++ b/core/bergamotcontrol/suspects.go
@@ -16,8 +16,8 @@
 
 // SuspectLedger stores which requests make targets fail.
 type SuspectLedger interface {
-	Export() []bergamotsuspect.Record
-	Merge(records []bergamotsuspect.Record)
+	Export() []bergamotsuspect.Failure
+	Merge(failures []bergamotsuspect.Failure)
 }
 
 // Suspects is the controller that exchanges with the other entries which requests make targets fail.
@@ -32,7 +32,7 @@
 // Name returns "suspects".
 func (c *Suspects) Name() string { return "suspects" }
 
-// Reconcile merges the records of the other entries into the ledger and reports those of this entry.
+// Reconcile merges the failures of the other entries into the ledger and reports those of this entry.
 func (c *Suspects) Reconcile(s *State) []Task {
 	if p := s.Members(); p != nil && p != c.lastMerged {
 		c.lastMerged = p
@@ -46,27 +46,24 @@
 }
 
 func (c *Suspects) merge(p *bergamotmember.Snapshot) {
-	var records []bergamotsuspect.Record
+	var failures []bergamotsuspect.Failure
 	for _, crash := range p.Crashes() {
 		// The age is computed from the remaining lifetime, so that clocks of different machines are not compared.
-		if r, ok := bergamotsuspect.DecodeFailure(crash.Key(), crash.Data(), failureLifetime-crash.TTL()); ok {
-			records = append(records, r)
+		if f, ok := bergamotsuspect.DecodeFailure(crash.Key(), crash.Data(), failureLifetime-crash.TTL()); ok {
+			failures = append(failures, f)
 		}
 	}
-	c.Ledger.Merge(records)
+	c.Ledger.Merge(failures)
 }
 
 func (c *Suspects) report(now time.Time) {
-	count := 0
-	for _, r := range c.Ledger.Export() {
-		for _, failure := range r.Failures() {
-			if count++; count > maxFailuresPerPass {
-				return
-			}
-			if left := failureLifetime - failure.Age(); left > 0 {
-				key, data := bergamotsuspect.EncodeFailure(r.Digest(), failure)
-				c.Node.ReportCrash(now, key, data, left)
-			}
+	for i, f := range c.Ledger.Export() {
+		if i == maxFailuresPerPass {
+			return
+		}
+		if left := failureLifetime - f.Age(); left > 0 {
+			key, data := bergamotsuspect.EncodeFailure(f)
+			c.Node.ReportCrash(now, key, data, left)
 		}
 	}
 }
--- a/core/bergamotcontrol/suspects_test.go
+++ b/core/bergamotcontrol/suspects_test.go
@@ -21,9 +21,9 @@
 		node := bergamotmember.NewNode(bergamotmember.NewPeer("e1", "127.0.0.1:1"), 1, rand.New(rand.NewPCG(1, 2)))
 		content := bergamotsuspect.NewDigest("care", "1", "", "a prompt")
 		first, second := bergamotsuspect.NewLedger(clock), bergamotsuspect.NewLedger(clock)
-		first.RecordFailure(content, "runner1", false)
+		first.RecordFailure([]bergamotsuspect.Digest{content}, "runner1", false)
 		clock.Advance(time.Minute)
-		first.RecordFailure(content, "runner2", true)
+		first.RecordFailure([]bergamotsuspect.Digest{content}, "runner2", true)
 
 		s := bergamotcontrol.NewState()
 		(&bergamotcontrol.Suspects{Ledger: first, Node: node}).Reconcile(s)
--- a/core/bergamotfilter/quarantine.go
+++ b/core/bergamotfilter/quarantine.go
@@ -10,7 +10,7 @@
 
 // Suspects reports which contents are confirmed to make targets fail.
 type Suspects interface {
-	IsConfirmed(content [32]byte) bool
+	IsConfirmed(contents ...[32]byte) bool
 }
 
 // Quarantine refuses requests whose content is confirmed to make targets fail, including resent ones.
--- a/core/bergamotsession/answer.go
+++ b/core/bergamotsession/answer.go
@@ -259,7 +259,7 @@
 	}
 	// A request that never ran on the instance cannot be the cause.
 	if a.started && failed {
-		ans.session.Suspects.RecordFailure(ans.x.ContentDigest(), s.Instance(), alone)
+		ans.session.Suspects.RecordFailure([][32]byte{ans.x.ContentDigest()}, s.Instance(), alone)
 	}
 }
 
--- a/core/bergamotsuspect/ledger_test.go
+++ b/core/bergamotsuspect/ledger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -48,7 +50,7 @@
 		l := bergamotsuspect.NewLedger(clock)
 		for _, f := range c.failures {
 			clock.Advance(f.sincePrevious)
-			l.RecordFailure(digest("p"), f.instance, f.alone)
+			l.RecordFailure([]bergamotsuspect.Digest{digest("p")}, f.instance, f.alone)
 		}
 		if c.clear {
 			l.Clear(digest("p"))
@@ -68,16 +70,73 @@
 	ginkgo.It("is bounded and evicts suspects before confirmed contents", func() {
 		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
 		l.MaxContents = 10
-		l.RecordFailure(digest("bad"), "a", false)
-		l.RecordFailure(digest("bad"), "b", true)
+		l.RecordFailure([]bergamotsuspect.Digest{digest("bad")}, "a", false)
+		l.RecordFailure([]bergamotsuspect.Digest{digest("bad")}, "b", true)
 		for n := range 100 {
-			l.RecordFailure(digest(string(rune('a'+n))), "a", false)
+			l.RecordFailure([]bergamotsuspect.Digest{digest(string(rune('a' + n)))}, "a", false)
 		}
 		gomega.Expect(l.Len()).To(gomega.Equal(10))
 		gomega.Expect(l.IsConfirmed(digest("bad"))).To(gomega.BeTrue())
 	})
 })
 
+// digests returns the digests of contents that are separated by spaces.
+func digests(contents string) (out []bergamotsuspect.Digest) {
+	for _, c := range strings.Fields(contents) {
+		out = append(out, digest(c))
+	}
+	return out
+}
+
+type groupCase struct {
+	failures string // requests, separated by commas, each with its contents; each one ran as a suspect but for the first
+	clear    string // contents of a request that completed
+	rejects  string // requests that are rejected, separated by commas
+	admits   string // requests that are not
+}
+
+var _ = ginkgo.Describe("Ledger of requests with several contents", func() {
+	// Guards against rejecting a sound part of a prompt that only shared its runners, its caller or its requests with a
+	// deadly one.
+	bergamottest.Cases(map[string]groupCase{
+		"rejects nothing after one failure":               {failures: "r1 first bad", admits: "r1 first bad,first,bad"},
+		"rejects the part that two failures share":        {failures: "r1 bad,r2 bad", rejects: "r3 bad,r4 other bad", admits: "r1,r2,r3"},
+		"rejects parts that always came together as such": {failures: "r1 first bad,r2 first bad", rejects: "r3 first bad", admits: "r4 first,r5 bad"},
+		"finds the part that comes with different others": {failures: "r1 first bad,r2 second bad", rejects: "r3 bad,r4 first bad", admits: "first second,r5 first"},
+		"finds the part after the other one is cleared":   {failures: "r1 first bad,r2 first bad", clear: "r3 first", rejects: "r4 bad", admits: "r5 first"},
+		"rejects a request that is sent again":            {failures: "r1 first,r1 first", clear: "r2 first", rejects: "r1 first", admits: "r2 first"},
+		"admits a part that completed in between":         {failures: "r1 good,r2 good", clear: "r3 good", admits: "r4 good"},
+	}, func(c groupCase) {
+		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
+		var shared []bergamotsuspect.Failure
+		l.OnChange = func(f bergamotsuspect.Failure) { shared = append(shared, f) }
+		for i, contents := range strings.Split(c.failures, ",") {
+			l.RecordFailure(digests(contents), fmt.Sprint("runner", i), i > 0)
+		}
+		l.Clear(digests(c.clear)...)
+		other := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(5000, 0)))
+		for _, f := range shared {
+			if len(f.Contents()) == 0 {
+				other.Forget(f.ID())
+				continue
+			}
+			key, data := bergamotsuspect.EncodeFailure(f)
+			gomega.Expect(len(key)).To(gomega.BeNumerically("<=", 60))
+			decoded, ok := bergamotsuspect.DecodeFailure(key, data, f.Age())
+			gomega.Expect(ok).To(gomega.BeTrue())
+			other.Merge([]bergamotsuspect.Failure{decoded})
+		}
+		for _, ledger := range []*bergamotsuspect.Ledger{l, other} {
+			for _, r := range strings.Split(c.rejects, ",") {
+				gomega.Expect(r == "" || ledger.IsConfirmed(digests(r)...)).To(gomega.BeTrue(), r)
+			}
+			for _, r := range strings.Split(c.admits, ",") {
+				gomega.Expect(ledger.IsConfirmed(digests(r)...)).To(gomega.BeFalse(), r)
+			}
+		}
+	})
+})
+
 var _ = ginkgo.Describe("Isolation", func() {
 	// Guards against a suspect that shares an instance with other requests: a failure could not be attributed to it.
 	ginkgo.It("waits for requests in flight and blocks new ones", func(ctx context.Context) {
