Refuse requests on which runners end, at all entries

Cause: the front end of the platform attributed no failure to a request. A request on which a runner ended was sent to the next one by the entry itself and came again from its caller, and each crash broke off all streams of a data centre. Change: an attempt that had its response header and no event when the connection broke, and whose runner has ended since (no report, or a later start), counts against the request and the shared parts of its prompt. It is not sent again. Requests with all that two such failures have in common are refused; others with suspect parts run one at a time at each entry; the same request waits until others clear its parts. Entries share failures through a table of the store, read through the hubs with long waits, so that an entry that restarts or was cut off learns them. Calls have one content, the whole request. Ruled out: counting requests that waited at the runner (at overload all parts wait there), a runner that only closed the connection.

--- /dev/null
+++ b/core/bergamotcluster/suspects.go
@@ -0,0 +1,204 @@
+package bergamotcluster
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"bergamotspur/core/bergamotstore"
+	"bergamotspur/core/bergamotsuspect"
+)
+
+const (
+	// maxFailuresPerWrite is the number of failures that one write adds or removes.
+	maxFailuresPerWrite = 50
+	// maxPendingFailures bounds the failures that wait for the store. More of them add nothing: two confirm a content.
+	maxPendingFailures = 256
+	// failureRetryDelay is the time to the next write after a failed one; the longest is maxFailureRetryDelay.
+	failureRetryDelay    = 200 * time.Millisecond
+	maxFailureRetryDelay = 2 * time.Second
+)
+
+// SuspectLedger holds the failures that entries share.
+type SuspectLedger interface {
+	Merge(failures []bergamotsuspect.Failure)
+	Forget(id string)
+}
+
+// FailureTable stores the failures that entries share.
+type FailureTable interface {
+	// PutFailures writes the rows of failures, and removes those with the given IDs.
+	PutFailures(ctx context.Context, put []bergamotsuspect.Failure, remove []string) error
+}
+
+// FailureDecoder decodes the row of a failure.
+type FailureDecoder interface {
+	Failure(key string, value []byte) (bergamotsuspect.Failure, error)
+}
+
+// Suspects is the controller that writes the failures which this entry attributes to requests to the store, and the table
+// handler that learns those of the other entries. An entry that restarts learns them all.
+type Suspects struct {
+	Ledger  SuspectLedger
+	Table   FailureTable
+	Decoder FailureDecoder
+	MaxAge  time.Duration // age at which a failure expires and its row is removed
+	// OnFailure is called for each failure that is learned from the store, and for each row that cannot be decoded and each
+	// failed write, with the error.
+	OnFailure func(f bergamotsuspect.Failure, err error)
+
+	mu      sync.Mutex
+	pending map[string]bergamotsuspect.Failure // to be written, by ID; without contents to be removed
+
+	stored     map[string]time.Time // when the rows expire, by key
+	writing    bool
+	nextWrite  time.Time
+	retryDelay time.Duration // after the last write, 0 when it succeeded
+}
+
+// Share adds a failure to those to be written. It may be called by any goroutine and does not wake the control loop.
+func (c *Suspects) Share(f bergamotsuspect.Failure) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == nil {
+		c.pending = map[string]bergamotsuspect.Failure{}
+	}
+	if _, known := c.pending[f.ID()]; known || len(c.pending) < maxPendingFailures {
+		c.pending[f.ID()] = f
+	}
+}
+
+// Name returns "suspects".
+func (c *Suspects) Name() string { return "suspects" }
+
+// Next returns when the next write is due.
+func (c *Suspects) Next(s *State) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing || len(c.pending) == 0 {
+		return s.Now().Add(time.Minute)
+	}
+	return c.nextWrite
+}
+
+// Reconcile writes the pending failures, and removes expired rows with them, so that the table stays small without calls
+// of its own.
+func (c *Suspects) Reconcile(s *State) []Task {
+	put, remove := c.due(s.Now())
+	if len(put)+len(remove) == 0 {
+		return nil
+	}
+	c.writing = true
+	expired := c.expired(s.Now(), maxFailuresPerWrite-len(remove))
+	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+		defer cancel()
+		err := c.Table.PutFailures(ctx, put, append(slices.Clone(remove), expired...))
+		return EventFunc(func(s *State) { c.finish(s, put, remove, err) })
+	})}
+}
+
+// due takes the failures to write now.
+func (c *Suspects) due(now time.Time) (put []bergamotsuspect.Failure, remove []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing || now.Before(c.nextWrite) {
+		return nil, nil
+	}
+	for id, f := range c.pending {
+		if len(put)+len(remove) == maxFailuresPerWrite {
+			break
+		}
+		if len(f.Contents()) > 0 {
+			put = append(put, f)
+		} else {
+			remove = append(remove, id)
+		}
+		delete(c.pending, id)
+	}
+	return put, remove
+}
+
+// expired returns the keys of up to n rows that have expired.
+func (c *Suspects) expired(now time.Time, n int) (keys []string) {
+	for key, t := range c.stored {
+		if len(keys) < n && !now.Before(t) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// finish schedules the next write, and the same one again after an error.
+func (c *Suspects) finish(s *State, put []bergamotsuspect.Failure, remove []string, err error) {
+	c.writing = false
+	if err == nil {
+		c.retryDelay = 0
+		return
+	}
+	c.retryDelay = min(max(2*c.retryDelay, failureRetryDelay), maxFailureRetryDelay)
+	c.nextWrite = s.Now().Add(c.retryDelay)
+	for _, f := range put {
+		c.shareAgain(f)
+	}
+	for _, id := range remove {
+		c.shareAgain(bergamotsuspect.NewCleared(id))
+	}
+	c.OnFailure(bergamotsuspect.Failure{}, err)
+}
+
+// shareAgain adds a failure whose write failed, unless it has changed meanwhile.
+func (c *Suspects) shareAgain(f bergamotsuspect.Failure) {
+	c.mu.Lock()
+	_, changed := c.pending[f.ID()]
+	c.mu.Unlock()
+	if !changed {
+		c.Share(f)
+	}
+}
+
+// Replace learns all failures; those that are missing from the rows were removed.
+func (c *Suspects) Replace(s *State, rows []bergamotstore.Row) {
+	missing := maps.Clone(c.stored)
+	for _, r := range rows {
+		delete(missing, r.Key())
+		c.applyRow(s, r)
+	}
+	for key := range missing {
+		c.forget(key)
+	}
+}
+
+// ApplyChange learns or forgets one failure.
+func (c *Suspects) ApplyChange(s *State, change bergamotstore.Change) {
+	if change.Deleted() {
+		c.forget(change.Row().Key())
+		return
+	}
+	c.applyRow(s, change.Row())
+}
+
+// ReadsResumed does nothing: failures expire by their age.
+func (c *Suspects) ReadsResumed(*State, time.Duration) {}
+
+// ConfirmCurrent does nothing: nothing depends on how old the list of failures is.
+func (c *Suspects) ConfirmCurrent(*State, time.Duration) {}
+
+func (c *Suspects) forget(key string) {
+	delete(c.stored, key)
+	c.Ledger.Forget(key)
+}
+
+func (c *Suspects) applyRow(s *State, r bergamotstore.Row) {
+	if c.stored == nil {
+		c.stored = map[string]time.Time{}
+	}
+	f, err := c.Decoder.Failure(r.Key(), r.Value())
+	c.stored[r.Key()] = s.Now().Add(c.MaxAge - f.Age())
+	if err == nil {
+		c.Ledger.Merge([]bergamotsuspect.Failure{f})
+	}
+	c.OnFailure(f, err)
+}
--- a/core/bergamotfleet/instance.go
+++ b/core/bergamotfleet/instance.go
@@ -1,6 +1,9 @@
 package bergamotfleet
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // RoleRunner is the role of an instance with a model engine; any other role is the name of a plain service.
 const RoleRunner = "runner"
@@ -63,6 +66,11 @@
 // StartTime returns the start of the process in Unix milliseconds; a different value means a different process.
 func (i Instance) StartTime() int64 { return i.fields().StartTime }
 
+// Process returns a name that differs between the processes that had the instance's name one after another.
+func (i Instance) Process() string {
+	return i.fields().Name + "@" + strconv.FormatInt(i.fields().StartTime, 10)
+}
+
 // SupportsFencing reports whether the instance rejects commands with an old fencing token.
 func (i Instance) SupportsFencing() bool { return i.fields().SupportsFencing }
 
--- a/core/bergamotmirror/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -18,7 +18,7 @@
 		if !ok {
 			return reading, false
 		}
-		wait, timeout := r.queryTimes(ctx, after, mirror)
+		wait, timeout := r.queryTimes(ctx, table, after, mirror)
 		q := NewQuery(r.Self().name, table, after, mirror.StoreTime(), wait, r.downstreams.Count())
 		reply, err := r.query(ctx, peer, q, timeout)
 		switch {
@@ -41,7 +41,7 @@
 			r.CountEntries(reply.entries)
 		}
 		r.SetVacant(reply.vacant && !r.Peers.IsRemote())
-		if r.Clock.Uptime()-asOf >= maxRelayedAge {
+		if r.Clock.Uptime()-asOf >= r.maxRelayedAge(table) {
 			// The entry does not reach the store at present. While this one does not either, it still hears from the other
 			// one when that changes.
 			if !r.unreachable.Load() {
@@ -56,13 +56,13 @@
 
 // queryTimes returns how long the answer to a query may wait for changes after a version, and how long it may take in all.
 // The answer does not wait for longer than the copy counts as current.
-func (r *Reader) queryTimes(ctx context.Context, after int64, mirror *Mirror) (wait, timeout time.Duration) {
+func (r *Reader) queryTimes(ctx context.Context, table string, after int64, mirror *Mirror) (wait, timeout time.Duration) {
 	if after == 0 {
 		return listWait, listTimeout
 	}
 	wait = MaxWait
 	if asOf, known := r.offset.localTime(mirror.StoreTime()); known {
-		if left := asOf + maxRelayedAge - r.Clock.Uptime(); left > 0 {
+		if left := asOf + r.maxRelayedAge(table) - r.Clock.Uptime(); left > 0 {
 			wait = min(wait, left)
 		}
 	}
--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -23,10 +23,10 @@
 	answerTimeout = 300 * time.Millisecond
 	// minDirectTimeout is the part of the time of a read that is left for the store after a query to another entry.
 	minDirectTimeout = 400 * time.Millisecond
-	// maxRelayedAge is the age from which an answer that was passed on does not count as current, and the store is read
-	// instead. It exceeds hubWait by the longest pause between two reads of a hub. A change must be in force two seconds
-	// after its acknowledgement even if the entry in between is frozen or cut off.
-	maxRelayedAge = 1600 * time.Millisecond
+	// maxRelayTime is by how much the age of an answer that was passed on may exceed the wait of a hub before it does not
+	// count as current, and the store is read instead: the longest pause between two reads of a hub. A change must be in
+	// force two seconds after its acknowledgement even if the entry in between is frozen or cut off.
+	maxRelayTime = 800 * time.Millisecond
 	// unreachableInterval is the time between two calls to the store while it does not answer and other entries do. They
 	// pass the end of the outage on, so that only the hubs have to look for it more often.
 	unreachableInterval    = 2 * time.Second
@@ -79,6 +79,9 @@
 	Network Network
 	Peers   *Peers
 	Self    func() Peer // returns this entry; without an address no other entry can follow it
+	// Waits is how long a read of the store waits for changes at an entry that others follow, by table. Tables without one
+	// have to show within two seconds that the store is still reached.
+	Waits map[string]time.Duration
 	// OnUpstream is called when this entry follows another one than before, empty for the store.
 	OnUpstream func(name string)
 
@@ -178,11 +181,22 @@
 	case following:
 		wait = 0 // the table may have changed while the other entry did not answer
 	case r.downstreams.Serving():
-		wait = min(wait, hubWait)
+		wait = min(wait, r.hubWait(table))
 	}
 	return r.readStore(ctx, table, wait, call)
 }
 
+// hubWait returns how long a read of the store waits for changes of a table at an entry that others follow.
+func (r *Reader) hubWait(table string) time.Duration {
+	if wait, ok := r.Waits[table]; ok {
+		return wait
+	}
+	return hubWait
+}
+
+// maxRelayedAge returns the age from which an answer about a table that was passed on does not count as current.
+func (r *Reader) maxRelayedAge(table string) time.Duration { return r.hubWait(table) + maxRelayTime }
+
 // isDirectCallDue reports whether an entry that follows another one should try the store again.
 func (r *Reader) isDirectCallDue() bool {
 	interval := unreachableInterval
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -24,13 +24,14 @@
 
 // CallHandler is the handler for requests to services without a model engine.
 type CallHandler struct {
-	Clock    Clock
-	Upstream Upstream
-	Views    Views
-	Budget   Budget
-	Observer Observer
-	Centre   string      // data centre of this entry
-	Avoid    interface { // records the runners to avoid for a while
+	Clock      Clock
+	Upstream   Upstream
+	Views      Views
+	Budget     Budget
+	Observer   Observer
+	Quarantine *Quarantine
+	Centre     string      // data centre of this entry
+	Avoid      interface { // records the runners to avoid for a while
 		Avoid(runner string, d time.Duration)
 		IsAvoided(runner string) bool
 	}
@@ -57,7 +58,8 @@
 	possibleRuns int             // attempts that may have run the call to completion
 	attempts     int             // attempts so far
 	results      chan attemptResult
-	failure      *Failure       // failure of the last attempt
+	failure      *Failure // failure of the last attempt
+	trial        *trial
 	fallback     *attemptResult // 5xx response of an attempt, returned if no later attempt gives a better one
 }
 
@@ -69,6 +71,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.Budget.RecordFirst(x.Service().Name())
+	t, err := h.Quarantine.begin(ctx, x)
+	if err != nil {
+		return err
+	}
+	c.trial = t
+	defer t.end()
 	if !c.startAttempt(ctx) {
 		return bergamotrequest.Refuse(bergamotrequest.ReasonTarget, "no runner of the service is usable").WithRetryAfter(retryDelay(x, h.Clock.Now()))
 	}
@@ -131,6 +139,9 @@
 	go func() {
 		result := h.sendAttempt(ctx, a)
 		h.releaseRunner(instance.Name())
+		if f := result.failure; f != nil && ctx.Err() == nil && f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo {
+			c.trial.broken(ctx, instance)
+		}
 		c.results <- result
 	}()
 	return true
@@ -156,6 +167,7 @@
 func (c *callState) recordResult(result attemptResult) bool {
 	c.inFlight--
 	if result.failure == nil {
+		c.trial.answered()
 		if result.status < http.StatusInternalServerError || !c.x.Route().IsRetryable() || c.fallback != nil {
 			return true
 		}
@@ -187,6 +199,9 @@
 		return false
 	case c.inFlight > 0:
 		return false
+	case c.handler.Quarantine.isConfirmed(c.x):
+		c.x.Trace().AddStep("not sent again, since runners ended")
+		return false
 	case !c.handler.Budget.Take(c.x.Service().Name()):
 		c.x.Trace().AddStep("no retry budget")
 		return false
--- a/core/bergamotrelay/exchange.go
+++ b/core/bergamotrelay/exchange.go
@@ -6,6 +6,7 @@
 	"bergamotspur/core/bergamotcluster"
 	"bergamotspur/core/bergamotconfig"
 	"bergamotspur/core/bergamotstep"
+	"bergamotspur/core/bergamotsuspect"
 )
 
 // Handler answers one exchange, or returns a *bergamotrequest.Refusal.
@@ -34,6 +35,7 @@
 	service   bergamotconfig.Service
 	deadline  time.Time
 	trace     Trace
+	contents  []bergamotsuspect.Digest // nil until they are needed
 }
 
 // NewExchange returns an exchange that uses view, and so one version of the configuration, until its end.
@@ -83,3 +85,17 @@
 
 // Trace returns the record of the steps taken for the request.
 func (x *Exchange) Trace() *Trace { return &x.trace }
+
+// Contents returns the digests of what may make a runner end: the whole request of this caller, and each shared part of
+// its prompt.
+func (x *Exchange) Contents() []bergamotsuspect.Digest {
+	if x.contents == nil {
+		r := x.request
+		x.contents = append(x.contents, bergamotsuspect.NewDigest(
+			"request", x.service.Name(), x.workspace.Name(), r.Method(), r.Host(), r.URI(), r.Model(), string(r.Body())))
+		for _, part := range r.SharedParts() {
+			x.contents = append(x.contents, bergamotsuspect.NewDigest("part", r.Model(), part))
+		}
+	}
+	return x.contents
+}
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -15,6 +15,7 @@
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotpath"
 	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamotsuspect"
 )
 
 // reply scripts how a runner responds to one attempt.
@@ -217,6 +218,8 @@
 	clock    *bergamotclock.Virtual
 	router   *bergamotpath.Router
 	views    fixedView
+	ledger   *bergamotsuspect.Ledger
+	reporter bergamotcluster.Reporter
 }
 
 func newRig(r bergamotconfig.Route, service bergamotconfig.Service, replies ...reply) *rig {
@@ -226,6 +229,7 @@
 		caller: &caller{}, upstream: &upstream{replies: replies}, budget: &budget{left: 10}, observer: &observer{}, clock: clock,
 		router: &bergamotpath.Router{Clock: clock, Random: rand.New(rand.NewPCG(1, 2)), Centre: "a"},
 		views:  fixedView{bergamotcluster.NewView(nil, 0, fleet)},
+		ledger: bergamotsuspect.NewLedger(clock), reporter: silentReporter{},
 	}
 	g.x = NewExchange(NewRequest(RequestSpec{ID: "1", LastEvent: -1, PromptTokens: 10, AnswerTokens: 10, ArrivedAt: now}), g.views.view, g.caller)
 	g.x.SetRoute(r, service)
@@ -236,6 +240,7 @@
 func (g *rig) stream(ctx context.Context) error {
 	h := &StreamHandler{
 		Clock: instantClock{g.clock}, Upstream: g.upstream, Router: g.router, Views: g.views, Budget: g.budget, Observer: g.observer,
+		Quarantine:    g.quarantine(),
 		StallDetector: &StallDetector{Clock: g.clock, Reporter: silentReporter{}, IsUnresponsive: func(string) bool { return false }},
 	}
 	return h.Handle(ctx, g.x)
@@ -243,11 +248,15 @@
 
 func (g *rig) call(ctx context.Context) error {
 	h := &CallHandler{
-		Clock: g.clock, Upstream: g.upstream, Views: g.views, Budget: g.budget, Observer: g.observer, Centre: "a", Avoid: g.router,
+		Clock: g.clock, Upstream: g.upstream, Views: g.views, Budget: g.budget, Observer: g.observer, Centre: "a", Avoid: g.router, Quarantine: g.quarantine(),
 	}
 	return h.Handle(ctx, g.x)
 }
 
+func (g *rig) quarantine() *Quarantine {
+	return &Quarantine{Clock: instantClock{g.clock}, Suspects: g.ledger, Isolation: bergamotsuspect.NewIsolation(), Reporter: g.reporter}
+}
+
 // outcomeOf describes the error of a handler: "answered" for nil, otherwise the reason of the refusal and whether the
 // request was run.
 func outcomeOf(err error) string {
--- /dev/null
+++ b/core/bergamotrelay/quarantine.go
@@ -0,0 +1,165 @@
+package bergamotrelay
+
+import (
+	"context"
+	"time"
+
+	"bergamotspur/core/bergamotcluster"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamotsuspect"
+)
+
+const (
+	// quarantineRetryAfter is the Retry-After time of a request on which runners end. It is refused until the failures
+	// expire, but callers with a sound request should learn soon when it is admitted again.
+	quarantineRetryAfter = time.Minute
+	// defaultIsolationWait is how long a suspect waits for another one where the route has no target latency.
+	defaultIsolationWait = 500 * time.Millisecond
+	// repeatDelay is the time after the end of a runner in which the same request is not sent again, unless others show
+	// that the parts of its prompt are not the cause.
+	repeatDelay        = 10 * time.Second
+	repeatPollInterval = 40 * time.Millisecond
+	// endedCheckTimeout is the time for the report that shows whether a runner has ended. A report takes 2 ms.
+	endedCheckTimeout = 250 * time.Millisecond
+)
+
+// Suspects attributes failures of runners to the contents of requests.
+type Suspects interface {
+	Len() int
+	IsSuspect(contents ...bergamotsuspect.Digest) bool
+	MustRunAlone(contents ...bergamotsuspect.Digest) bool
+	IsRepeat(d time.Duration, contents ...bergamotsuspect.Digest) bool
+	IsConfirmed(contents ...bergamotsuspect.Digest) bool
+	RecordFailure(contents []bergamotsuspect.Digest, instance string, alone bool)
+	Clear(contents ...bergamotsuspect.Digest)
+}
+
+// Isolation lets suspects run one after another.
+type Isolation interface {
+	Acquire(ctx context.Context, keys []string, alone bool) (release func(), err error)
+}
+
+// Quarantine is the filter that refuses requests on which runners end. Handlers report to it how attempts end, and run
+// those requests one after another that may be refused.
+type Quarantine struct {
+	Clock     Clock
+	Suspects  Suspects
+	Isolation Isolation
+	Reporter  bergamotcluster.Reporter
+}
+
+// Name returns "quarantine".
+func (q *Quarantine) Name() string { return "quarantine" }
+
+// Filter refuses a request whose contents are confirmed to make runners end.
+func (q *Quarantine) Filter(ctx context.Context, x *Exchange, next Handler) error {
+	if q.isConfirmed(x) {
+		return refuseQuarantined()
+	}
+	return next.Handle(ctx, x)
+}
+
+func (q *Quarantine) isConfirmed(x *Exchange) bool {
+	return q.Suspects.Len() > 0 && q.Suspects.IsConfirmed(x.Contents()...)
+}
+
+func refuseQuarantined() *bergamotrequest.Refusal {
+	return bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "runners ended each time they ran this request or a part of its prompt").
+		WithRetryAfter(quarantineRetryAfter)
+}
+
+// trial is a request that may be the next one on which a runner ends.
+type trial struct {
+	quarantine *Quarantine
+	x          *Exchange
+	suspect    bool   // a failure was attributed to a content of the request before it was sent
+	release    func() // lets the next suspect run, nil if there is none to wait
+}
+
+// begin waits until no other request with the same suspect contents runs at this entry. It returns a
+// *bergamotrequest.Refusal if that takes too long, or if the contents have been confirmed meanwhile.
+func (q *Quarantine) begin(ctx context.Context, x *Exchange) (t *trial, err error) {
+	t = &trial{quarantine: q, x: x}
+	if q.Suspects.Len() == 0 || !q.Suspects.IsSuspect(x.Contents()...) {
+		return t, nil
+	}
+	t.suspect = true
+	wait := x.Route().TargetLatency()
+	if wait <= 0 {
+		wait = defaultIsolationWait
+	}
+	if !q.waitCleared(ctx, x, wait) {
+		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "a runner has just ended on this request").
+			WithRetryAfter(retryDelay(x, q.Clock.Now()))
+	}
+	if !q.Suspects.MustRunAlone(x.Contents()...) {
+		return t, nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if t.release, err = q.Isolation.Acquire(bounded, suspectKeys(x.Contents()), true); err != nil {
+		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "another request with the same suspect content is running").
+			WithRetryAfter(defaultRetryAfter)
+	}
+	if q.isConfirmed(x) {
+		t.end()
+		return nil, refuseQuarantined()
+	}
+	if !q.Suspects.MustRunAlone(x.Contents()...) {
+		t.end()
+	}
+	return t, nil
+}
+
+// waitCleared waits while a request repeats one on which a runner has just ended, and reports whether it may be sent.
+func (q *Quarantine) waitCleared(ctx context.Context, x *Exchange, wait time.Duration) bool {
+	end := q.Clock.Now().Add(wait)
+	for q.Suspects.IsRepeat(repeatDelay, x.Contents()...) {
+		if !q.Clock.Now().Before(end) {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-q.Clock.After(repeatPollInterval):
+		}
+	}
+	return true
+}
+
+func suspectKeys(contents []bergamotsuspect.Digest) (keys []string) {
+	for _, d := range contents {
+		keys = append(keys, string(d[:]))
+	}
+	return keys
+}
+
+// answered records that the runner has begun to answer, so that the request does not make runners end.
+func (t *trial) answered() {
+	if t.quarantine.Suspects.Len() > 0 {
+		t.quarantine.Suspects.Clear(t.x.Contents()...)
+	}
+	t.end()
+}
+
+// broken checks whether a runner that broke off before it answered has ended, and if so attributes that to the request. It
+// reports whether the runner has ended.
+func (t *trial) broken(ctx context.Context, i bergamotfleet.Instance) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedCheckTimeout)
+	defer cancel()
+	if r, err := t.quarantine.Reporter.Report(ctx, i.Address()); err == nil && r.StartTime() == i.StartTime() {
+		return false // it has only closed the connection
+	}
+	// A process ends once, so that its start time tells its failures from those of the next one.
+	t.quarantine.Suspects.RecordFailure(t.x.Contents(), i.Process(), t.suspect)
+	return true
+}
+
+// end lets the next suspect run.
+func (t *trial) end() {
+	if t.release != nil {
+		t.release()
+		t.release = nil
+	}
+}
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -95,6 +95,9 @@
 		return false
 	case !s.canAttempt(s.possibleRuns):
 		return false
+	case s.ended:
+		s.x.Trace().AddStep("not sent again, since a runner ended")
+		return false
 	case f.retryTaken:
 		return true
 	case !s.handler.Budget.TakeWithin(s.x.Service().Name(), s.budgetShare()):
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
+	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotpath"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
@@ -60,6 +61,7 @@
 	Budget        Budget
 	Observer      Observer
 	StallDetector *StallDetector
+	Quarantine    *Quarantine
 }
 
 // streamState holds the progress of one exchange.
@@ -72,6 +74,8 @@
 	attempts     int             // attempts so far
 	avoid        map[string]bool // runners that failed this request
 	failure      *Failure        // failure of the last attempt
+	trial        *trial
+	ended        bool // a runner has ended before the first event, possibly because of this request
 }
 
 // Handle sends the request over a path and forwards the events to the caller. It returns a *bergamotrequest.Refusal
@@ -79,6 +83,12 @@
 func (h *StreamHandler) Handle(ctx context.Context, x *Exchange) error {
 	s := &streamState{handler: h, x: x, lastEvent: x.Request().LastEvent(), avoid: map[string]bool{}}
 	h.Budget.RecordFirst(x.Service().Name())
+	t, err := h.Quarantine.begin(ctx, x)
+	if err != nil {
+		return err
+	}
+	s.trial = t
+	defer t.end()
 	for {
 		plan, ok := s.plan(ctx)
 		if !ok {
@@ -164,6 +174,7 @@
 func (s *streamState) sendAttempt(ctx context.Context, p bergamotroute.Plan) (err error) {
 	h := s.handler
 	first := p.Stages()[0]
+	runner, known := h.Views.View().Fleet().Instance(first.Instance())
 	s.attempts++
 	s.x.Trace().RecordAttempt(formatPlan(p))
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -182,6 +193,7 @@
 		return failureCause(ctx, err)
 	}
 	defer response.Close()
+	defer func() { s.ended = known && s.hasEnded(ctx, runner, err) }()
 	if response.Status() != http.StatusOK {
 		return s.forwardResponse(response)
 	}
@@ -208,6 +220,17 @@
 	}
 }
 
+// hasEnded reports whether the first runner of a path has ended after it began to answer and before the first event, and
+// attributes that to the request. Requests that wait at the runner at that time have no response header yet, and others have
+// events.
+func (s *streamState) hasEnded(ctx context.Context, runner bergamotfleet.Instance, err error) bool {
+	if err == nil || ctx.Err() != nil || s.lastEvent >= 0 {
+		return false
+	}
+	f := asFailure(err)
+	return f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo && s.trial.broken(ctx, runner)
+}
+
 // forwardEvents sends events to the caller. Only those with a new number show that the request makes progress: a runner in
 // trouble may send comments without end, or events that the caller already has.
 func (s *streamState) forwardEvents(w *attemptWatch, events []byte, lastEvent, status int) error {
@@ -217,6 +240,9 @@
 	}
 	if isProgress {
 		w.eventsReceived()
+		if s.x.Trace().Chunks() == 0 {
+			s.trial.answered()
+		}
 	}
 	if err := s.x.Sink().WriteEvents(events); err != nil {
 		return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonCancel, err)
@@ -256,6 +282,7 @@
 	if s.started {
 		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonTarget, fmt.Errorf("status %d on a continued stream", response.Status()))
 	}
+	s.trial.answered()
 	s.x.Trace().RecordChunk(s.handler.Clock.Now(), response.Status())
 	return s.x.Sink().Reply(response.Status(), response.Fields(), body)
 }
