Stop sending to runners that say in an answer that they leave or want a pause

Callers would see requests cut off by a runner that leaves before its row says so, or whose row comes back after an outage, and refusals that come back too soon. Change: the adapter reads both fields; core/bergamotpath keeps them for each process, apart from the list of runners, so that a lapsed row or a dropped event brings no runner back. Paths and calls leave such runners out, a rejection with a fault address pauses the runner at fault too, the control state learns of the leaving so that its layers are taken over, and a call for which all runners paused is refused with the time until the first one is back.

--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -135,6 +135,19 @@
 	return true
 }
 
+// MarkLeaving records that a process of a runner leaves and reports whether that is new.
+func (s *State) MarkLeaving(process string) bool {
+	for name, i := range s.runners {
+		if i.Process() == process && !i.Leaving() {
+			spec := i.Spec()
+			spec.Leaving = true
+			s.runners[name], s.fleet, s.lastLeaving = bergamotfleet.NewInstance(spec), nil, s.now
+			return true
+		}
+	}
+	return false
+}
+
 // ClearFailed records that a runner answers again.
 func (s *State) ClearFailed(name string) {
 	if _, ok := s.failed[name]; ok {
--- a/core/bergamotpath/index.go
+++ b/core/bergamotpath/index.go
@@ -30,6 +30,7 @@
 // indexedRunner is a usable runner and its layer range.
 type indexedRunner struct {
 	name      string
+	process   string
 	address   string
 	from      int
 	to        int
@@ -51,7 +52,7 @@
 			continue // other programs also write to the list of runners and may name layers that the model lacks
 		}
 		byCentre[i.DataCentre()] = append(byCentre[i.DataCentre()], indexedRunner{
-			name: i.Name(), address: i.Address(), from: h.From(), to: h.To(), capacity: capacity,
+			name: i.Name(), process: i.Process(), address: i.Address(), from: h.From(), to: h.To(), capacity: capacity,
 			layerTime: float64(q.Engine.StepTime()) * acc.Pace() / float64(q.Engine.Layers()),
 		})
 	}
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -42,6 +42,8 @@
 	Clock  interface{ Now() time.Time }
 	Random *rand.Rand // guarded by the lock of the router
 	Centre string     // data centre of the entry
+	// Exclusions has the runners that asked for no more requests, nil for none.
+	Exclusions *Exclusions
 
 	mu            sync.Mutex
 	used          map[string]float64     // token-layers of requests of this entry in flight, by runner
@@ -134,7 +136,7 @@
 
 // candidate returns the search candidate for a runner; ok is false if the runner is avoided or full.
 func (r *Router) candidate(q Query, centre string, runner indexedRunner) (c candidate, ok bool) {
-	if q.Avoid[runner.name] || r.isAvoided(runner.name) {
+	if q.Avoid[runner.name] || r.isAvoided(runner.name) || r.Exclusions != nil && r.Exclusions.IsExcluded(runner.process) {
 		return c, false
 	}
 	used := r.used[runner.name] + r.usedByOthers(runner.name)
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotpath"
 	"bergamotspur/core/bergamotrequest"
 )
 
@@ -36,6 +37,8 @@
 		IsAvoided(runner string) bool
 	}
 
+	Exclusions *bergamotpath.Exclusions // runners that asked for no more requests
+
 	mu       sync.Mutex
 	inFlight map[string]int // calls in flight by runner
 }
@@ -78,7 +81,7 @@
 	c.trial = t
 	defer t.end()
 	if !c.startAttempt(ctx) {
-		return bergamotrequest.Refuse(bergamotrequest.ReasonTarget, "no runner of the service is usable").WithRetryAfter(retryDelay(x, h.Clock.Now()))
+		return bergamotrequest.Refuse(bergamotrequest.ReasonTarget, "no runner of the service is usable").WithRetryAfter(c.retryAfter())
 	}
 	var hedge <-chan time.Time
 	if x.Route().IsRetryable() && x.Route().MaxAttempts() > 1 {
@@ -133,7 +136,7 @@
 	c.inFlight++
 	c.x.Trace().RecordAttempt(instance.Name())
 	a := Attempt{
-		request: c.x.Request(), runner: instance.Name(), address: instance.Address(), workspace: c.x.Workspace().Name(),
+		request: c.x.Request(), runner: instance.Name(), process: instance.Process(), address: instance.Address(), workspace: c.x.Workspace().Name(),
 		timeout: c.x.Deadline().Sub(h.Clock.Now()), resumeAfter: -1, priority: c.x.Priority(),
 	}
 	go func() {
@@ -221,8 +224,28 @@
 	case ctx.Err() != nil:
 		return bergamotrequest.Refuse(bergamotrequest.ReasonCancel, "the caller went away").WithRun(runState)
 	default:
-		return bergamotrequest.Refuse(c.failure.reason, "%s", c.failure.Error()).WithRun(runState).WithRetryAfter(retryDelay(c.x, c.handler.Clock.Now()))
+		return bergamotrequest.Refuse(c.failure.reason, "%s", c.failure.Error()).WithRun(runState).WithRetryAfter(c.retryAfter())
+	}
+}
+
+// retryAfter returns the Retry-After time of a refusal: when all runners asked for a pause, the time until the first one
+// takes requests again.
+func (c *callState) retryAfter() time.Duration {
+	h := c.handler
+	first, paused := time.Duration(0), false
+	for _, instance := range h.Views.View().Fleet().ByRole(c.x.Service().Name()) {
+		if instance.Leaving() {
+			continue
+		}
+		free := h.Exclusions.FreeIn(instance.Process())
+		if free == 0 {
+			return retryDelay(c.x, h.Clock.Now())
+		}
+		if !paused || free < first {
+			first, paused = free, true
+		}
 	}
+	return max(first, retryDelay(c.x, h.Clock.Now()))
 }
 
 // acquireRunner returns the usable runner with the fewest calls in flight per slot and counts one more call for it.
@@ -235,6 +258,9 @@
 	minCost := 0.0
 	for _, includeSuspects := range []bool{false, true} {
 		for _, instance := range h.Views.View().Fleet().ByRole(x.Service().Name()) {
+			if h.Exclusions.IsExcluded(instance.Process()) {
+				continue
+			}
 			// The second pass includes runners that failed recently: a call that they reject costs little.
 			if tried[instance.Name()] || instance.Leaving() || !includeSuspects && (instance.Failed() || h.Avoid.IsAvoided(instance.Name())) {
 				continue
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -248,7 +248,7 @@
 
 func (g *rig) call(ctx context.Context) error {
 	h := &CallHandler{
-		Clock: g.clock, Upstream: g.upstream, Views: g.views, Budget: g.budget, Observer: g.observer, Centre: "a", Avoid: g.router, Quarantine: g.quarantine(),
+		Clock: g.clock, Upstream: g.upstream, Views: g.views, Budget: g.budget, Observer: g.observer, Centre: "a", Avoid: g.router, Quarantine: g.quarantine(), Exclusions: &bergamotpath.Exclusions{Clock: g.clock},
 	}
 	return h.Handle(ctx, g.x)
 }
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -39,6 +39,10 @@
 	if f.reason == bergamotrequest.ReasonCancel || f.reason == bergamotrequest.ReasonDeadline {
 		return
 	}
+	if f.reason == bergamotrequest.ReasonSuspect {
+		s.possibleRuns++ // the runner is not at fault
+		return
+	}
 	if f.runState != bergamotrequest.RunNo {
 		s.possibleRuns++
 	}
@@ -95,6 +99,8 @@
 		return false
 	case !s.canAttempt(s.possibleRuns):
 		return false
+	case s.handler.Quarantine.isConfirmed(s.x):
+		return false
 	case s.ended:
 		s.x.Trace().AddStep("not sent again, since a runner ended")
 		return false
@@ -136,6 +142,9 @@
 	return r.WithRetryAfter(retryDelay(s.x, s.handler.Clock.Now()))
 }
 
+// refuseConfirmed returns the refusal of a request that was found to make runners end after it was admitted.
+func (s *streamState) refuseConfirmed() error { return refuseQuarantined().WithRun(s.runState()) }
+
 // runState returns whether any attempt has or may have run the request.
 func (s *streamState) runState() bergamotrequest.RunState {
 	if s.started {
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -94,6 +94,10 @@
 		if !ok {
 			return s.refuse(ctx)
 		}
+		if h.Quarantine.isConfirmed(x) {
+			h.Router.Release(plan, x.Request().Tokens())
+			return s.refuseConfirmed()
+		}
 		start, chunksBefore := h.Clock.Now(), x.Trace().Chunks()
 		err := s.sendAttempt(ctx, plan)
 		h.Router.Release(plan, x.Request().Tokens())
@@ -181,11 +185,11 @@
 	defer cancel(nil)
 	w := h.StallDetector.watch(watchSpec{
 		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
-		maxFirst: s.x.Route().TargetLatency(), failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.failoverFunc(firstFailoverBudgetShare), cancel: cancel,
+		maxFirst: s.x.Route().TargetLatency(), isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) }, failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.failoverFunc(firstFailoverBudgetShare), cancel: cancel,
 	})
 	defer w.stop()
 	response, err := h.Upstream.Send(ctx, Attempt{
-		request: s.x.Request(), runner: first.Instance(), address: first.Address(), plan: p,
+		request: s.x.Request(), runner: first.Instance(), process: processOf(runner, known), address: first.Address(), plan: p,
 		workspace: s.x.Workspace().Name(), timeout: s.x.Deadline().Sub(h.Clock.Now()), resumeAfter: s.lastEvent,
 		priority: s.priority(),
 	})
@@ -220,6 +224,14 @@
 	}
 }
 
+// processOf returns the process of a runner, empty for one that has been removed.
+func processOf(runner bergamotfleet.Instance, known bool) string {
+	if !known {
+		return ""
+	}
+	return runner.Process()
+}
+
 // hasEnded reports whether the first runner of a path has ended after it began to answer and before the first event, and
 // attributes that to the request. Requests that wait at the runner at that time have no response header yet, and others have
 // events.
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -14,6 +14,7 @@
 type Attempt struct {
 	request     *Request
 	runner      string
+	process     string
 	address     string
 	plan        bergamotroute.Plan
 	workspace   string
@@ -29,6 +30,9 @@
 // attempt.
 func (a Attempt) Runner() string { return a.runner }
 
+// Process returns the name of the runner's process.
+func (a Attempt) Process() string { return a.process }
+
 // Address returns the host and port of the runner.
 func (a Attempt) Address() string { return a.address }
 
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -22,8 +22,11 @@
 	from        int
 	to          int
 	runs        []RelayRun
-	orders      int // accepted orders
-	rejectsLeft int // requests still to be rejected
+	orders      int    // accepted orders
+	rejectsLeft int    // requests still to be rejected
+	rejected    int    // requests that were rejected
+	retryAfter  string // Retry-After of rejections, empty for none
+	leaving     bool
 	breaks      int // answers still to be broken off
 	after       int // events before a stream is broken off
 	wrongID     bool
@@ -92,6 +95,27 @@
 	f.rejectsLeft = n
 }
 
+// SetRetryAfter sets the Retry-After field of rejections; an empty one is left out.
+func (f *RelayRunner) SetRetryAfter(text string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retryAfter = text
+}
+
+// Rejected returns how many requests the runner has rejected.
+func (f *RelayRunner) Rejected() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rejected
+}
+
+// SetLeaving makes the runner say in its answers that it leaves.
+func (f *RelayRunner) SetLeaving(leaving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = leaving
+}
+
 // BreakAnswers makes the runner close the connection during the next n answers: in a stream after that number of events,
 // otherwise before the answer.
 func (f *RelayRunner) BreakAnswers(n, after int) {
@@ -183,6 +207,10 @@
 	}
 	if f.rejectsLeft > 0 {
 		f.rejectsLeft--
+		f.rejected++
+		if f.retryAfter != "" {
+			w.Header().Set("Retry-After", f.retryAfter)
+		}
 		f.mu.Unlock()
 		h := w.Header()
 		h.Set("X-Bergamotspur-Not-Executed", "1")
@@ -205,6 +233,9 @@
 		f.breaks--
 	}
 	after, pause, endless, end := f.after, f.EventInterval, f.endless, f.end
+	if f.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	isDeadly := f.deadlyPart != "" && strings.Contains(run.Parts, f.deadlyPart)
 	if f.wrongID {
 		id = "another"
