--- a/core/bergamotrelay/quarantine_test.go
+++ b/core/bergamotrelay/quarantine_test.go
@@ -128,4 +128,21 @@
 		first.end()
 		gomega.Expect(outcomeOf(<-second)).To(gomega.Equal("suspect no"))
 	})
+
+	// Guards against a runner that ends on a request that waited there while others showed its cause.
+	ginkgo.It("takes a request back from the runner where it waits when its parts are confirmed", func() {
+		g := newRig(route(resumable), model, reply{hangs: true})
+		g.prompt("first", "bad", "own")
+		waiting := g.x
+		done := make(chan error, 1)
+		go func() { done <- g.stream(context.Background()) }()
+		gomega.Eventually(g.upstream.runners).Should(gomega.HaveLen(1))
+		for i, own := range []string{"1", "2"} {
+			g.prompt("first", "bad", own)
+			g.ledger.RecordFailure(g.x.Contents(), fmt.Sprint("runner", i), i > 0)
+		}
+		gomega.Eventually(done).Should(gomega.Receive(gomega.WithTransform(outcomeOf, gomega.Equal("suspect unknown"))))
+		gomega.Expect(g.upstream.runners()).To(gomega.HaveLen(1))
+		gomega.Expect(waiting.Trace().Chunks()).To(gomega.BeZero())
+	})
 })
--- a/io/bergamotfake/metadatastore.go
+++ b/io/bergamotfake/metadatastore.go
@@ -47,9 +47,14 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutBytes(table, key, text)
+}
+
+// PutBytes writes a row whose value need not be JSON.
+func (s *MetadataStore) PutBytes(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply([]MetadataRow{{Table: table, Key: key, Value: text}}, nil)
+	s.apply([]MetadataRow{{Table: table, Key: key, Value: value}}, nil)
 }
 
 // Remove deletes a row, as the platform does after a runner has left.
