Fail a stream that ends without an event

Where an answer has neither a length nor chunks, a runner that ends before the first event looked like the end of a complete stream, and the caller got an empty one. Checked: go test ./core/bergamotrelay -ginkgo.focus 'no event' failed before with 'answered'; specs of answers without a length or chunks in platform/ (calls, streams, streams that end within an event) passed at once.

--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -24,6 +24,10 @@
 	minTimedEvents   = 10 // fewest events of an attempt from which the time per event is measured
 )
 
+// errNoEvent is the cause of the failure of a stream that ends before its first event. Where the answer has neither a length
+// nor chunks, the end of the runner looks like the end of the stream.
+var errNoEvent = errors.New("the stream ends without an event")
+
 // Clock provides the current time and timers.
 type Clock interface {
 	Now() time.Time
@@ -214,6 +218,9 @@
 				return err
 			}
 		}
+		if errors.Is(err, io.EOF) && s.lastEvent < 0 {
+			return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, errNoEvent)
+		}
 		if errors.Is(err, io.EOF) {
 			w.streamCompleted()
 			return nil
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -25,6 +25,7 @@
 	// Guards against missing or duplicate events, against a second run that the route does not allow, and against an
 	// incomplete response that looks complete.
 	bergamottest.Cases(map[string]streamCase{
+		"ends with a failure when it has no event":             {true, 9, []reply{{}, {events: 2}}, "target yes", "", 1},
 		"is forwarded completely":                              {true, 9, []reply{{events: 4}}, "answered", "0 1 2 3 ", 1},
 		"is resumed after its last event at another runner":    {true, 9, []reply{broken, {events: 2}}, "answered", "0 1 2 3 4 ", 2},
 		"ends with a failure when it is not resumable":         {false, 9, []reply{broken, {events: 2}}, "target yes", "0 1 2 ", 1},
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -30,6 +30,7 @@
 	breaks      int // answers still to be broken off
 	after       int // events before a stream is broken off
 	wrongID     bool
+	unframed    bool        // answers have neither a length nor chunks
 	deadlyPart  string      // part of prompts on which the process ends, empty for none
 	end         func()      // ends the process
 	endless     EndlessPart // part of answers that never ends, empty for none
@@ -138,6 +139,14 @@
 	f.wrongID = wrong
 }
 
+// SetUnframed makes the answers end with their connection, without a length or chunks. Streams that BreakAnswers breaks off
+// then end within an event.
+func (f *RelayRunner) SetUnframed(unframed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unframed = unframed
+}
+
 // EndOn makes the process end, which end does, when it begins to answer a request with a part in its prompt.
 func (f *RelayRunner) EndOn(part string, end func()) {
 	f.mu.Lock()
@@ -232,7 +241,7 @@
 	if breaks {
 		f.breaks--
 	}
-	after, pause, endless, end := f.after, f.EventInterval, f.endless, f.end
+	after, pause, endless, end, unframed := f.after, f.EventInterval, f.endless, f.end, f.unframed
 	if f.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -252,6 +261,10 @@
 		f.sendEndless(w, endless)
 		return
 	}
+	if unframed {
+		f.answerUnframed(w, run, breaks, after)
+		return
+	}
 	if run.Path == "" {
 		if breaks {
 			panic(http.ErrAbortHandler)
@@ -282,3 +295,26 @@
 		<-time.After(pause)
 	}
 }
+
+// answerUnframed sends an answer that ends with its connection.
+func (f *RelayRunner) answerUnframed(w http.ResponseWriter, run RelayRun, breaks bool, after int) {
+	c, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the server of the fake supports it
+	}
+	defer func() { _ = c.Close() }() // failed writes are ignored: the caller may have gone away
+	_, _ = out.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	_ = w.Header().Write(out)
+	_, _ = out.WriteString("\r\n")
+	if run.Path == "" {
+		_, _ = fmt.Fprintf(out, "answer to %s", run.ID)
+	}
+	for n := run.LastEvent + 1; run.Path != "" && n < streamEvents; n++ {
+		if breaks && n == run.LastEvent+1+after {
+			_, _ = fmt.Fprintf(out, "id: %d\ndata: tok", n)
+			break
+		}
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	_ = out.Flush()
+}
