--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -36,6 +36,7 @@
 		"is refused as not run when all runners reject it":     {true, 9, []reply{{failure: rejected()}}, "full no", "", 5},
 		"ends with a failure when a runner sends events again": {true, 9, []reply{broken, {events: 5, again: true}}, "target yes", "0 1 2 ", 2},
 		"is not retried without a retry budget":                {true, 0, []reply{{failure: rejected()}, {events: 2}}, "full no", "", 1},
+		"ends with a failure when the next runner fails":       {true, 9, []reply{broken, {status: 500, body: "no"}}, "target yes", "0 1 2 ", 2},
 		"returns a status 500 of its runner":                   {true, 9, []reply{{status: 500, body: "no"}}, "answered", "no", 1},
 	}, func(c streamCase) {
 		g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: c.resumable, MaxAttempts: 2}), model, c.replies...)
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -217,6 +217,9 @@
 	if f.rejectsLeft > 0 {
 		f.rejectsLeft--
 		f.rejected++
+		if f.wrongID {
+			w.Header().Set("X-Bergamotspur-Attempt-Id", "another")
+		}
 		if f.retryAfter != "" {
 			w.Header().Set("Retry-After", f.retryAfter)
 		}
