Confirm a call on the second runner that ends on it

A call whose runner ended was sent again as if it were no suspect, so that a third runner had to end. Failures that are not shared because too many wait for the store are logged, and writes that fail are repeated each 5 s at most. Checked: go test -race ./core/bergamotrelay; the case 'is confirmed as a call' failed before (not confirmed).

--- a/core/bergamotcluster/suspects.go
+++ b/core/bergamotcluster/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -18,9 +19,11 @@
 	maxPendingFailures = 256
 	// failureRetryDelay is the time to the next write after a failed one; the longest is maxFailureRetryDelay.
 	failureRetryDelay    = 200 * time.Millisecond
-	maxFailureRetryDelay = 2 * time.Second
+	maxFailureRetryDelay = 5 * time.Second
 )
 
+var errTooManyPending = errors.New("too many failures wait for the store")
+
 // SuspectLedger holds the failures that entries share.
 type SuspectLedger interface {
 	Merge(failures []bergamotsuspect.Failure)
@@ -45,8 +48,8 @@
 	Table   FailureTable
 	Decoder FailureDecoder
 	MaxAge  time.Duration // age at which a failure expires and its row is removed
-	// OnFailure is called for each failure that is learned from the store, and for each row that cannot be decoded and each
-	// failed write, with the error.
+	// OnFailure is called for each failure that is learned from the store, and with an error for each row that cannot be
+	// decoded, each failed write, and each failure that is not shared. It may be called by any goroutine.
 	OnFailure func(f bergamotsuspect.Failure, err error)
 
 	mu      sync.Mutex
@@ -60,14 +63,24 @@
 
 // Share adds a failure to those to be written. It may be called by any goroutine and does not wake the control loop.
 func (c *Suspects) Share(f bergamotsuspect.Failure) {
+	if !c.addPending(f) {
+		c.OnFailure(f, errTooManyPending)
+	}
+}
+
+// addPending adds a failure to those to be written and reports whether there was room.
+func (c *Suspects) addPending(f bergamotsuspect.Failure) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending == nil {
 		c.pending = map[string]bergamotsuspect.Failure{}
 	}
-	if _, known := c.pending[f.ID()]; known || len(c.pending) < maxPendingFailures {
-		c.pending[f.ID()] = f
+	_, known := c.pending[f.ID()]
+	if !known && len(c.pending) >= maxPendingFailures {
+		return false
 	}
+	c.pending[f.ID()] = f
+	return true
 }
 
 // Name returns "suspects".
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -139,11 +139,12 @@
 		request: c.x.Request(), runner: instance.Name(), process: instance.Process(), address: instance.Address(), workspace: c.x.Workspace().Name(),
 		timeout: c.x.Deadline().Sub(h.Clock.Now()), resumeAfter: -1, priority: c.x.Priority(),
 	}
+	wasSuspect := c.trial.suspect.Load()
 	go func() {
 		result := h.sendAttempt(ctx, a)
 		h.releaseRunner(instance.Name())
 		if f := result.failure; f != nil && ctx.Err() == nil && f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo {
-			c.trial.broken(ctx, instance)
+			c.trial.broken(ctx, instance, wasSuspect)
 		}
 		c.results <- result
 	}()
--- a/core/bergamotrelay/quarantine.go
+++ b/core/bergamotrelay/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
@@ -73,8 +74,8 @@
 type trial struct {
 	quarantine *Quarantine
 	x          *Exchange
-	suspect    bool   // a failure was attributed to a content of the request before it was sent
-	release    func() // lets the next suspect run, nil if there is none to wait
+	suspect    atomic.Bool // a failure is attributed to a content of the request
+	release    func()      // lets the next suspect run, nil if none has to wait
 }
 
 // begin waits until no other request with the same suspect contents runs at this entry. It returns a
@@ -84,7 +85,7 @@
 	if q.Suspects.Len() == 0 || !q.Suspects.IsSuspect(x.Contents()...) {
 		return t, nil
 	}
-	t.suspect = true
+	t.suspect.Store(true)
 	wait := x.Route().TargetLatency()
 	if wait <= 0 {
 		wait = defaultIsolationWait
@@ -144,15 +145,16 @@
 }
 
 // broken checks whether a runner that broke off before it answered has ended, and if so attributes that to the request. It
-// reports whether the runner has ended.
-func (t *trial) broken(ctx context.Context, i bergamotfleet.Instance) bool {
+// reports whether the runner has ended. wasSuspect is whether the request was a suspect when it was sent.
+func (t *trial) broken(ctx context.Context, i bergamotfleet.Instance, wasSuspect bool) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedCheckTimeout)
 	defer cancel()
 	if r, err := t.quarantine.Reporter.Report(ctx, i.Address()); err == nil && r.StartTime() == i.StartTime() {
 		return false // it has only closed the connection
 	}
 	// A process ends once, so that its start time tells its failures from those of the next one.
-	t.quarantine.Suspects.RecordFailure(t.x.Contents(), i.Process(), t.suspect)
+	t.quarantine.Suspects.RecordFailure(t.x.Contents(), i.Process(), wasSuspect)
+	t.suspect.Store(true)
 	return true
 }
 
--- a/core/bergamotrelay/quarantine_test.go
+++ b/core/bergamotrelay/quarantine_test.go
@@ -41,6 +41,7 @@
 	want      string
 	wantSends int
 	suspect   bool // the request is suspect afterwards
+	confirmed bool
 }
 
 var _ = ginkgo.Describe("a request whose runner breaks off", func() {
@@ -48,12 +49,12 @@
 	// Guards against sending a request on which a runner ended to further runners, and against blaming requests that waited
 	// at the runner, that had events, or whose runner has only closed the connection.
 	bergamottest.Cases(map[string]endCase{
-		"is suspect when the runner ended before the first event":   {model, []reply{silent, {events: 2}}, false, "target yes", 1, true},
-		"is sent again when the runner is alive":                    {model, []reply{silent, {events: 2}}, true, "answered", 2, false},
-		"is resumed when the runner ended after an event":           {model, []reply{{events: 1, broken: true}, {events: 2}}, false, "answered", 2, false},
-		"is sent again when the runner ended before it answered":    {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false},
-		"is suspect as a call, and sent again":                      {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, false, "target unknown", 2, true},
-		"is not suspect as a call that another runner has answered": {plain, []reply{{failure: reset()}, {status: 200}}, false, "answered", 2, false},
+		"is suspect when the runner ended before the first event":   {model, []reply{silent, {events: 2}}, false, "target yes", 1, true, false},
+		"is sent again when the runner is alive":                    {model, []reply{silent, {events: 2}}, true, "answered", 2, false, false},
+		"is resumed when the runner ended after an event":           {model, []reply{{events: 1, broken: true}, {events: 2}}, false, "answered", 2, false, false},
+		"is sent again when the runner ended before it answered":    {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
+		"is confirmed as a call when a second runner ends on it":    {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, false, "target unknown", 2, true, true},
+		"is not suspect as a call that another runner has answered": {plain, []reply{{failure: reset()}, {status: 200}}, false, "answered", 2, false, false},
 	}, func(c endCase) {
 		g := newRig(route(resumable), c.service, c.replies...)
 		g.prompt("first", "bad", "own")
@@ -69,6 +70,7 @@
 		gomega.Expect(outcomeOf(err)).To(gomega.Equal(c.want))
 		gomega.Expect(g.upstream.attempts).To(gomega.HaveLen(c.wantSends))
 		gomega.Expect(g.ledger.IsSuspect(g.x.Contents()...)).To(gomega.Equal(c.suspect))
+		gomega.Expect(g.ledger.IsConfirmed(g.x.Contents()...)).To(gomega.Equal(c.confirmed))
 	})
 })
 
@@ -124,7 +126,7 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		other.end()
 		gomega.Expect(second).NotTo(gomega.Receive())
-		first.broken(ctx, instance("x", "llm"))
+		first.broken(ctx, instance("x", "llm"), true)
 		first.end()
 		gomega.Expect(outcomeOf(<-second)).To(gomega.Equal("suspect no"))
 	})
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -247,7 +247,7 @@
 		return false
 	}
 	f := asFailure(err)
-	return f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo && s.trial.broken(ctx, runner)
+	return f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo && s.trial.broken(ctx, runner, s.trial.suspect.Load())
 }
 
 // forwardEvents sends events to the caller. Only those with a new number show that the request makes progress: a runner in
