Compute the contents of a request once, and let resumed streams pass

The contents were computed without a lock although the stall detector asks for them beside the handler. A stream that its caller resumes has had an event and waits for no suspect; a caller that went away while its request waited is not counted as suspect. Checked: go test -race ./core/bergamotrelay.

--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -36,7 +36,6 @@
 		Avoid(runner string, d time.Duration)
 		IsAvoided(runner string) bool
 	}
-
 	Exclusions *bergamotpath.Exclusions // runners that asked for no more requests
 
 	mu       sync.Mutex
--- a/core/bergamotrelay/exchange.go
+++ b/core/bergamotrelay/exchange.go
@@ -1,6 +1,7 @@
 package bergamotrelay
 
 import (
+	"sync"
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
@@ -35,7 +36,8 @@
 	service   bergamotconfig.Service
 	deadline  time.Time
 	trace     Trace
-	contents  []bergamotsuspect.Digest // nil until they are needed
+	contents  []bergamotsuspect.Digest // set by hash
+	hash      sync.Once                // most requests need no digests
 }
 
 // NewExchange returns an exchange that uses view, and so one version of the configuration, until its end.
@@ -87,15 +89,15 @@
 func (x *Exchange) Trace() *Trace { return &x.trace }
 
 // Contents returns the digests of what may make a runner end: the whole request of this caller, and each shared part of
-// its prompt.
+// its prompt. It may be called concurrently once the workspace and the service are set.
 func (x *Exchange) Contents() []bergamotsuspect.Digest {
-	if x.contents == nil {
+	x.hash.Do(func() {
 		r := x.request
 		x.contents = append(x.contents, bergamotsuspect.NewDigest(
 			"request", x.service.Name(), x.workspace.Name(), r.Method(), r.Host(), r.URI(), r.Model(), string(r.Body())))
 		for _, part := range r.SharedParts() {
 			x.contents = append(x.contents, bergamotsuspect.NewDigest("part", r.Model(), part))
 		}
-	}
+	})
 	return x.contents
 }
--- a/core/bergamotrelay/quarantine.go
+++ b/core/bergamotrelay/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -86,13 +87,15 @@
 		return t, nil
 	}
 	t.suspect.Store(true)
+	if x.Request().LastEvent() >= 0 {
+		return t, nil // it has had an event before
+	}
 	wait := x.Route().TargetLatency()
 	if wait <= 0 {
 		wait = defaultIsolationWait
 	}
 	if !q.waitCleared(ctx, x, wait) {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "a runner has just ended on this request").
-			WithRetryAfter(retryDelay(x, q.Clock.Now()))
+		return nil, refuseSuspect(ctx, x, "a runner has just ended on this request", retryDelay(x, q.Clock.Now()))
 	}
 	if !q.Suspects.MustRunAlone(x.Contents()...) {
 		return t, nil
@@ -100,8 +103,7 @@
 	bounded, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if t.release, err = q.Isolation.Acquire(bounded, suspectKeys(x.Contents()), true); err != nil {
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "another request with the same suspect content is running").
-			WithRetryAfter(defaultRetryAfter)
+		return nil, refuseSuspect(ctx, x, "another request with the same suspect content is running", defaultRetryAfter)
 	}
 	if q.isConfirmed(x) {
 		t.end()
@@ -113,6 +115,18 @@
 	return t, nil
 }
 
+// refuseSuspect returns the refusal of a suspect that has not been sent.
+func refuseSuspect(ctx context.Context, x *Exchange, why string, retryAfter time.Duration) error {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return bergamotrequest.Refuse(bergamotrequest.ReasonCancel, "the caller went away")
+	case ctx.Err() != nil:
+		return bergamotrequest.Refuse(bergamotrequest.ReasonDeadline, "the time is over")
+	}
+	x.Trace().AddStep("not sent, since it is suspect")
+	return bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "%s", why).WithRetryAfter(retryAfter)
+}
+
 // waitCleared waits while a request repeats one on which a runner has just ended, and reports whether it may be sent.
 func (q *Quarantine) waitCleared(ctx context.Context, x *Exchange, wait time.Duration) bool {
 	end := q.Clock.Now().Add(wait)
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -189,7 +189,8 @@
 	defer cancel(nil)
 	w := h.StallDetector.watch(watchSpec{
 		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
-		maxFirst: s.x.Route().TargetLatency(), isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) }, failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.failoverFunc(firstFailoverBudgetShare), cancel: cancel,
+		maxFirst: s.x.Route().TargetLatency(), isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
+		failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.failoverFunc(firstFailoverBudgetShare), cancel: cancel,
 	})
 	defer w.stop()
 	response, err := h.Upstream.Send(ctx, Attempt{
