Count the end of a runner once, however many entries saw it

Two entries whose requests were on one runner when it ended, one of them a suspect for another part, confirmed a sound part that both had: the reports differ in whether the request was a suspect, which the first front end takes for two failures. On the platform a failure names the process, which ends once.

--- a/core/bergamotsuspect/ledger_test.go
+++ b/core/bergamotsuspect/ledger_test.go
@@ -137,6 +137,21 @@
 	})
 })
 
+var _ = ginkgo.Describe("Ledger of processes", func() {
+	// Guards against confirming a sound part because a runner ended on a deadly one while requests of two entries, one of
+	// them a suspect for another part, were there with the sound one.
+	ginkgo.It("counts the end of one process once", func() {
+		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
+		l.InstancesEnd = true
+		l.RecordFailure(digests("r1 good"), "runner@1", false)
+		l.RecordFailure(digests("r2 good bad"), "runner@1", true)
+		gomega.Expect(l.IsConfirmed(digests("r3 good")...)).To(gomega.BeFalse())
+		l.RecordFailure(digests("r4 bad"), "runner@2", true)
+		gomega.Expect(l.IsConfirmed(digests("r5 bad")...)).To(gomega.BeTrue())
+		gomega.Expect(l.IsConfirmed(digests("r6 good")...)).To(gomega.BeFalse())
+	})
+})
+
 var _ = ginkgo.Describe("Isolation", func() {
 	// Guards against a suspect that shares an instance with other requests: a failure could not be attributed to it.
 	ginkgo.It("waits for requests in flight and blocks new ones", func(ctx context.Context) {
