--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -14,8 +14,8 @@
 // errStalled is wrapped by the failure of a stalled attempt.
 var errStalled = errors.New("no event for too long")
 
-// errConfirmed is the cause of the failure of an attempt that was cancelled because of its contents.
-var errConfirmed = errors.New("runners ended on other requests with the same content")
+// errQuarantined is the cause of the failure of an attempt that was cancelled because of its contents.
+var errQuarantined = errors.New("runners crashed on other requests with the same content")
 
 // watchSpec describes an attempt to a StallDetector.
 type watchSpec struct {
@@ -24,7 +24,7 @@
 	maxPause     time.Duration // longest pause that the route allows, 0 for the default
 	maxSilence   time.Duration // time without an event after which callers have given up, 0 for no limit
 	maxFirst     time.Duration // time in which the first event is on time, 0 for the default
-	isConfirmed  func() bool   // reports whether the request is known to make runners end, nil for no
+	isConfirmed  func() bool   // reports whether the request is known to make runners crash, nil for no
 	failoverFunc func() bool   // takes a retry for a failover; nil if no further attempt is allowed
 	// firstFailoverFunc is failoverFunc for an attempt that has no event yet.
 	firstFailoverFunc func() bool
@@ -110,8 +110,8 @@
 		w.cancelAttempt(w.plan.Stages()[0].Address(), "no event although all runners answer")
 		return
 	case w.isConfirmed != nil && !w.hasEvents.Load() && w.isConfirmed():
-		// The request waits at the runner, or is about to make it end.
-		w.cancel(NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonSuspect, errConfirmed))
+		// The request waits at the runner, or is about to crash it.
+		w.cancel(NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonSuspect, errQuarantined))
 		return
 	case w.hasEvents.Load():
 		if left := w.detector.pauseStats.stallTimeout(w.maxPause) - w.idleTime(); left > 0 {
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -143,7 +143,7 @@
 		result := h.sendAttempt(ctx, a)
 		h.releaseRunner(instance.Name())
 		if f := result.failure; f != nil && ctx.Err() == nil && f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo {
-			c.trial.broken(ctx, instance, wasSuspect)
+			c.trial.checkCrash(ctx, instance, wasSuspect)
 		}
 		c.results <- result
 	}()
@@ -203,7 +203,7 @@
 	case c.inFlight > 0:
 		return false
 	case c.handler.Quarantine.isConfirmed(c.x):
-		c.x.Trace().AddStep("not sent again, since runners ended")
+		c.x.Trace().AddStep("not sent again, since runners crashed")
 		return false
 	case !c.handler.Budget.Take(c.x.Service().Name()):
 		c.x.Trace().AddStep("no retry budget")
--- a/core/bergamotrelay/exchange.go
+++ b/core/bergamotrelay/exchange.go
@@ -88,7 +88,7 @@
 // Trace returns the record of the steps taken for the request.
 func (x *Exchange) Trace() *Trace { return &x.trace }
 
-// Contents returns the digests of what may make a runner end: the whole request of this caller, and each shared part of
+// Contents returns the digests of what may make a runner crash: the whole request of this caller, and each shared part of
 // its prompt. It may be called concurrently once the workspace and the service are set.
 func (x *Exchange) Contents() []bergamotsuspect.Digest {
 	x.hash.Do(func() {
--- a/core/bergamotrelay/quarantine.go
+++ b/core/bergamotrelay/quarantine.go
@@ -13,17 +13,17 @@
 )
 
 const (
-	// quarantineRetryAfter is the Retry-After time of a request on which runners end. It is refused until the failures
+	// quarantineRetryAfter is the Retry-After time of a request on which runners crash. It is refused until the failures
 	// expire, but callers with a sound request should learn soon when it is admitted again.
 	quarantineRetryAfter = time.Minute
 	// defaultIsolationWait is how long a suspect waits for another one where the route has no target latency.
 	defaultIsolationWait = 500 * time.Millisecond
-	// repeatDelay is the time after the end of a runner in which the same request is not sent again, unless others show
+	// repeatDelay is the time after a crash in which the same request is not sent again, unless others show
 	// that the parts of its prompt are not the cause.
 	repeatDelay        = 10 * time.Second
 	repeatPollInterval = 40 * time.Millisecond
-	// endedCheckTimeout is the time for the report that shows whether a runner has ended. A report takes 2 ms.
-	endedCheckTimeout = 250 * time.Millisecond
+	// crashCheckTimeout is the time for the report that shows whether a runner has crashed. A report takes 2 ms.
+	crashCheckTimeout = 250 * time.Millisecond
 )
 
 // Suspects attributes failures of runners to the contents of requests.
@@ -42,7 +42,7 @@
 	Acquire(ctx context.Context, keys []string, alone bool) (release func(), err error)
 }
 
-// Quarantine is the filter that refuses requests on which runners end. Handlers report to it how attempts end, and run
+// Quarantine is the filter that refuses requests on which runners crash. Handlers report to it how attempts end, and run
 // those requests one after another that may be refused.
 type Quarantine struct {
 	Clock     Clock
@@ -54,7 +54,7 @@
 // Name returns "quarantine".
 func (q *Quarantine) Name() string { return "quarantine" }
 
-// Filter refuses a request whose contents are confirmed to make runners end.
+// Filter refuses a request whose contents are confirmed to make runners crash.
 func (q *Quarantine) Filter(ctx context.Context, x *Exchange, next Handler) error {
 	if q.isConfirmed(x) {
 		return refuseQuarantined()
@@ -67,11 +67,11 @@
 }
 
 func refuseQuarantined() *bergamotrequest.Refusal {
-	return bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "runners ended each time they ran this request or a part of its prompt").
+	return bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "runners crashed each time they ran this request or a part of its prompt").
 		WithRetryAfter(quarantineRetryAfter)
 }
 
-// trial is a request that may be the next one on which a runner ends.
+// trial is a request that may be the next one on which a runner crashes.
 type trial struct {
 	quarantine *Quarantine
 	x          *Exchange
@@ -95,7 +95,7 @@
 		wait = defaultIsolationWait
 	}
 	if !q.waitCleared(ctx, x, wait) {
-		return nil, refuseSuspect(ctx, x, "a runner has just ended on this request", retryDelay(x, q.Clock.Now()))
+		return nil, refuseSuspect(ctx, x, "a runner has just crashed on this request", retryDelay(x, q.Clock.Now()))
 	}
 	if !q.Suspects.MustRunAlone(x.Contents()...) {
 		return t, nil
@@ -127,7 +127,7 @@
 	return bergamotrequest.Refuse(bergamotrequest.ReasonSuspect, "%s", why).WithRetryAfter(retryAfter)
 }
 
-// waitCleared waits while a request repeats one on which a runner has just ended, and reports whether it may be sent.
+// waitCleared waits while a request repeats one on which a runner has just crashed, and reports whether it may be sent.
 func (q *Quarantine) waitCleared(ctx context.Context, x *Exchange, wait time.Duration) bool {
 	end := q.Clock.Now().Add(wait)
 	for q.Suspects.IsRepeat(repeatDelay, x.Contents()...) {
@@ -150,7 +150,7 @@
 	return keys
 }
 
-// answered records that the runner has begun to answer, so that the request does not make runners end.
+// answered records that the runner has begun to answer, so that the request does not make runners crash.
 func (t *trial) answered() {
 	if t.quarantine.Suspects.Len() > 0 {
 		t.quarantine.Suspects.Clear(t.x.Contents()...)
@@ -158,15 +158,15 @@
 	t.end()
 }
 
-// broken checks whether a runner that broke off before it answered has ended, and if so attributes that to the request. It
-// reports whether the runner has ended. wasSuspect is whether the request was a suspect when it was sent.
-func (t *trial) broken(ctx context.Context, i bergamotfleet.Instance, wasSuspect bool) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedCheckTimeout)
+// checkCrash checks whether a runner that broke off before it answered has crashed, and if so attributes that to the request. It
+// reports whether the runner has crashed. wasSuspect is whether the request was a suspect when it was sent.
+func (t *trial) checkCrash(ctx context.Context, i bergamotfleet.Instance, wasSuspect bool) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
 	if r, err := t.quarantine.Reporter.Report(ctx, i.Address()); err == nil && r.StartTime() == i.StartTime() {
 		return false // it has only closed the connection
 	}
-	// A process ends once, so that its start time tells its failures from those of the next one.
+	// A process crashes once, so that its start time tells its failures from those of the next one.
 	t.quarantine.Suspects.RecordFailure(t.x.Contents(), i.Process(), wasSuspect)
 	t.suspect.Store(true)
 	return true
--- a/core/bergamotrelay/quarantine_test.go
+++ b/core/bergamotrelay/quarantine_test.go
@@ -46,14 +46,14 @@
 
 var _ = ginkgo.Describe("a request whose runner breaks off", func() {
 	silent := reply{broken: true}
-	// Guards against sending a request on which a runner ended to further runners, and against blaming requests that waited
+	// Guards against sending a request on which a runner crashed to further runners, and against blaming requests that waited
 	// at the runner, that had events, or whose runner has only closed the connection.
 	bergamottest.Cases(map[string]endCase{
-		"is suspect when the runner ended before the first event":   {model, []reply{silent, {events: 2}}, false, "target yes", 1, true, false},
+		"is suspect when the runner crashed before the first event": {model, []reply{silent, {events: 2}}, false, "target yes", 1, true, false},
 		"is sent again when the runner is alive":                    {model, []reply{silent, {events: 2}}, true, "answered", 2, false, false},
-		"is resumed when the runner ended after an event":           {model, []reply{{events: 1, broken: true}, {events: 2}}, false, "answered", 2, false, false},
-		"is sent again when the runner ended before it answered":    {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
-		"is confirmed as a call when a second runner ends on it":    {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, false, "target unknown", 2, true, true},
+		"is resumed when the runner crashed after an event":         {model, []reply{{events: 1, broken: true}, {events: 2}}, false, "answered", 2, false, false},
+		"is sent again when the runner crashed before it answered":  {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
+		"is confirmed as a call when a second runner crashes on it": {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, false, "target unknown", 2, true, true},
 		"is not suspect as a call that another runner has answered": {plain, []reply{{failure: reset()}, {status: 200}}, false, "answered", 2, false, false},
 	}, func(c endCase) {
 		g := newRig(route(resumable), c.service, c.replies...)
@@ -75,16 +75,16 @@
 })
 
 type quarantineCase struct {
-	failures []string // last parts of the requests on which runners ended; all have the parts first and bad
+	failures []string // last parts of the requests on which runners crashed; all have the parts first and bad
 	parts    []string
 	want     string
 }
 
 var _ = ginkgo.Describe("the quarantine", func() {
-	// Guards against runners that end on a part of a prompt that is known to be deadly, against repeating the same request
+	// Guards against runners that crash on a part of a prompt that is known to be deadly, against repeating the same request
 	// before others show its cause, and against refusing sound requests with one of its parts.
 	bergamottest.Cases(map[string]quarantineCase{
-		"refuses a part on which two runners ended":              {[]string{"1", "2"}, []string{"first", "bad", "3"}, "suspect no"},
+		"refuses a part on which two runners crashed":            {[]string{"1", "2"}, []string{"first", "bad", "3"}, "suspect no"},
 		"admits the other part":                                  {[]string{"1", "2"}, []string{"first", "3"}, "answered"},
 		"admits the same own part without the others":            {[]string{"1", "2"}, []string{"1"}, "answered"},
 		"does not send the same request again":                   {[]string{"1"}, []string{"first", "bad", "1"}, "suspect no"},
@@ -105,7 +105,7 @@
 		}
 	})
 
-	// Guards against several runners that end at the same time on requests with the same suspect parts.
+	// Guards against several runners that crash at the same time on requests with the same suspect parts.
 	ginkgo.It("lets suspects with the same parts run one after another", func(ctx context.Context) {
 		clock := bergamotclock.NewVirtual(now)
 		q := &Quarantine{Clock: clock, Suspects: bergamotsuspect.NewLedger(clock), Isolation: bergamotsuspect.NewIsolation(), Reporter: silentReporter{}}
@@ -126,12 +126,12 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		other.end()
 		gomega.Expect(second).NotTo(gomega.Receive())
-		first.broken(ctx, instance("x", "llm"), true)
+		first.checkCrash(ctx, instance("x", "llm"), true)
 		first.end()
 		gomega.Expect(outcomeOf(<-second)).To(gomega.Equal("suspect no"))
 	})
 
-	// Guards against a runner that ends on a request that waited there while others showed its cause.
+	// Guards against a runner that crashes on a request that waited there while others showed its cause.
 	ginkgo.It("takes a request back from the runner where it waits when its parts are confirmed", func() {
 		g := newRig(route(resumable), model, reply{hangs: true})
 		g.prompt("first", "bad", "own")
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -101,8 +101,8 @@
 		return false
 	case s.handler.Quarantine.isConfirmed(s.x):
 		return false
-	case s.ended:
-		s.x.Trace().AddStep("not sent again, since a runner ended")
+	case s.crashed:
+		s.x.Trace().AddStep("not sent again, since a runner crashed")
 		return false
 	case f.retryTaken:
 		return true
@@ -142,7 +142,7 @@
 	return r.WithRetryAfter(retryDelay(s.x, s.handler.Clock.Now()))
 }
 
-// refuseConfirmed returns the refusal of a request that was found to make runners end after it was admitted.
+// refuseConfirmed returns the refusal of a request that was found to make runners crash after it was admitted.
 func (s *streamState) refuseConfirmed() error { return refuseQuarantined().WithRun(s.runState()) }
 
 // runState returns whether any attempt has or may have run the request.
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -25,7 +25,7 @@
 )
 
 // errNoEvent is the cause of the failure of a stream that ends before its first event. Where the answer has neither a length
-// nor chunks, the end of the runner looks like the end of the stream.
+// nor chunks, the crash of a runner looks like the end of the stream.
 var errNoEvent = errors.New("the stream ends without an event")
 
 // Clock provides the current time and timers.
@@ -79,7 +79,7 @@
 	avoid        map[string]bool // runners that failed this request
 	failure      *Failure        // failure of the last attempt
 	trial        *trial
-	ended        bool // a runner has ended before the first event, possibly because of this request
+	crashed      bool // a runner has crashed before the first event, possibly because of this request
 }
 
 // Handle sends the request over a path and forwards the events to the caller. It returns a *bergamotrequest.Refusal
@@ -202,7 +202,7 @@
 		return failureCause(ctx, err)
 	}
 	defer response.Close()
-	defer func() { s.ended = known && s.hasEnded(ctx, runner, err) }()
+	defer func() { s.crashed = known && s.hasCrashed(ctx, runner, err) }()
 	if response.Status() != http.StatusOK {
 		return s.forwardResponse(response)
 	}
@@ -240,15 +240,15 @@
 	return runner.Process()
 }
 
-// hasEnded reports whether the first runner of a path has ended after it began to answer and before the first event, and
+// hasCrashed reports whether the first runner of a path has crashed after it began to answer and before the first event, and
 // attributes that to the request. Requests that wait at the runner at that time have no response header yet, and others have
 // events.
-func (s *streamState) hasEnded(ctx context.Context, runner bergamotfleet.Instance, err error) bool {
+func (s *streamState) hasCrashed(ctx context.Context, runner bergamotfleet.Instance, err error) bool {
 	if err == nil || ctx.Err() != nil || s.lastEvent >= 0 {
 		return false
 	}
 	f := asFailure(err)
-	return f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo && s.trial.broken(ctx, runner, s.trial.suspect.Load())
+	return f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo && s.trial.checkCrash(ctx, runner, s.trial.suspect.Load())
 }
 
 // forwardEvents sends events to the caller. Only those with a new number show that the request makes progress: a runner in
--- a/core/bergamotsuspect/ledger.go
+++ b/core/bergamotsuspect/ledger.go
@@ -15,7 +15,7 @@
 type Ledger struct {
 	Clock           Clock
 	DuplicateWindow time.Duration // reports of failures of one instance within this time count as one failure
-	InstancesEnd    bool          // the name of an instance is that of a process, which fails once
+	CrashOnce       bool          // the name of an instance is that of a process, which fails once
 	MaxAge          time.Duration // age at which a failure expires
 	MaxContents     int           // maximum number of contents
 	// OnChange is called with each failure that this entry has recorded, or whose contents it has cleared; nil for none.
@@ -114,7 +114,7 @@
 // exchange of failures between entries, report one several times. A failure while the request ran alone is never the same
 // as one while others ran there, since a request runs alone only after an earlier failure made it a suspect.
 func (l *Ledger) isSame(f, other *localFailure) bool {
-	if l.InstancesEnd {
+	if l.CrashOnce {
 		return f.instance == other.instance
 	}
 	return f.instance == other.instance && f.alone == other.alone && f.at.Sub(other.at).Abs() < l.DuplicateWindow
--- a/core/bergamotsuspect/ledger_test.go
+++ b/core/bergamotsuspect/ledger_test.go
@@ -138,11 +138,11 @@
 })
 
 var _ = ginkgo.Describe("Ledger of processes", func() {
-	// Guards against confirming a sound part because a runner ended on a deadly one while requests of two entries, one of
+	// Guards against confirming a sound part because a runner crashed on a deadly one while requests of two entries, one of
 	// them a suspect for another part, were there with the sound one.
-	ginkgo.It("counts the end of one process once", func() {
+	ginkgo.It("counts the crash of one process once", func() {
 		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
-		l.InstancesEnd = true
+		l.CrashOnce = true
 		l.RecordFailure(digests("r1 good"), "runner@1", false)
 		l.RecordFailure(digests("r2 good bad"), "runner@1", true)
 		gomega.Expect(l.IsConfirmed(digests("r3 good")...)).To(gomega.BeFalse())
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -31,8 +31,8 @@
 	after       int // events before a stream is broken off
 	wrongID     bool
 	unframed    bool        // answers have neither a length nor chunks
-	deadlyPart  string      // part of prompts on which the process ends, empty for none
-	end         func()      // ends the process
+	deadlyPart  string      // part of prompts on which the process crashes, empty for none
+	crash       func()      // ends the process and its connections
 	endless     EndlessPart // part of answers that never ends, empty for none
 	endlessSent int64       // bytes of endless parts that were sent
 }
@@ -147,11 +147,11 @@
 	f.unframed = unframed
 }
 
-// EndOn makes the process end, which end does, when it begins to answer a request with a part in its prompt.
-func (f *RelayRunner) EndOn(part string, end func()) {
+// CrashOn makes the process crash, which crash does, when it begins to answer a request with a part in its prompt.
+func (f *RelayRunner) CrashOn(part string, crash func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deadlyPart, f.end = part, end
+	f.deadlyPart, f.crash = part, crash
 }
 
 // SendEndless makes the runner send a part of its answers without end; an empty part ends that.
@@ -244,7 +244,7 @@
 	if breaks {
 		f.breaks--
 	}
-	after, pause, endless, end, unframed := f.after, f.EventInterval, f.endless, f.end, f.unframed
+	after, pause, endless, crash, unframed := f.after, f.EventInterval, f.endless, f.crash, f.unframed
 	if f.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -257,7 +257,7 @@
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp-"+f.ID)
 	if isDeadly {
 		_ = http.NewResponseController(w).Flush() // the header; a caller that has gone away misses nothing
-		end()
+		crash()
 		return
 	}
 	if endless != "" {
