--- a/review/bergamotreview/bench.go
+++ b/review/bergamotreview/bench.go
@@ -35,6 +35,7 @@
 	store        *bergamotfake.MetadataStore
 	storeAddress string
 	dir          string // temporary folder
+	entries      int    // that have been started
 
 	mu      sync.Mutex
 	started time.Time
--- a/review/bergamotreview/entry.go
+++ b/review/bergamotreview/entry.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-const settingsText = `nodeName: "edge-%[1]s-1"
+const settingsText = `nodeName: "edge-%[1]s-%[11]d"
 role: "entry"
 machineClass: "edge"
 serves:
@@ -75,10 +75,13 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &entry{bench: b, front: front, ready: ready, file: filepath.Join(b.dir, "local.yaml"), done: make(chan struct{})}
+	b.entries++
+	number := b.entries
+	file := filepath.Join(b.dir, fmt.Sprintf("local-%d.yaml", number))
+	e := &entry{bench: b, front: front, ready: ready, file: file, done: make(chan struct{})}
 	e.settings = func(revoke time.Duration) string {
 		return fmt.Sprintf(settingsText, zoneName, front, ready, storeAddress, peers.Port, contactTime.Milliseconds(),
-			drainTime.Milliseconds(), int(graceTime.Seconds()), applyTime.Milliseconds(), revoke.Milliseconds())
+			drainTime.Milliseconds(), int(graceTime.Seconds()), applyTime.Milliseconds(), revoke.Milliseconds(), number)
 	}
 	if err := os.WriteFile(e.file, []byte(e.settings(revokeTime)), 0o600); err != nil {
 		return nil, err
