Show that streams are cut off when the entry of their runner is removed

A runner that is no longer in the list counts as one that does not answer, and streams that wait for its first event are ended. The case removes the entry of one of eight model runners, which serves on.

--- a/review/bergamotreview/bench.go
+++ b/review/bergamotreview/bench.go
@@ -27,7 +27,6 @@
 	drainTime   = 2 * time.Second // drainMs
 	applyTime   = 2 * time.Second // configApplyMs
 	graceTime   = 8 * time.Second // graceS
-	revokeTime  = 5 * time.Second // revokeMs
 )
 
 // bench holds the platform of a case and its record.
@@ -92,15 +91,10 @@
 
 // configure stores a version of the desired state; the store's answer is its acknowledgement.
 func (b *bench) configure(version int, routes []map[string]any, services []map[string]any) time.Time {
-	return b.configureKeys(version, routes, services, apiKey)
-}
-
-// configureKeys is configure with other keys of the callers.
-func (b *bench) configureKeys(version int, routes []map[string]any, services []map[string]any, keys ...string) time.Time {
 	b.store.Put(tableOperator, rowConfig, map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "keepers", "apiKeys": keys}},
+		"tenants": []any{map[string]any{"name": "keepers", "apiKeys": []string{apiKey}}},
 	})
 	acked := time.Now()
 	b.log("operator: desired state %d acknowledged", version)
--- a/review/bergamotreview/entry.go
+++ b/review/bergamotreview/entry.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-const settingsText = `nodeName: "edge-%[1]s-%[11]d"
+const settingsText = `nodeName: "edge-%[1]s-%[10]d"
 role: "entry"
 machineClass: "edge"
 serves:
@@ -41,7 +41,7 @@
   lossSlackMs: 200
   configApplyMs: %[9]d
   strictRevoke: true
-  revokeMs: %[10]d
+  revokeMs: 5000
   budgetRatio: 0.2
   budgetWindowS: 10
   budgetExtra: 200
@@ -51,13 +51,11 @@
 
 // entry is a process of the project.
 type entry struct {
-	bench    *bench
-	cmd      *exec.Cmd
-	front    string
-	ready    string
-	settings func(revoke time.Duration) string // text of the settings file
-	file     string                            // settings file
-	done     chan struct{}                     // closed when the process has ended
+	bench *bench
+	cmd   *exec.Cmd
+	front string
+	ready string
+	done  chan struct{} // closed when the process has ended
 }
 
 // startEntry starts a process with the command of the deploy file and waits until it is ready.
@@ -78,16 +76,14 @@
 	b.entries++
 	number := b.entries
 	file := filepath.Join(b.dir, fmt.Sprintf("local-%d.yaml", number))
-	e := &entry{bench: b, front: front, ready: ready, file: file, done: make(chan struct{})}
-	e.settings = func(revoke time.Duration) string {
-		return fmt.Sprintf(settingsText, zoneName, front, ready, storeAddress, peers.Port, contactTime.Milliseconds(),
-			drainTime.Milliseconds(), int(graceTime.Seconds()), applyTime.Milliseconds(), revoke.Milliseconds(), number)
-	}
-	if err := os.WriteFile(e.file, []byte(e.settings(revokeTime)), 0o600); err != nil {
+	text := fmt.Sprintf(settingsText, zoneName, front, ready, storeAddress, peers.Port, contactTime.Milliseconds(),
+		drainTime.Milliseconds(), int(graceTime.Seconds()), applyTime.Milliseconds(), number)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
+	e := &entry{bench: b, front: front, ready: ready, done: make(chan struct{})}
 	e.cmd = exec.Command(filepath.Join("target", "bergamotspur"), "platform", "--metrics", metrics)
-	e.cmd.Env = append(os.Environ(), "BERGAMOTSPUR_BOOT="+e.file)
+	e.cmd.Env = append(os.Environ(), "BERGAMOTSPUR_BOOT="+file)
 	out, err := e.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/review/bergamotreview/main.go
+++ b/review/bergamotreview/main.go
@@ -26,7 +26,7 @@
 	"silent":  playSilent,
 	"slashes": playSlashes,
 	"many":    playMany,
-	"revoke":  playRevoke,
+	"leave":   playLeave,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/bergamotreview/many.go
+++ b/review/bergamotreview/many.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"time"
 )
 
@@ -14,47 +11,8 @@
 	cutTime     = 12 * time.Second // longest cut of machines on the large site
 	cuts        = 3
 	cutPause    = 6 * time.Second // from the end of a cut to the next one
-	manyLayers  = 8
 )
 
-// modelRunner is a stand-in for a runner of a model engine that holds all layers of a small model.
-type modelRunner struct {
-	id      string
-	address string
-	born    int64
-}
-
-func (r *modelRunner) serve(w http.ResponseWriter, q *http.Request) {
-	if q.URL.Path == "/report" {
-		// A failed write means that the caller has gone.
-		_ = json.NewEncoder(w).Encode(map[string]any{
-			"born": r.born, "seq": 1, "kvUsed": 0, "kvTotal": 1e6, "pace": 1.0, "busy": false, "stalled": []any{},
-			"layers": map[string]int{"from": 0, "target": manyLayers, "version": 1},
-		})
-		return
-	}
-	if q.URL.Path == "/order" {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	if q.Header.Get("X-Bergamotspur-Expect-Instance") != r.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	_, _ = io.Copy(io.Discard, q.Body) // a body that breaks off ends the context of the request
-	w.Header().Set("X-Bergamotspur-Attempt-Id", q.Header.Get("X-Bergamotspur-Attempt-Id"))
-	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp."+r.id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	for n := range 5 {
-		// A failed write means that the caller has gone; Flush then fails too.
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", n)
-		if http.NewResponseController(w).Flush() != nil {
-			return
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // playMany cuts the entry off from the store and from the runners, and checks that it takes on a desired state that comes
 // after that.
 func playMany(ctx context.Context, b *bench, trouble bool) (broken []string, err error) {
@@ -64,14 +22,10 @@
 		return nil, err
 	}
 	for n := range manyRunners {
-		r := &modelRunner{id: fmt.Sprintf("i-card%03d", n), born: time.Now().UnixMilli()}
-		if r.address, err = g.listen(b, http.HandlerFunc(r.serve)); err != nil {
+		r := &modelRunner{id: fmt.Sprintf("i-card%03d", n), born: time.Now().UnixMilli(), events: 5}
+		if err := r.start(b, g); err != nil {
 			return nil, err
 		}
-		b.store.Put(tableRunners, r.id, map[string]any{
-			"service": "assistant", "address": r.address, "zone": zoneName, "version": "1", "slots": 192, "state": "ready",
-			"coldRemainingMs": 0, "seq": 1, "born": r.born, "routeType": "l4", "layers": map[string]int{"from": 0, "target": manyLayers, "version": 1},
-		})
 	}
 	before, err := b.startRunner("i-old", "ledger", silentWork)
 	if err != nil {
@@ -80,11 +34,7 @@
 	if _, err = b.startRunner("i-new", "ledger-two", silentWork); err != nil {
 		return nil, err
 	}
-	services := []map[string]any{{"name": "ledger"}, {"name": "ledger-two"}, {"name": "assistant", "engine": map[string]any{
-		"kvBytes": 8000, "step_ms": 1, "layers": manyLayers, "layerMb": 1000, "usual": map[string]int{"prompt": 100, "answer": 100},
-		"models": []any{map[string]any{"name": "m", "loadS": 14}},
-		"kinds":  []any{map[string]any{"name": "l4", "sizeMb": 22000, "pace": 1, "readFactor": 1}},
-	}}}
+	services := []map[string]any{{"name": "ledger"}, {"name": "ledger-two"}, assistant()}
 	stream := route("draft", "/draft/", "streaming", "assistant", 20*time.Second)
 	stream["resumable"], stream["maxAttempts"], stream["targetGapMs"], stream["targetLatencyMs"] = true, 2, 200, 500
 	balance := func(service string) map[string]any {
