Show that a request that crashes runners before a header is never refused

The crash of a model runner is attributed to a request only when the header of the answer has arrived. The case sends one request again and again on which runners crash before they send it.

--- a/review/bergamotreview/bench.go
+++ b/review/bergamotreview/bench.go
@@ -29,6 +29,12 @@
 	graceTime   = 8 * time.Second // graceS
 )
 
+const (
+	callWork = 100 * time.Millisecond // of a call at its runner, unless a case sets another time
+	// checkMargin is added to the bounds, for the time that a request takes from its caller to a runner.
+	checkMargin = 100 * time.Millisecond
+)
+
 // bench holds the platform of a case and its record.
 type bench struct {
 	store        *bergamotfake.MetadataStore
--- a/review/bergamotreview/gate.go
+++ b/review/bergamotreview/gate.go
@@ -40,15 +40,15 @@
 }
 
 // listen serves h behind the gate and returns the address.
-func (g *gate) listen(b *bench, h http.Handler) (string, error) {
+func (g *gate) listen(b *bench, h http.Handler) (string, *http.Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.Serve(gatedListener{l, g}) }() // it ends when the case does
 	b.onClose(func() { _ = s.Close() })
-	return l.Addr().String(), nil
+	return l.Addr().String(), s, nil
 }
 
 type gatedListener struct {
--- a/review/bergamotreview/main.go
+++ b/review/bergamotreview/main.go
@@ -23,9 +23,9 @@
 
 var cases = map[string]caseFunc{
 	"stop":    playStop,
-	"silent":  playSilent,
 	"slashes": playSlashes,
 	"many":    playMany,
+	"deadly":  playDeadly,
 	"leave":   playLeave,
 }
 
--- a/review/bergamotreview/many.go
+++ b/review/bergamotreview/many.go
@@ -17,7 +17,7 @@
 // after that.
 func playMany(ctx context.Context, b *bench, trouble bool) (broken []string, err error) {
 	g := newGate()
-	storeAddress, err := g.listen(b, b.store.Handler())
+	storeAddress, _, err := g.listen(b, b.store.Handler())
 	if err != nil {
 		return nil, err
 	}
@@ -27,11 +27,11 @@
 			return nil, err
 		}
 	}
-	before, err := b.startRunner("i-old", "ledger", silentWork)
+	before, err := b.startRunner("i-old", "ledger", callWork)
 	if err != nil {
 		return nil, err
 	}
-	if _, err = b.startRunner("i-new", "ledger-two", silentWork); err != nil {
+	if _, err = b.startRunner("i-new", "ledger-two", callWork); err != nil {
 		return nil, err
 	}
 	services := []map[string]any{{"name": "ledger"}, {"name": "ledger-two"}, assistant()}
@@ -72,7 +72,7 @@
 	}
 	for _, a := range before.ran() {
 		s, known := sent[a.id]
-		if !known || s.Sub(acked) <= applyTime+silentMargin {
+		if !known || s.Sub(acked) <= applyTime+checkMargin {
 			continue
 		}
 		broken = append(broken, fmt.Sprintf("%s, sent %.2f s after the acknowledgement and %.2f s after the end of the cut, was run by the old service",
--- a/review/bergamotreview/modelrunner.go
+++ b/review/bergamotreview/modelrunner.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -19,23 +20,81 @@
 	prefill time.Duration // from the header of an answer to its first event
 	events  int           // of each stream
 	bench   *bench        // nil for no record of each stream
+	deadly  string        // path of the requests on which the process crashes before it answers, empty for none
 
-	mu   sync.Mutex
-	ends map[string]string // how each run has ended, by the id of its request
+	mu       sync.Mutex
+	empty    bool              // no layers are held, as after a restart
+	server   *http.Server      // nil while the process is down
+	arrivals []arrival         // of deadly requests
+	ends     map[string]string // how each run has ended, by the id of its request
 }
 
 // start serves behind a gate and writes the row of the runner.
 func (r *modelRunner) start(b *bench, g *gate) (err error) {
-	if r.address, err = g.listen(b, http.HandlerFunc(r.serve)); err != nil {
+	if r.address, r.server, err = g.listen(b, http.HandlerFunc(r.serve)); err != nil {
 		return err
 	}
-	b.store.Put(tableRunners, r.id, map[string]any{
-		"service": "assistant", "address": r.address, "zone": zoneName, "version": "1", "slots": 192, "state": "ready",
-		"coldRemainingMs": 0, "seq": 1, "born": r.born, "routeType": "l4", "layers": map[string]int{"from": 0, "target": manyLayers, "version": 1},
-	})
+	r.register(b)
 	return nil
 }
 
+// register writes the row of the runner.
+func (r *modelRunner) register(b *bench) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := map[string]any{
+		"service": "assistant", "address": r.address, "zone": zoneName, "version": "1", "slots": 192, "state": "ready",
+		"coldRemainingMs": 0, "seq": 1, "born": r.born, "routeType": "l4",
+	}
+	if !r.empty {
+		row["layers"] = map[string]int{"from": 0, "target": manyLayers, "version": 1}
+	}
+	b.store.Put(tableRunners, r.id, row)
+}
+
+// crash ends the process with its connections. It is back after restartTime at the same address, under its id and empty.
+func (r *modelRunner) crash(a arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, a)
+	if r.server == nil {
+		return
+	}
+	r.bench.log("runner %s: crashes on %s", r.id, a.id)
+	server := r.server
+	r.server = nil
+	go func() {
+		_ = server.Close() // all connections end
+		time.Sleep(restartTime)
+		l, err := net.Listen("tcp", r.address)
+		if err != nil {
+			r.bench.log("runner %s: cannot start again: %v", r.id, err)
+			return
+		}
+		next := &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: time.Minute}
+		r.mu.Lock()
+		r.server, r.empty, r.born = next, true, time.Now().UnixMilli()
+		r.mu.Unlock()
+		r.bench.onClose(func() { _ = next.Close() })
+		r.register(r.bench)
+		_ = next.Serve(l) // it ends with a crash or with the case
+	}()
+}
+
+// load holds all layers after loadTime.
+func (r *modelRunner) load() {
+	time.Sleep(loadTime)
+	r.mu.Lock()
+	r.empty = false
+	r.mu.Unlock()
+	r.register(r.bench)
+}
+
+const (
+	restartTime = 2 * time.Second        // from a crash to the next start
+	loadTime    = 200 * time.Millisecond // of all layers
+)
+
 // assistant returns the service of the model runners.
 func assistant() map[string]any {
 	return map[string]any{"name": "assistant", "engine": map[string]any{
@@ -48,14 +107,14 @@
 func (r *modelRunner) serve(w http.ResponseWriter, q *http.Request) {
 	if q.URL.Path == "/report" {
 		// A failed write means that the caller has gone.
-		_ = json.NewEncoder(w).Encode(map[string]any{
-			"born": r.born, "seq": 1, "kvUsed": 0, "kvTotal": 1e6, "pace": 1.0, "busy": false, "stalled": []any{},
-			"layers": map[string]int{"from": 0, "target": manyLayers, "version": 1},
-		})
+		_ = json.NewEncoder(w).Encode(r.report())
 		return
 	}
 	if q.URL.Path == "/order" {
-		w.WriteHeader(http.StatusOK)
+		if r.isEmpty() {
+			go r.load()
+			w.WriteHeader(http.StatusAccepted)
+		}
 		return
 	}
 	if q.Header.Get("X-Bergamotspur-Expect-Instance") != r.id {
@@ -64,6 +123,14 @@
 	}
 	id := q.Header.Get("X-Bergamotspur-Attempt-Id")
 	_, _ = io.Copy(io.Discard, q.Body) // a body that breaks off ends the context of the request
+	if r.isEmpty() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.deadly != "" && q.URL.Path == r.deadly {
+		r.crash(arrival{id: id, at: time.Now()})
+		panic(http.ErrAbortHandler) // no header is sent
+	}
 	r.note(id, "runs")
 	w.Header().Set("X-Bergamotspur-Attempt-Id", id)
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp."+r.id)
@@ -90,6 +157,30 @@
 // eventPause is the time between two events of a stream.
 const eventPause = 20 * time.Millisecond
 
+func (r *modelRunner) isEmpty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.empty
+}
+
+// report returns the status of the runner.
+func (r *modelRunner) report() map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := map[string]any{"born": r.born, "seq": 1, "kvUsed": 0, "kvTotal": 1e6, "pace": 1.0, "busy": false, "stalled": []any{}}
+	if !r.empty {
+		m["layers"] = map[string]int{"from": 0, "target": manyLayers, "version": 1}
+	}
+	return m
+}
+
+// crashes returns the arrivals of deadly requests.
+func (r *modelRunner) crashes() []arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]arrival(nil), r.arrivals...)
+}
+
 func (r *modelRunner) note(id, end string) {
 	if r.bench == nil {
 		return
--- a/review/bergamotreview/slashes.go
+++ b/review/bergamotreview/slashes.go
@@ -8,7 +8,7 @@
 
 // playSlashes adds a route for all paths of a host and checks that a path with two leading slashes arrives unchanged.
 func playSlashes(ctx context.Context, b *bench, trouble bool) (broken []string, err error) {
-	r, err := b.startRunner("i-ledger0", "ledger", silentWork)
+	r, err := b.startRunner("i-ledger0", "ledger", callWork)
 	if err != nil {
 		return nil, err
 	}
