Attribute crashes before the response header to streams, and do not trust a named last event

Cause: sendAttempt looked for a crash only once a header had arrived, and the event that a caller names counted as progress. Change: each broken attempt without an event is checked, by one report for all that the process broke off. A crash before the header may be that of a request that only waited, so that the request is sent again where no other suspect waits, and is recorded only if it is not answered. Two crashes confirm the request, three a shared part; an answer takes it back. What was answered just before is not blamed. A stream that resumes and ends without an event has failed if its runner has crashed. Ruled out: to record each waiting request at once.

--- /dev/null
+++ b/core/bergamotrelay/crashcheck.go
@@ -0,0 +1,47 @@
+package bergamotrelay
+
+import (
+	"context"
+	"time"
+
+	"bergamotspur/core/bergamotfleet"
+)
+
+// crashCheckTimeout is the time for the report that shows whether a runner has crashed. A report takes 2 ms.
+const crashCheckTimeout = 250 * time.Millisecond
+
+// crashCheck is a check whether a process has crashed, shared by all requests that it broke off.
+type crashCheck struct {
+	done    chan struct{}
+	crashed bool
+}
+
+// hasCrashed reports whether the process of a runner that broke off an attempt has crashed: it gives no report, or one with
+// another start time. A report that is under way when the process crashes breaks off too, so that requests can share a check
+// that has already begun.
+func (q *Quarantine) hasCrashed(ctx context.Context, i bergamotfleet.Instance) bool {
+	q.mu.Lock()
+	c, running := q.checks[i.Process()]
+	if !running {
+		if q.checks == nil {
+			q.checks = map[string]*crashCheck{}
+		}
+		c = &crashCheck{done: make(chan struct{})}
+		q.checks[i.Process()] = c
+	}
+	q.mu.Unlock()
+	if running {
+		<-c.done
+		return c.crashed
+	}
+	// The request that started the check may end before the others.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
+	defer cancel()
+	r, err := q.Reporter.Report(ctx, i.Address())
+	c.crashed = err != nil || r.StartTime() != i.StartTime()
+	q.mu.Lock()
+	delete(q.checks, i.Process())
+	q.mu.Unlock()
+	close(c.done)
+	return c.crashed
+}
--- a/core/bergamotrelay/exchange.go
+++ b/core/bergamotrelay/exchange.go
@@ -37,7 +37,7 @@
 	deadline  time.Time
 	trace     Trace
 	contents  []bergamotsuspect.Digest // set by hash
-	hash      sync.Once                // most requests need no digests
+	hash      sync.Once
 }
 
 // NewExchange returns an exchange that uses view, and so one version of the configuration, until its end.
@@ -88,7 +88,7 @@
 // Trace returns the record of the steps taken for the request.
 func (x *Exchange) Trace() *Trace { return &x.trace }
 
-// Contents returns the digests of what may make a runner crash: the whole request of this caller, and each shared part of
+// Contents returns the digests of what may make a runner crash: the whole request of this caller, then each shared part of
 // its prompt. It may be called concurrently once the workspace and the service are set.
 func (x *Exchange) Contents() []bergamotsuspect.Digest {
 	x.hash.Do(func() {
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -203,6 +203,17 @@
 	})
 }
 
+// fleetStartedAt returns three model runners whose processes started at a time in Unix milliseconds.
+func fleetStartedAt(startTime int64) *bergamotfleet.Fleet {
+	var list []bergamotfleet.Instance
+	for _, name := range []string{"x", "y", "z"} {
+		spec := instance(name, "llm").Spec()
+		spec.StartTime = startTime
+		list = append(list, bergamotfleet.NewInstance(spec))
+	}
+	return bergamotfleet.NewFleet(list)
+}
+
 func route(s bergamotconfig.RouteSpec) bergamotconfig.Route {
 	s.Name, s.TargetLatency = "r", 100*time.Millisecond
 	return bergamotconfig.NewRoute(s)
--- a/core/bergamotrelay/quarantine.go
+++ b/core/bergamotrelay/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +22,6 @@
 	// that the parts of its prompt are not the cause.
 	repeatDelay        = 10 * time.Second
 	repeatPollInterval = 40 * time.Millisecond
-	// crashCheckTimeout is the time for the report that shows whether a runner has crashed. A report takes 2 ms.
-	crashCheckTimeout = 250 * time.Millisecond
 )
 
 // Suspects attributes failures of runners to the contents of requests.
@@ -33,6 +32,7 @@
 	IsRepeat(d time.Duration, contents ...bergamotsuspect.Digest) bool
 	IsConfirmed(contents ...bergamotsuspect.Digest) bool
 	RecordFailure(contents []bergamotsuspect.Digest, instance string, alone bool)
+	RecordUnstarted(contents []bergamotsuspect.Digest, instance string, alone bool)
 	Clear(contents ...bergamotsuspect.Digest)
 }
 
@@ -48,6 +48,11 @@
 	Suspects  Suspects
 	Isolation Isolation
 	Reporter  bergamotcluster.Reporter
+
+	mu       sync.Mutex
+	checks   map[string]*crashCheck // in progress, by process
+	suspects map[string]*occupancy  // suspects that wait for their answers, by process
+	sound    soundContents
 }
 
 // Name returns "quarantine".
@@ -76,6 +81,19 @@
 	x          *Exchange
 	suspect    atomic.Bool // a failure is attributed to a content of the request
 	release    func()      // lets the next suspect run, nil if none has to wait
+	// unstarted are the crashes of runners that had not begun to answer. They are recorded unless another runner answers:
+	// each crash breaks off many requests that only waited, and most of them are answered elsewhere.
+	unstarted []unstartedCrash
+	// process is where the suspect waits for its answer, empty for nowhere; shared is whether another suspect has done so at
+	// the same time. Both are guarded by the lock of the quarantine.
+	process string
+	shared  bool
+}
+
+// unstartedCrash is the crash of a runner before it began to answer a request.
+type unstartedCrash struct {
+	process string
+	alone   bool // the request was a suspect when it was sent, and no other suspect was there
 }
 
 // begin waits until no other request with the same suspect contents runs at this entry. It returns a
@@ -86,9 +104,6 @@
 		return t, nil
 	}
 	t.suspect.Store(true)
-	if x.Request().LastEvent() >= 0 {
-		return t, nil // it has had an event before
-	}
 	wait := x.Route().TargetLatency()
 	if wait <= 0 {
 		wait = defaultIsolationWait
@@ -148,6 +163,8 @@
 
 // answered records that the runner has begun to answer, so that the request does not make runners crash.
 func (t *trial) answered() {
+	t.unstarted = nil
+	t.quarantine.sound.add(t.x.Contents(), t.quarantine.Clock.Now())
 	if t.quarantine.Suspects.Len() > 0 {
 		t.quarantine.Suspects.Clear(t.x.Contents()...)
 	}
@@ -155,21 +172,55 @@
 }
 
 // checkCrash checks whether a runner that broke off before it answered has crashed, and if so attributes that to the request. It
-// reports whether the runner has crashed. wasSuspect is whether the request was a suspect when it was sent.
+// reports whether it did. wasSuspect is whether the request was a suspect when it was sent.
 func (t *trial) checkCrash(ctx context.Context, i bergamotfleet.Instance, wasSuspect bool) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
-	defer cancel()
-	if r, err := t.quarantine.Reporter.Report(ctx, i.Address()); err == nil && r.StartTime() == i.StartTime() {
+	if !t.quarantine.hasCrashed(ctx, i) {
 		return false // it has only closed the connection
 	}
 	// A process crashes once, so that its start time tells its failures from those of the next one.
-	t.quarantine.Suspects.RecordFailure(t.x.Contents(), i.Process(), wasSuspect)
+	contents := t.unsoundContents(i.Process())
+	if len(contents) == 0 {
+		return false
+	}
+	t.quarantine.Suspects.RecordFailure(contents, i.Process(), wasSuspect)
 	t.suspect.Store(true)
 	return true
 }
 
+// checkUnstarted checks whether a runner that broke off before it began to answer has crashed. If so, and if the request is
+// not answered by another runner, the crash is attributed to the request as one that may only have waited there.
+func (t *trial) checkUnstarted(ctx context.Context, i bergamotfleet.Instance) {
+	if !t.quarantine.hasCrashed(ctx, i) {
+		return
+	}
+	wasSuspect := t.suspect.Swap(true)
+	t.unstarted = append(t.unstarted, unstartedCrash{process: i.Process(), alone: wasSuspect && t.isAlone(i.Process())})
+	if wasSuspect {
+		t.recordUnstarted() // before the next attempt
+	}
+}
+
+func (t *trial) recordUnstarted() {
+	for _, c := range t.unstarted {
+		t.quarantine.Suspects.RecordUnstarted(t.unsoundContents(c.process), c.process, c.alone)
+	}
+	t.unstarted = nil
+}
+
+// unsoundContents returns the contents that may be the cause of the crash of a process.
+func (t *trial) unsoundContents(process string) []bergamotsuspect.Digest {
+	return t.quarantine.sound.unsound(t.x.Contents(), process, t.quarantine.Clock.Now())
+}
+
+// finish ends the trial of a request without a further attempt.
+func (t *trial) finish() {
+	t.recordUnstarted()
+	t.end()
+}
+
 // end lets the next suspect run.
 func (t *trial) end() {
+	t.leave()
 	if t.release != nil {
 		t.release()
 		t.release = nil
--- a/core/bergamotrelay/quarantine_test.go
+++ b/core/bergamotrelay/quarantine_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -34,6 +36,55 @@
 
 var resumable = bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: true, MaxAttempts: 2}
 
+// unlimitedBudget allows every retry.
+type unlimitedBudget struct{}
+
+func (unlimitedBudget) RecordFirst(string)              {}
+func (unlimitedBudget) Take(string) bool                { return true }
+func (unlimitedBudget) TakeWithin(string, float64) bool { return true }
+
+// crashingUpstream lets requests wait at their runners until answer is closed. A request whose body names the part "deadly"
+// crashes its runner, which breaks off all that wait there.
+type crashingUpstream struct {
+	mu      sync.Mutex
+	waiting map[string][]chan struct{}
+	answer  chan struct{}
+	crashes int
+}
+
+func (u *crashingUpstream) Send(ctx context.Context, a Attempt) (Response, error) {
+	u.mu.Lock()
+	if strings.Contains(string(a.Request().Body()), "deadly") {
+		for _, c := range u.waiting[a.Runner()] {
+			close(c)
+		}
+		delete(u.waiting, a.Runner())
+		u.crashes++
+		u.mu.Unlock()
+		return nil, reset()
+	}
+	crashed := make(chan struct{})
+	u.waiting[a.Runner()] = append(u.waiting[a.Runner()], crashed)
+	u.mu.Unlock()
+	select {
+	case <-crashed:
+		return nil, reset()
+	case <-u.answer:
+		return &fakeResponse{reply: reply{events: 1}, next: 0, left: 1}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (u *crashingUpstream) count() (n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, w := range u.waiting {
+		n += len(w)
+	}
+	return n
+}
+
 type endCase struct {
 	service   bergamotconfig.Service
 	replies   []reply
@@ -49,12 +100,15 @@
 	// Guards against sending a request on which a runner crashed to further runners, and against blaming requests that waited
 	// at the runner, that had events, or whose runner has only closed the connection.
 	bergamottest.Cases(map[string]endCase{
-		"is suspect when the runner crashed before the first event": {model, []reply{silent, {events: 2}}, false, "target yes", 1, true, false},
-		"is sent again when the runner is alive":                    {model, []reply{silent, {events: 2}}, true, "answered", 2, false, false},
-		"is resumed when the runner crashed after an event":         {model, []reply{{events: 1, broken: true}, {events: 2}}, false, "answered", 2, false, false},
-		"is sent again when the runner crashed before it answered":  {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
-		"is confirmed as a call when a second runner crashes on it": {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, false, "target unknown", 2, true, true},
-		"is not suspect as a call that another runner has answered": {plain, []reply{{failure: reset()}, {status: 200}}, false, "answered", 2, false, false},
+		"is suspect when the runner crashed before the first event":  {model, []reply{silent, {events: 2}}, false, "target yes", 1, true, false},
+		"is sent again when the runner is alive":                     {model, []reply{silent, {events: 2}}, true, "answered", 2, false, false},
+		"is resumed when the runner crashed after an event":          {model, []reply{{events: 1, broken: true}, {events: 2}}, false, "answered", 2, false, false},
+		"is sent again when the runner crashed before it answered":   {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
+		"is not suspect when another runner has answered it":         {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
+		"is confirmed when two runners crashed before they answered": {model, []reply{{failure: reset()}, {failure: reset()}, {events: 2}}, false, "target unknown", 2, true, true},
+		"is not suspect when two alive runners broke off":            {model, []reply{{failure: reset()}, {failure: reset()}, {events: 2}}, true, "target unknown", 2, false, false},
+		"is confirmed as a call when a second runner crashes on it":  {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, false, "target unknown", 2, true, true},
+		"is not suspect as a call that another runner has answered":  {plain, []reply{{failure: reset()}, {status: 200}}, false, "answered", 2, false, false},
 	}, func(c endCase) {
 		g := newRig(route(resumable), c.service, c.replies...)
 		g.prompt("first", "bad", "own")
@@ -74,6 +128,134 @@
 	})
 })
 
+var _ = ginkgo.Describe("a request on which runners crash each time that it comes", func() {
+	// Guards against a request that crashes runners for ever: it was never refused when they crashed before they sent the
+	// header of an answer (review/2), or when its caller named a last event.
+	bergamottest.Cases(map[string]struct {
+		reply      reply
+		lastEvent  int
+		resumable  bool
+		maxCrashes int
+	}{
+		"before the header":                                  {reply{failure: reset()}, -1, true, 2},
+		"before the header, on a route without retries":      {reply{failure: reset()}, -1, false, 2},
+		"before the header, with a last event":               {reply{failure: reset()}, 3, true, 2},
+		"after the header":                                   {reply{broken: true}, -1, true, 2},
+		"after the header, with a last event":                {reply{broken: true}, 3, true, 2},
+		"after the header, where the end looks like a whole": {reply{}, 3, true, 2},
+	}, func(c struct {
+		reply      reply
+		lastEvent  int
+		resumable  bool
+		maxCrashes int
+	},
+	) {
+		g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: c.resumable, MaxAttempts: 2}), model, c.reply)
+		g.ledger.CrashOnce = true
+		last := bergamotstep.Func[*Exchange](func(ctx context.Context, _ *Exchange) error { return g.stream(ctx) })
+		for n := range 6 {
+			// Each crash is that of another process.
+			g.views.view = bergamotcluster.NewView(nil, 0, fleetStartedAt(int64(n+1)))
+			g.x = NewExchange(NewRequest(RequestSpec{ID: fmt.Sprint(n), LastEvent: c.lastEvent, PromptTokens: 10, AnswerTokens: 10, ArrivedAt: now}), g.views.view, g.caller)
+			g.x.SetRoute(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: c.resumable, MaxAttempts: 2}), model)
+			g.x.SetDeadline(g.clock.Now().Add(20 * time.Second))
+			gomega.Expect(outcomeOf(g.quarantine().Filter(context.Background(), g.x, last))).NotTo(gomega.Equal("answered"))
+			g.clock.Advance(repeatDelay)
+		}
+		gomega.Expect(len(g.upstream.attempts)).To(gomega.BeNumerically("<=", c.maxCrashes))
+		gomega.Expect(g.ledger.IsConfirmed(g.x.Contents()...)).To(gomega.BeTrue())
+	})
+
+	// Guards against refusing sound requests because runners crashed while they waited there: other callers' requests with the
+	// same text were refused for minutes, 640,000 times in a run of review/2.
+	ginkgo.It("does not blame what a runner has answered just before, but what it crashes on again", func() {
+		g := newRig(route(resumable), model)
+		q := g.quarantine()
+		begin := func(parts ...string) *trial {
+			g.prompt(parts...)
+			t, err := q.begin(context.Background(), g.x)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			return t
+		}
+		isSuspect := func(parts ...string) bool {
+			g.prompt(parts...)
+			return g.ledger.IsSuspect(g.x.Contents()...)
+		}
+		crash := func(process string, parts ...string) {
+			t := begin(parts...)
+			t.checkUnstarted(context.Background(), instance(process, "llm"))
+			t.finish()
+		}
+		begin("good", "own").answered()
+		crash("x", "good", "own")
+		gomega.Expect(isSuspect("good", "own")).To(gomega.BeFalse())
+		crash("x", "good", "bad", "1")
+		gomega.Expect(isSuspect("good", "2")).To(gomega.BeFalse())
+		gomega.Expect(isSuspect("bad", "2")).To(gomega.BeTrue())
+		begin("good", "3").answered()
+		crash("y", "good", "4")
+		gomega.Expect(isSuspect("good", "5")).To(gomega.BeFalse())
+		crash("z", "good", "6") // not answered since the crash of y
+		gomega.Expect(isSuspect("good", "7")).To(gomega.BeTrue())
+	})
+
+	// Guards against refusing sound requests of the same text, none of which was answered yet, because several of them wait at
+	// both runners that a deadly one makes crash.
+	ginkgo.It("is told from sound requests that wait at the same runners", func() {
+		for range 50 {
+			g := newRig(route(resumable), model)
+			u := &crashingUpstream{waiting: map[string][]chan struct{}{}, answer: make(chan struct{})}
+			h := &StreamHandler{
+				Clock: instantClock{g.clock}, Upstream: u, Router: g.router, Views: g.views, Budget: unlimitedBudget{}, Observer: g.observer, Quarantine: g.quarantine(),
+				StallDetector: &StallDetector{Clock: g.clock, Reporter: aliveReporter{}, IsUnresponsive: func(string) bool { return false }},
+			}
+			const sound = 12
+			done := make(chan error, sound)
+			request := func(own string) *Exchange {
+				g.caller = &caller{}
+				g.prompt("first", own)
+				return g.x
+			}
+			for range sound {
+				x := request("sound")
+				go func() { done <- h.Handle(context.Background(), x) }()
+			}
+			gomega.Eventually(u.count).Should(gomega.Equal(sound))
+			gomega.Expect(h.Handle(context.Background(), request("deadly"))).NotTo(gomega.Succeed())
+			gomega.Expect(h.Quarantine.isConfirmed(request("sound"))).To(gomega.BeFalse())
+			close(u.answer)
+			for range sound {
+				<-done
+			}
+			for range 2 {
+				gomega.Expect(h.Handle(context.Background(), request("deadly"))).NotTo(gomega.Succeed())
+			}
+			gomega.Expect(h.Quarantine.isConfirmed(request("deadly"))).To(gomega.BeTrue())
+			gomega.Expect(h.Quarantine.isConfirmed(request("sound"))).To(gomega.BeFalse())
+			gomega.Expect(u.crashes).To(gomega.BeNumerically("<=", 3))
+			gomega.Expect(h.Quarantine.suspects).To(gomega.BeEmpty())
+			gomega.Expect(h.Quarantine.checks).To(gomega.BeEmpty())
+		}
+	})
+
+	// Guards against memory that grows with the number of requests.
+	ginkgo.It("keeps a bounded number of sound contents for a bounded time", func() {
+		s := &soundContents{}
+		content := func(n int) []bergamotsuspect.Digest {
+			return []bergamotsuspect.Digest{bergamotsuspect.NewDigest(fmt.Sprint(n))}
+		}
+		for n := range 3 * maxSoundContents {
+			s.add(content(n), now)
+		}
+		gomega.Expect(s.current).To(gomega.HaveLen(maxSoundContents))
+		s.add(content(-1), now.Add(soundWindow))
+		gomega.Expect(s.unsound(content(0), "x", now.Add(soundWindow))).To(gomega.BeEmpty())
+		gomega.Expect(s.unsound(content(-1), "x", now.Add(2*soundWindow))).To(gomega.BeEmpty())
+		gomega.Expect(s.unsound(content(0), "x", now.Add(2*soundWindow))).NotTo(gomega.BeEmpty())
+		gomega.Expect(s.unsound(content(-1), "x", now.Add(4*soundWindow))).NotTo(gomega.BeEmpty())
+	})
+})
+
 type quarantineCase struct {
 	failures []string // last parts of the requests on which runners crashed; all have the parts first and bad
 	parts    []string
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -21,11 +22,13 @@
 	maxPathWait = 1200 * time.Millisecond
 	// pathPollInterval is the time between two searches for a path; a search takes a few microseconds.
 	pathPollInterval = 40 * time.Millisecond
-	minTimedEvents   = 10 // fewest events of an attempt from which the time per event is measured
+	// maxIsolationPaths is how many paths a suspect tries in search of a first runner without another suspect.
+	maxIsolationPaths = 4
+	minTimedEvents    = 10 // fewest events of an attempt from which the time per event is measured
 )
 
 // errNoEvent is the cause of the failure of a stream that ends before its first event. Where the answer has neither a length
-// nor chunks, the crash of a runner looks like the end of the stream.
+// nor chunks, the crash of a runner looks like the end of the stream, also of one that resumes after its last event.
 var errNoEvent = errors.New("the stream ends without an event")
 
 // Clock provides the current time and timers.
@@ -73,13 +76,14 @@
 	handler      *StreamHandler
 	x            *Exchange
 	started      bool            // the status and header fields have been sent to the caller
+	progressed   bool            // a runner has sent an event, so that the request does not make runners crash
 	lastEvent    int             // last event sent to the caller, -1 for none
 	possibleRuns int             // attempts that may have run the request to completion
 	attempts     int             // attempts so far
 	avoid        map[string]bool // runners that failed this request
 	failure      *Failure        // failure of the last attempt
 	trial        *trial
-	crashed      bool // a runner has crashed before the first event, possibly because of this request
+	crashed      bool // a runner has crashed after it began to answer and before the first event, possibly because of this request
 }
 
 // Handle sends the request over a path and forwards the events to the caller. It returns a *bergamotrequest.Refusal
@@ -92,7 +96,7 @@
 		return err
 	}
 	s.trial = t
-	defer t.end()
+	defer t.finish()
 	for {
 		plan, ok := s.plan(ctx)
 		if !ok {
@@ -102,6 +106,7 @@
 			h.Router.Release(plan, x.Request().Tokens())
 			return s.refuseConfirmed()
 		}
+		plan = s.isolate(plan)
 		start, chunksBefore := h.Clock.Now(), x.Trace().Chunks()
 		err := s.sendAttempt(ctx, plan)
 		h.Router.Release(plan, x.Request().Tokens())
@@ -143,6 +148,35 @@
 	}
 }
 
+// isolate returns a path whose first runner has no other suspect, if the request is one and there is such a path, and the
+// given path otherwise. Without that, a request that waits at two runners while another one makes them crash would look
+// like the cause.
+func (s *streamState) isolate(p bergamotroute.Plan) bergamotroute.Plan {
+	if !s.trial.suspect.Load() {
+		return p
+	}
+	h, v := s.handler, s.handler.Views.View()
+	query := s.pathQuery(v)
+	query.Avoid = maps.Clone(s.avoid)
+	for range maxIsolationPaths {
+		i, ok := v.Fleet().Instance(p.Stages()[0].Instance())
+		if !ok || s.trial.enter(i.Process(), true) {
+			return p
+		}
+		query.Avoid[i.Name()] = true
+		other, ok := h.Router.Route(query)
+		if !ok {
+			break
+		}
+		h.Router.Release(p, s.x.Request().Tokens())
+		p = other
+	}
+	if i, ok := v.Fleet().Instance(p.Stages()[0].Instance()); ok {
+		s.trial.enter(i.Process(), false)
+	}
+	return p
+}
+
 // recordEventTime passes the mean time per event of an attempt to the router. Short attempts are left out, since their
 // time depends more on how they ended than on the path.
 func (s *streamState) recordEventTime(p bergamotroute.Plan, events int, elapsed time.Duration) {
@@ -199,10 +233,15 @@
 		priority: s.priority(),
 	})
 	if err != nil {
+		if known && s.mayHaveCrashed(ctx, err) {
+			s.trial.checkUnstarted(ctx, runner)
+		}
 		return failureCause(ctx, err)
 	}
 	defer response.Close()
-	defer func() { s.crashed = known && s.hasCrashed(ctx, runner, err) }()
+	defer func() {
+		s.crashed = known && s.mayHaveCrashed(ctx, err) && s.trial.checkCrash(ctx, runner, s.trial.suspect.Load())
+	}()
 	if response.Status() != http.StatusOK {
 		return s.forwardResponse(response)
 	}
@@ -212,6 +251,7 @@
 		}
 		s.started = true
 	}
+	resumedAfter := s.lastEvent
 	for {
 		events, lastEvent, err := response.Next()
 		if len(events) > 0 {
@@ -219,7 +259,8 @@
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) && s.lastEvent < 0 {
+		isEmpty := s.lastEvent == resumedAfter
+		if errors.Is(err, io.EOF) && isEmpty && (resumedAfter < 0 || known && h.Quarantine.hasCrashed(ctx, runner)) {
 			return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, errNoEvent)
 		}
 		if errors.Is(err, io.EOF) {
@@ -240,15 +281,14 @@
 	return runner.Process()
 }
 
-// hasCrashed reports whether the first runner of a path has crashed after it began to answer and before the first event, and
-// attributes that to the request. Requests that wait at the runner at that time have no response header yet, and others have
-// events.
-func (s *streamState) hasCrashed(ctx context.Context, runner bergamotfleet.Instance, err error) bool {
-	if err == nil || ctx.Err() != nil || s.lastEvent >= 0 {
+// mayHaveCrashed reports whether the first runner of a path broke off before the first event, so that the request may have
+// made it crash. The event after which the caller wants the stream to go on shows nothing: any caller can name one.
+func (s *streamState) mayHaveCrashed(ctx context.Context, err error) bool {
+	if err == nil || ctx.Err() != nil || s.progressed {
 		return false
 	}
 	f := asFailure(err)
-	return f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo && s.trial.checkCrash(ctx, runner, s.trial.suspect.Load())
+	return f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo
 }
 
 // forwardEvents sends events to the caller. Only those with a new number show that the request makes progress: a runner in
@@ -269,7 +309,7 @@
 	}
 	if isProgress {
 		w.eventsDelivered()
-		s.lastEvent = lastEvent
+		s.lastEvent, s.progressed = lastEvent, true
 		s.x.Trace().RecordChunk(s.handler.Clock.Now(), status)
 	}
 	return nil
--- a/core/bergamotsuspect/encode.go
+++ b/core/bergamotsuspect/encode.go
@@ -9,6 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// unstartedMark follows the first value in the data of a failure of an instance that had not begun to answer the request.
+const unstartedMark = ",unstarted"
+
 // contentsSeparator precedes the list of contents in the data of a failure that has not exactly the one in its key.
 const contentsSeparator = "\n"
 
@@ -19,7 +22,11 @@
 
 // data returns the values of a failure whose key has the content first.
 func (f Failure) data(first Digest) string {
-	text := strconv.FormatBool(f.alone) + " " + f.instance
+	text := strconv.FormatBool(f.alone)
+	if f.unstarted {
+		text += unstartedMark
+	}
+	text += " " + f.instance
 	if len(f.contents) == 1 && f.contents[0] == first {
 		return text
 	}
@@ -44,11 +51,12 @@
 	first, ok := decodeDigest(digest)
 	text, list, listed := strings.Cut(string(data), contentsSeparator)
 	alone, instance, found := strings.Cut(text, " ")
+	alone, unstarted := strings.CutSuffix(alone, unstartedMark)
 	isAlone, err := strconv.ParseBool(alone)
 	if !ok || err != nil || !found || instance == "" {
 		return f, false
 	}
-	f = Failure{id: key, contents: []Digest{first}, instance: instance, alone: isAlone, age: age}
+	f = Failure{id: key, contents: []Digest{first}, instance: instance, alone: isAlone, unstarted: unstarted, age: age}
 	if !listed {
 		return f, true
 	}
--- a/core/bergamotsuspect/failure.go
+++ b/core/bergamotsuspect/failure.go
@@ -7,11 +7,12 @@
 
 // Failure is a failure of an instance while a request ran on it.
 type Failure struct {
-	id       string
-	contents []Digest
-	instance string
-	alone    bool
-	age      time.Duration
+	id        string
+	contents  []Digest
+	instance  string
+	alone     bool
+	unstarted bool
+	age       time.Duration
 }
 
 // NewFailure returns a failure, age ago, of the instance that ran a request with the contents, of which there is at least
@@ -23,6 +24,13 @@
 	return f
 }
 
+// NewUnstarted returns a failure of an instance that had not begun to answer the request, which may only have waited there.
+func NewUnstarted(contents []Digest, instance string, alone bool, age time.Duration) Failure {
+	f := Failure{contents: contents, instance: instance, alone: alone, unstarted: true, age: age}
+	f.id = f.newID()
+	return f
+}
+
 // NewCleared returns the failure with an ID, all contents of which have been cleared.
 func NewCleared(id string) Failure { return Failure{id: id} }
 
@@ -39,6 +47,9 @@
 // RanAlone reports whether no other request of the entry ran on the instance, or the request ran as a suspect.
 func (f Failure) RanAlone() bool { return f.alone }
 
+// IsUnstarted reports whether the instance had not begun to answer the request.
+func (f Failure) IsUnstarted() bool { return f.unstarted }
+
 // Age returns how long ago the instance failed.
 func (f Failure) Age() time.Duration { return f.age }
 
@@ -58,6 +69,12 @@
 	return n
 }
 
+// isSameRequest reports whether the other failure is of the same request, some contents of which may have been cleared. Two
+// requests have at least one content each that the other lacks.
+func (f Failure) isSameRequest(other Failure) bool {
+	return f.missing(other.contents) == 0 || other.missing(f.contents) == 0
+}
+
 // common returns the contents that the request of another failure had too.
 func (f Failure) common(other Failure) (out []Digest) {
 	for _, d := range f.contents {
--- a/core/bergamotsuspect/ledger.go
+++ b/core/bergamotsuspect/ledger.go
@@ -1,6 +1,7 @@
 package bergamotsuspect
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"sync"
@@ -41,6 +42,10 @@
 	defaultMaxContents     = 4096
 )
 
+// minUnstarted is how many instances must have failed before they began to answer requests with the same parts before these
+// are confirmed. A request that only waits at an instance that fails is as suspect as the one that made it fail.
+const minUnstarted = 3
+
 // maxFailures bounds the failures kept for a content; two can confirm it, and more add little information.
 const maxFailures = 8
 
@@ -58,14 +63,20 @@
 // cause. Another run would not tell, but a run of a request that shares only some of them does.
 func (l *Ledger) IsRepeat(d time.Duration, contents ...Digest) bool {
 	return l.hasFailure(contents, func(f *localFailure, age time.Duration) bool {
-		return age < d && len(f.contents) > 1 && f.missing(contents) == 0
+		return age < d && !f.unstarted && len(f.contents) > 1 && f.missing(contents) == 0
 	})
 }
 
 // MustRunAlone reports whether requests with the contents have nearly all in common with one on which an instance failed:
-// all of its contents but one, which is the request itself if it is another one.
+// all of its contents but one, which is the request itself if it is another one. If the instance had not begun to answer,
+// only the same request must.
 func (l *Ledger) MustRunAlone(contents ...Digest) bool {
-	return l.hasFailure(contents, func(f *localFailure, _ time.Duration) bool { return f.missing(contents) <= 1 })
+	return l.hasFailure(contents, func(f *localFailure, _ time.Duration) bool {
+		if f.unstarted {
+			return f.missing(contents) == 0
+		}
+		return f.missing(contents) <= 1
+	})
 }
 
 // hasFailure reports whether a failure that satisfies a condition is attributed to any of the contents.
@@ -107,7 +118,22 @@
 	if !f.alone && !other.alone || l.isSame(f, other) || f.at.Sub(other.at).Abs() >= l.MaxAge {
 		return false
 	}
-	return !slices.ContainsFunc(f.common(other.Failure), func(d Digest) bool { return !slices.Contains(contents, d) })
+	common := f.common(other.Failure)
+	if slices.ContainsFunc(common, func(d Digest) bool { return !slices.Contains(contents, d) }) {
+		return false
+	}
+	return !f.unstarted && !other.unstarted || f.isSameRequest(other.Failure) || l.countInstances(common) >= minUnstarted
+}
+
+// countInstances returns how many instances failed on requests with all of the contents, of which there is at least one.
+func (l *Ledger) countInstances(contents []Digest) int {
+	instances := map[string]bool{}
+	for _, f := range l.byContent[contents[0]] {
+		if len(f.common(Failure{contents: contents})) == len(contents) {
+			instances[f.instance] = true
+		}
+	}
+	return len(instances)
 }
 
 // isSame reports whether two reports may be of the same failure: duplicates of a request on the same instance, and the
@@ -123,10 +149,26 @@
 // RecordFailure records that an instance failed while a request with the contents ran on it; alone is true when no other
 // request of the entry ran there, or when the request ran as a suspect.
 func (l *Ledger) RecordFailure(contents []Digest, instance string, alone bool) {
+	l.record(contents, instance, alone, NewFailure)
+}
+
+// RecordUnstarted is like RecordFailure for an instance that had not begun to answer the request. Such failures confirm a
+// request when two are of the same one, and parts of prompts that it shares with others when minUnstarted instances failed.
+// Many requests may have waited at the instance: what is known to have been there is not counted for each of them.
+func (l *Ledger) RecordUnstarted(contents []Digest, instance string, alone bool) {
+	l.mu.RLock()
+	contents = slices.DeleteFunc(slices.Clone(contents), func(d Digest) bool {
+		return d != contents[0] && slices.ContainsFunc(l.byContent[d], func(f *localFailure) bool { return f.instance == instance })
+	})
+	l.mu.RUnlock()
+	l.record(contents, instance, alone, NewUnstarted)
+}
+
+func (l *Ledger) record(contents []Digest, instance string, alone bool, newFailure func([]Digest, string, bool, time.Duration) Failure) {
 	if len(contents) == 0 {
 		return
 	}
-	f := &localFailure{Failure: NewFailure(contents[:min(len(contents), maxContents)], instance, alone, 0), at: l.Clock.Now()}
+	f := &localFailure{Failure: newFailure(contents[:min(len(contents), maxContents)], instance, alone, 0), at: l.Clock.Now()}
 	l.mu.Lock()
 	added := l.addNew(f)
 	l.mu.Unlock()
@@ -152,7 +194,8 @@
 }
 
 // Clear records that a request with the contents has completed, so that none of them is the cause of a failure. What is
-// confirmed stays, unless other contents remain that may be the cause.
+// confirmed stays, unless other contents remain that may be the cause, or the instance had not begun to answer: then the
+// request only waited there.
 func (l *Ledger) Clear(contents ...Digest) {
 	if !l.IsSuspect(contents...) {
 		return
@@ -162,7 +205,7 @@
 	for _, f := range l.withAny(contents) {
 		cleared := f.without(contents)
 		cleared.age = l.Clock.Now().Sub(f.at)
-		if len(cleared.contents) == 0 && l.isConfirmedBy(f) {
+		if len(cleared.contents) == 0 && !f.unstarted && l.isConfirmedBy(f) {
 			continue
 		}
 		l.replace(f, cleared)
@@ -274,19 +317,25 @@
 	}
 }
 
-// leastUseful returns the oldest failure that did not happen while a request ran alone, or else the oldest one.
+// leastUseful returns the oldest of the failures that tell least about their cause.
 func leastUseful(list []*localFailure) *localFailure {
 	return slices.MinFunc(list, func(a, b *localFailure) int {
-		if a.alone != b.alone {
-			if b.alone {
-				return -1
-			}
-			return 1
-		}
-		return a.at.Compare(b.at)
+		return cmp.Or(cmp.Compare(a.weight(), b.weight()), a.at.Compare(b.at))
 	})
 }
 
+// weight returns how much a failure tells about its cause: most if the instance had begun to answer, and more if the request
+// ran alone.
+func (f *localFailure) weight() (n int) {
+	if !f.unstarted {
+		n += 2
+	}
+	if f.alone {
+		n++
+	}
+	return n
+}
+
 // replace gives a failure fewer contents, and removes it when it has none left.
 func (l *Ledger) replace(f *localFailure, with Failure) {
 	l.remove(f)
--- a/core/bergamotsuspect/ledger_test.go
+++ b/core/bergamotsuspect/ledger_test.go
@@ -32,6 +32,13 @@
 	confirmed bool
 }
 
+type unstartedCase struct {
+	failures  []string // contents of the requests at instances that failed; all but the first request were suspects
+	cleared   string   // contents of a request that was answered afterwards, empty for none
+	request   string
+	confirmed bool
+}
+
 var _ = ginkgo.Describe("Ledger", func() {
 	// Guards against rejecting a harmless prompt, and against never rejecting one that makes targets fail.
 	bergamottest.Cases(map[string]ledgerCase{
@@ -66,6 +73,63 @@
 		gomega.Expect(other.IsConfirmed(digest("p"))).To(gomega.Equal(c.confirmed))
 	})
 
+	// Guards against blaming requests that only waited at instances that failed, and what they share with others, and against
+	// never finding a request, or a part of prompts, on which instances fail before they begin to answer.
+	bergamottest.Cases(map[string]unstartedCase{
+		"confirms a request after two instances":                    {[]string{"r1 good bad", "r1 good bad"}, "", "r1 good bad", true},
+		"admits other requests with its parts":                      {[]string{"r1 good bad", "r1 good bad"}, "", "r2 good bad", false},
+		"confirms a part after three instances":                     {[]string{"r1 good bad", "r1 good bad", "r2 bad"}, "good", "r3 bad", true},
+		"confirms a part of three requests":                         {[]string{"r1 bad", "r2 bad", "r3 bad"}, "", "r4 bad", true},
+		"admits a request that is answered later":                   {[]string{"r1 good bad", "r1 good bad"}, "r1 good bad", "r1 good bad", false},
+		"admits the part of two requests":                           {[]string{"r1 bad", "r2 bad"}, "", "r3 bad", false},
+		"admits a part with which a request was answered":           {[]string{"r1 good", "r2 good", "r3 good"}, "good", "r4 good", false},
+		"admits the other part of three requests":                   {[]string{"r1 good bad", "r2 good bad", "r3 good bad"}, "good", "r4 good", false},
+		"admits requests that lack one part of all that they share": {[]string{"r1 good bad", "r2 good bad", "r3 good bad"}, "", "r4 good", false},
+	}, func(c unstartedCase) {
+		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
+		l.CrashOnce = true
+		for i, contents := range c.failures {
+			l.RecordUnstarted(digests(contents), fmt.Sprint("runner", i), i > 0)
+		}
+		l.Clear(digests(c.cleared)...)
+		gomega.Expect(l.IsConfirmed(digests(c.request)...)).To(gomega.Equal(c.confirmed))
+		gomega.Expect(l.MustRunAlone(digests("other bad good")...)).To(gomega.BeFalse())
+		other := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(5000, 0)))
+		other.CrashOnce = true
+		for _, f := range l.Export() {
+			key, data := bergamotsuspect.EncodeFailure(f)
+			decoded, ok := bergamotsuspect.DecodeFailure(key, data, f.Age())
+			gomega.Expect(ok).To(gomega.BeTrue())
+			other.Merge([]bergamotsuspect.Failure{decoded})
+		}
+		gomega.Expect(other.IsConfirmed(digests(c.request)...)).To(gomega.Equal(c.confirmed))
+	})
+
+	// Guards against requests that waited at an instance which push out the failure of the one that made it fail.
+	ginkgo.It("keeps the failures of all requests that waited at an instance", func() {
+		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
+		l.CrashOnce = true
+		l.RecordUnstarted(digests("deadly good"), "a", false)
+		for n := range 20 {
+			l.RecordUnstarted(digests(fmt.Sprintf("waiting%d good", n)), "a", false)
+		}
+		l.RecordUnstarted(digests("deadly good"), "b", true)
+		gomega.Expect(l.IsConfirmed(digests("deadly good")...)).To(gomega.BeTrue())
+		gomega.Expect(l.IsConfirmed(digests("waiting7 good")...)).To(gomega.BeFalse())
+	})
+
+	// Guards against requests that waited at an instance which push out the failures that tell more.
+	ginkgo.It("evicts failures of requests that may have waited first", func() {
+		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
+		l.CrashOnce = true
+		l.RecordFailure(digests("r1 bad"), "a", false)
+		for n := range 20 {
+			l.RecordUnstarted(digests(fmt.Sprintf("waiting%d bad", n)), fmt.Sprint("b", n), false)
+		}
+		l.RecordFailure(digests("r2 bad"), "c", true)
+		gomega.Expect(l.IsConfirmed(digests("r3 bad")...)).To(gomega.BeTrue())
+	})
+
 	// Guards against memory use that grows with the number of distinct prompts.
 	ginkgo.It("is bounded and evicts suspects before confirmed contents", func() {
 		l := bergamotsuspect.NewLedger(bergamotclock.NewVirtual(time.Unix(0, 0)))
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -32,6 +32,7 @@
 	wrongID     bool
 	unframed    bool        // answers have neither a length nor chunks
 	deadlyPart  string      // part of prompts on which the process crashes, empty for none
+	crashEarly  bool        // it crashes before it has sent the header of the answer
 	crash       func()      // ends the process and its connections
 	endless     EndlessPart // part of answers that never ends, empty for none
 	endlessSent int64       // bytes of endless parts that were sent
@@ -154,6 +155,13 @@
 	f.deadlyPart, f.crash = part, crash
 }
 
+// CrashEarly makes the process crash before it sends the header of its answer, not after it.
+func (f *RelayRunner) CrashEarly() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashEarly = true
+}
+
 // SendEndless makes the runner send a part of its answers without end; an empty part ends that.
 func (f *RelayRunner) SendEndless(p EndlessPart) {
 	f.mu.Lock()
@@ -244,7 +252,7 @@
 	if breaks {
 		f.breaks--
 	}
-	after, pause, endless, crash, unframed := f.after, f.EventInterval, f.endless, f.crash, f.unframed
+	after, pause, endless, crash, crashEarly, unframed := f.after, f.EventInterval, f.endless, f.crash, f.crashEarly, f.unframed
 	if f.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -256,7 +264,9 @@
 	w.Header().Set("X-Bergamotspur-Attempt-Id", id)
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp-"+f.ID)
 	if isDeadly {
-		_ = http.NewResponseController(w).Flush() // the header; a caller that has gone away misses nothing
+		if !crashEarly {
+			_ = http.NewResponseController(w).Flush() // the header; a caller that has gone away misses nothing
+		}
 		crash()
 		return
 	}
