End waiting streams only at runners that do not answer

Cause: the stall detector took a runner that is not in the list, or that is marked as failed, for one that does not answer. Change: such a runner is asked for its report, and the attempt ends only if no answer comes. A reset, a closed connection or another answer shows that the runner is alive, also where a crash is looked for. A stream whose first event is overdue is moved only if there is another path. Two cases of the specs were wrong: they expected that a runner which another request found unresponsive is left although it answers, which is the fault. They now have it silent, and new cases expect the path to be kept if it answers.

--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlayout"
@@ -11,6 +12,10 @@
 // below 1 since reports lag by about 200 ms and the largest requests take a few percent.
 const fullMemoryShare = 0.6
 
+// ErrReportRefused is wrapped by the error of a report that a runner did not give although it can be reached: it reset the
+// connection, for instance because it has as many as it allows, or sent another answer.
+var ErrReportRefused = errors.New("the runner gives no report")
+
 // ReportSpec holds the fields of a report.
 type ReportSpec struct {
 	StartTime   int64 // start of the process in Unix milliseconds
--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -150,12 +150,10 @@
 	if w.failoverFunc == nil {
 		return false
 	}
-	address, found := w.unresponsiveRunner()
+	pause := w.idleTime()
+	address, found := w.detector.findUnresponsive(w.plan)
 	if !found {
-		pause := w.idleTime()
-		if address, found = w.detector.findUnresponsive(w.plan); !found {
-			w.detector.pauseStats.observe(pause)
-		}
+		w.detector.pauseStats.observe(pause)
 	}
 	if !found || w.stopped.Load() || w.delivering.Load() || w.idleTime() < pathReportTimeout || !w.failoverFunc() {
 		return false
@@ -166,35 +164,42 @@
 	return true
 }
 
-// unresponsiveRunner returns the address of a runner of the path that is known to be unresponsive.
-func (w *attemptWatch) unresponsiveRunner() (address string, ok bool) {
+// findSilentSuspect asks the suspected runners of the path for their reports, and returns the address of one that does not
+// answer.
+func (w *attemptWatch) findSilentSuspect() (address string, ok bool) {
 	for _, s := range w.plan.Stages() {
-		if w.detector.IsUnresponsive(s.Instance()) {
+		if !w.detector.IsSuspected(s.Instance()) {
+			continue
+		}
+		if _, err := w.detector.fetchReport(s.Address()); isSilent(err) {
 			return s.Address(), true
 		}
 	}
 	return "", false
 }
 
-// cancelIfStalled asks the first runner of the path what the attempt waits for, and reports whether the attempt has
-// ended.
+// cancelIfStalled asks the suspected runners of the path and the first one what the attempt waits for, and reports whether
+// the attempt has ended.
 func (w *attemptWatch) cancelIfStalled() bool {
 	idleTime := w.idleTime()
-	if address, known := w.unresponsiveRunner(); known && idleTime >= unresponsiveDelay {
-		return w.cancelAttempt(address, "another request found the runner silent")
+	if idleTime < suspectedDelay {
+		return false
+	}
+	if address, found := w.findSilentSuspect(); found && !w.stopped.Load() {
+		return w.cancelAttempt(address, "another request found the runner silent, and so is its report")
 	}
 	if idleTime < probeDelay {
-		return false
+		return w.stopped.Load()
 	}
 	first := w.plan.Stages()[0].Address()
 	r, err := w.detector.fetchReport(first)
 	if w.stopped.Load() {
 		return true
 	}
-	if err != nil {
+	if isSilent(err) {
 		return w.cancelAttempt(first, "the first runner of the path does not answer")
 	}
-	if address, ok := r.StalledOn(w.request); ok {
+	if address, ok := r.StalledOn(w.request); ok && err == nil {
 		return w.cancelAttempt(address, "the first runner of the path waits for it")
 	}
 	return false
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -252,7 +252,7 @@
 	h := &StreamHandler{
 		Clock: instantClock{g.clock}, Upstream: g.upstream, Router: g.router, Views: g.views, Budget: g.budget, Observer: g.observer,
 		Quarantine:    g.quarantine(),
-		StallDetector: &StallDetector{Clock: g.clock, Reporter: silentReporter{}, IsUnresponsive: func(string) bool { return false }},
+		StallDetector: &StallDetector{Clock: g.clock, Reporter: silentReporter{}, IsSuspected: func(string) bool { return false }},
 	}
 	return h.Handle(ctx, g.x)
 }
--- a/core/bergamotrelay/quarantine_test.go
+++ b/core/bergamotrelay/quarantine_test.go
@@ -207,7 +207,7 @@
 			u := &crashingUpstream{waiting: map[string][]chan struct{}{}, answer: make(chan struct{})}
 			h := &StreamHandler{
 				Clock: instantClock{g.clock}, Upstream: u, Router: g.router, Views: g.views, Budget: unlimitedBudget{}, Observer: g.observer, Quarantine: g.quarantine(),
-				StallDetector: &StallDetector{Clock: g.clock, Reporter: aliveReporter{}, IsUnresponsive: func(string) bool { return false }},
+				StallDetector: &StallDetector{Clock: g.clock, Reporter: aliveReporter{}, IsSuspected: func(string) bool { return false }},
 			}
 			const sound = 12
 			done := make(chan error, sound)
--- a/core/bergamotrelay/stalldetector.go
+++ b/core/bergamotrelay/stalldetector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -12,9 +13,9 @@
 const (
 	// checkPeriod is the time between two checks of an attempt that has no event yet.
 	checkPeriod = 130 * time.Millisecond
-	// unresponsiveDelay is the idle time after which an attempt leaves a path with a runner that another attempt found
-	// unresponsive.
-	unresponsiveDelay = 120 * time.Millisecond
+	// suspectedDelay is the idle time after which a runner of the path is asked for its report if another attempt failed
+	// there.
+	suspectedDelay = 120 * time.Millisecond
 	// probeDelay is the idle time after which the first runner is asked what the attempt waits for. The first event
 	// takes about 45 ms at low load, and about 100 ms behind long prompts.
 	probeDelay = 250 * time.Millisecond
@@ -29,9 +30,11 @@
 // StallDetector detects attempts that wait for a dead runner. The platform closes such connections only after callers
 // have given up.
 type StallDetector struct {
-	Clock          Clock
-	Reporter       bergamotcluster.Reporter
-	IsUnresponsive func(runner string) bool // reports whether a runner is known to be unresponsive
+	Clock    Clock
+	Reporter bergamotcluster.Reporter
+	// IsSuspected reports whether another attempt failed at a runner. That is a reason to ask the runner and no more: it may
+	// have rejected a request or closed a connection, and still answer the others.
+	IsSuspected func(runner string) bool
 
 	pauseStats      pauseStats // pauses between two events
 	firstEventStats pauseStats // times to the first event
@@ -47,6 +50,10 @@
 	err       error
 }
 
+// isSilent reports whether the error of a report shows that the runner does not answer. One that resets the connection, for
+// instance because it has as many as it allows, is alive.
+func isSilent(err error) bool { return err != nil && !errors.Is(err, bergamotcluster.ErrReportRefused) }
+
 // findUnresponsive requests the reports of all runners of a path and returns the address of a runner that does not
 // answer.
 func (d *StallDetector) findUnresponsive(p bergamotroute.Plan) (address string, found bool) {
@@ -61,7 +68,7 @@
 		case <-timeout:
 			timeout = closedChan
 		}
-		if !q.hasReport() {
+		if !q.hasAnswer() {
 			return p.Stages()[n].Address(), true
 		}
 	}
@@ -75,11 +82,11 @@
 	return c
 }()
 
-// hasReport reports whether the report has arrived.
-func (q *reportQuery) hasReport() bool {
+// hasAnswer reports whether the runner has answered.
+func (q *reportQuery) hasAnswer() bool {
 	select {
 	case <-q.done:
-		return q.err == nil
+		return !isSilent(q.err)
 	default:
 		return false
 	}
--- a/core/bergamotrelay/stalldetector_test.go
+++ b/core/bergamotrelay/stalldetector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -42,7 +43,11 @@
 	// runners are only slow.
 	bergamottest.Cases(map[string]watchCase{
 		"keeps an attempt that has just started":                      {idle: 100 * time.Millisecond, knownUnresponsive: true, err: errors.New("silent")},
-		"cancels when another request found a runner unresponsive":    {idle: 130 * time.Millisecond, knownUnresponsive: true, fault: "y:1"},
+		"cancels when another request found a runner unresponsive":    {idle: 130 * time.Millisecond, knownUnresponsive: true, err: errors.New("silent"), fault: "y:1"},
+		"keeps an attempt whose runner failed another and answers":    {idle: time.Second, knownUnresponsive: true},
+		"keeps an attempt whose runner failed another and refuses":    {idle: time.Second, knownUnresponsive: true, err: errRefused},
+		"keeps an attempt whose runner refuses reports":               {idle: 1900 * time.Millisecond, err: errRefused},
+		"cancels at a runner that refuses when callers have given up": {idle: 2 * time.Second, err: errRefused, fault: "x:1"},
 		"keeps a slow stream":                                         {idle: time.Second},
 		"keeps a slow stream until callers give up":                   {idle: 1900 * time.Millisecond},
 		"fails over when the first event is overdue":                  {idle: 340 * time.Millisecond, resumable: true, fault: "x:1"},
@@ -55,7 +60,7 @@
 	}, func(c watchCase) {
 		clock := bergamotclock.NewVirtual(now)
 		d := &StallDetector{
-			Clock: clock, IsUnresponsive: func(name string) bool { return c.knownUnresponsive && name == "y" },
+			Clock: clock, IsSuspected: func(name string) bool { return c.knownUnresponsive && name == "y" },
 			Reporter: fixedReporter{bergamotcluster.NewReport(bergamotcluster.ReportSpec{StalledOn: c.stalled}), c.err},
 		}
 		ctx, cancel := context.WithCancelCause(context.Background())
@@ -90,6 +95,9 @@
 	fault             string
 }
 
+// errRefused is the error of a runner that resets the connection for a report because it has too many.
+var errRefused = fmt.Errorf("%w: reset", bergamotcluster.ErrReportRefused)
+
 // partialReporter returns reports for all runners except one. Its timer fires when all other runners have answered.
 type partialReporter struct {
 	*bergamotclock.Virtual
@@ -129,16 +137,18 @@
 		"keeps a stream whose pause is usual":                                {pause: 100 * time.Millisecond, knownUnresponsive: true},
 		"fails over before the pause exceeds the limit of the route":         {pause: 115 * time.Millisecond, silent: "y:1", cancelled: true, fault: "y:1"},
 		"keeps the path when all runners answer":                             {pause: 115 * time.Millisecond},
-		"fails over from a runner that is known to be unresponsive":          {pause: 115 * time.Millisecond, knownUnresponsive: true, cancelled: true, fault: "y:1"},
+		"fails over from a runner that is known to be unresponsive":          {pause: 115 * time.Millisecond, knownUnresponsive: true, silent: "y:1", cancelled: true, fault: "y:1"},
+		"keeps the path when a runner failed another request and answers":    {pause: 300 * time.Millisecond, knownUnresponsive: true},
 		"waits longer when long pauses are usual":                            {pause: 150 * time.Millisecond, usual: 140 * time.Millisecond, silent: "y:1"},
 		"fails over after a longer pause when long pauses are usual":         {pause: 200 * time.Millisecond, usual: 140 * time.Millisecond, silent: "x:1", cancelled: true, fault: "x:1"},
 		"does not take a slow caller for a dead runner":                      {pause: time.Second, delivering: true, silent: "y:1"},
 		"keeps the path without a budget while the first runner answers":     {pause: 300 * time.Millisecond, overBudget: true, silent: "y:1"},
 		"cancels without a budget when the first runner is silent":           {pause: 300 * time.Millisecond, overBudget: true, silent: "x:1", cancelled: true, fault: "x:1"},
-		"cancels without a budget when a runner is known to be unresponsive": {pause: 300 * time.Millisecond, overBudget: true, knownUnresponsive: true, cancelled: true, fault: "y:1"},
+		"cancels without a budget when a runner is known to be unresponsive": {pause: 300 * time.Millisecond, overBudget: true, knownUnresponsive: true, silent: "y:1", cancelled: true, fault: "y:1"},
+		"keeps the path without a budget when that runner answers":           {pause: 300 * time.Millisecond, overBudget: true, knownUnresponsive: true},
 	}, func(c pauseCase) {
 		d, clock := newPartialReporter(c.silent)
-		d.IsUnresponsive = func(name string) bool { return c.knownUnresponsive && name == "y" }
+		d.IsSuspected = func(name string) bool { return c.knownUnresponsive && name == "y" }
 		for range 100 {
 			d.pauseStats.observe(c.usual)
 		}
@@ -165,7 +175,7 @@
 	// must raise the stall timeout.
 	ginkgo.It("raises the stall timeout when all runners of a path answer", func() {
 		d, clock := newPartialReporter("")
-		d.IsUnresponsive = func(string) bool { return false }
+		d.IsSuspected = func(string) bool { return false }
 		before := d.pauseStats.stallTimeout(200 * time.Millisecond)
 		for range 20 {
 			w := d.watch(watchSpec{plan: twoStages, maxPause: 200 * time.Millisecond, failoverFunc: func() bool { return true }, cancel: func(error) {}})
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -224,7 +224,7 @@
 	w := h.StallDetector.watch(watchSpec{
 		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
 		maxFirst: s.x.Route().TargetLatency(), isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
-		failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.failoverFunc(firstFailoverBudgetShare), cancel: cancel,
+		failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.firstFailoverFunc(p), cancel: cancel,
 	})
 	defer w.stop()
 	response, err := h.Upstream.Send(ctx, Attempt{
@@ -333,6 +333,26 @@
 	return func() bool { return s.handler.Budget.TakeWithin(s.x.Service().Name(), share) }
 }
 
+// firstFailoverFunc is failoverFunc for an attempt without an event, which moves only if there is another path. If there is
+// none, a runner that is only slow still serves the caller.
+func (s *streamState) firstFailoverFunc(p bergamotroute.Plan) func() bool {
+	take := s.failoverFunc(firstFailoverBudgetShare)
+	if take == nil {
+		return nil
+	}
+	avoid := maps.Clone(s.avoid) // s.avoid changes once the attempt has ended, when the function may still run
+	avoid[p.Stages()[0].Instance()] = true
+	return func() bool {
+		query := s.pathQuery(s.handler.Views.View())
+		query.Avoid = avoid
+		other, ok := s.handler.Router.Route(query)
+		if ok {
+			s.handler.Router.Release(other, s.x.Request().Tokens())
+		}
+		return ok && take()
+	}
+}
+
 // forwardResponse forwards a response that is not a stream to the caller unchanged.
 func (s *streamState) forwardResponse(response Response) error {
 	body, err := response.Body()
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -59,6 +59,19 @@
 		gomega.Expect(outcomeOf(resumed.stream(context.Background()))).To(gomega.Equal("answered"))
 	})
 
+	// Guards against cutting off a stream at a slow runner whose first event is overdue although no other runner has its layers.
+	ginkgo.It("leaves a path without an event only for another path", func() {
+		g := newRig(route(resumable), model)
+		s := &streamState{handler: &StreamHandler{Clock: g.clock, Router: g.router, Views: g.views, Budget: unlimitedBudget{}}, x: g.x, avoid: map[string]bool{}}
+		p, ok := g.router.Route(s.pathQuery(g.views.view))
+		gomega.Expect(ok).To(gomega.BeTrue())
+		gomega.Expect(s.firstFailoverFunc(p)()).To(gomega.BeTrue())
+		for _, name := range []string{"x", "y", "z"} {
+			s.avoid[name] = true
+		}
+		gomega.Expect(s.firstFailoverFunc(p)()).To(gomega.BeFalse())
+	})
+
 	// Guards against resuming a stream at the runner that has just failed.
 	ginkgo.It("is resumed at a runner that has not failed, with the number of its last event", func() {
 		g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: true, MaxAttempts: 2}), model,
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -16,6 +16,7 @@
 	Faults        Faults
 	ID            string
 	EventInterval time.Duration // time between two events of a stream
+	Prefill       time.Duration // time from the header of a stream to its first event
 
 	mu          sync.Mutex
 	startTime   int64 // Unix milliseconds
@@ -294,6 +295,10 @@
 func (f *RelayRunner) stream(w http.ResponseWriter, run RelayRun, breaks bool, after int, pause time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	if f.Prefill > 0 {
+		_ = control.Flush() // if the caller has gone away, the first event notices
+		<-time.After(f.Prefill)
+	}
 	sent := 0
 	for n := run.LastEvent + 1; n < streamEvents; n++ {
 		if breaks && sent >= after {
