--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -45,7 +45,10 @@
 // Endless parts of an answer.
 const (
 	EndlessHead     EndlessPart = "head"
+	EndlessInterim  EndlessPart = "interim"  // answers with status 100 before the head
 	EndlessBody     EndlessPart = "body"     // of an answer that is no stream
+	EndlessChunk    EndlessPart = "chunk"    // the line with the size of a chunk of the body
+	EndlessTrailer  EndlessPart = "trailer"  // after the last chunk of the body
 	EndlessEvent    EndlessPart = "event"    // of a stream, after its first event
 	EndlessComments EndlessPart = "comments" // between the events of a stream, one each 20 ms
 )
