--- a/core/bergamotcluster/hubs.go
+++ b/core/bergamotcluster/hubs.go
@@ -127,7 +127,7 @@
 
 // join is a task that reads the hubs and takes a free slot of the data centre.
 func (c *Hubs) join(ctx context.Context) Event {
-	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 	defer cancel()
 	self := c.Self()
 	slots, err := c.Table.Hubs(ctx)
@@ -186,7 +186,7 @@
 
 // renew is a task that registers this entry again. Every second time it also reads the other hubs.
 func (c *Hubs) renew(ctx context.Context) Event {
-	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 	defer cancel()
 	hub := bergamotmirror.NewHub(c.Self(), c.Centre, c.own.hub.Slot(), c.Reader.Downstream())
 	own, ok, err := c.Table.PutHub(ctx, hub, c.own.revision)
@@ -275,7 +275,7 @@
 	}
 	empty, revision := bergamotmirror.NewHub(bergamotmirror.Peer{}, c.Centre, c.own.hub.Slot(), 0), c.own.revision
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
-		ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+		ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 		defer cancel()
 		_, _, err := c.Table.PutHub(ctx, empty, revision)
 		return EventFunc(func(*State) { c.OnChange(false, empty.Slot(), err) })
--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -92,7 +92,7 @@
 	c.inFlight = true
 	held := s.grant.Valid(s.Now())
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
-		ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+		ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 		defer cancel()
 		g, err := c.Lease.AcquireOrRenew(ctx)
 		return EventFunc(func(s *State) {
@@ -118,7 +118,7 @@
 	}
 	c.released, c.inFlight = true, true
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
-		ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+		ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 		defer cancel()
 		err := c.Lease.Release(ctx)
 		return EventFunc(func(s *State) {
--- a/core/bergamotcluster/roster.go
+++ b/core/bergamotcluster/roster.go
@@ -11,6 +11,11 @@
 // contract says about two seconds.
 const reregistrationGrace = 2 * time.Second
 
+// minLapseOutage is the shortest time for which reads failed that counts as an outage in which rows of runners expired. They
+// expire after 3.6 s, and reads begin to fail less than 3 s after the store. A single read that fails because its connection
+// went silent is none.
+const minLapseOutage = 500 * time.Millisecond
+
 // RunnerDecoder decodes the row of a runner.
 type RunnerDecoder interface {
 	Runner(key string, value []byte) (bergamotfleet.Spec, error)
@@ -51,7 +56,10 @@
 }
 
 // ReadsResumed starts the grace period after an outage: runners that are alive register again before it ends.
-func (c *Roster) ReadsResumed(s *State, _ time.Duration) {
+func (c *Roster) ReadsResumed(s *State, down time.Duration) {
+	if down < minLapseOutage {
+		return
+	}
 	c.graceEnd = s.Now().Add(reregistrationGrace)
 	for name := range s.missing {
 		s.missing[name] = c.graceEnd
--- a/core/bergamotcluster/suspects.go
+++ b/core/bergamotcluster/suspects.go
@@ -106,7 +106,7 @@
 	c.writing = true
 	expired := c.expired(s.Now(), maxFailuresPerWrite-len(remove))
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
-		ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+		ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 		defer cancel()
 		err := c.Table.PutFailures(ctx, put, append(slices.Clone(remove), expired...))
 		return EventFunc(func(s *State) { c.finish(s, put, remove, err) })
--- a/core/bergamotcluster/tablewatcher.go
+++ b/core/bergamotcluster/tablewatcher.go
@@ -23,11 +23,11 @@
 	leavingPause = 40 * time.Millisecond
 	// minOutage is the shortest time without a successful read that counts as an outage; by then leases have expired.
 	minOutage = 2 * time.Second
-	// replyTimeout is the time for a reply in addition to the requested wait; after it the reply and its connection
-	// count as lost. The store answers within 5 ms, or 0.3 s when it is slow.
-	replyTimeout = 800 * time.Millisecond
+	// ReplyTimeout is the time for a reply of the store in addition to the requested wait; after it the reply and its
+	// connection count as lost. The store answers within 5 ms, or 0.3 s when it is slow.
+	ReplyTimeout = 800 * time.Millisecond
 	// maxListTimeout limits the timeout for reading a whole table. When all entries of a large site start together,
-	// their reads share the store's rate limit and network link, so the timeout starts at replyTimeout and doubles
+	// their reads share the store's rate limit and network link, so the timeout starts at ReplyTimeout and doubles
 	// with each failed read.
 	maxListTimeout = 6 * time.Second
 )
@@ -74,7 +74,7 @@
 	pause        time.Duration // after the last read, 0 when it had no changes
 	failingSince time.Time     // zero while reads succeed
 
-	listTimeout time.Duration // for the next read of the whole table, 0 for replyTimeout
+	listTimeout time.Duration // for the next read of the whole table, 0 for ReplyTimeout
 }
 
 // Name returns "follow" and the name of the table.
@@ -102,12 +102,12 @@
 
 // readTable is a task that reads the whole table.
 func (c *TableWatcher) readTable(ctx context.Context) Event {
-	ctx, cancel := context.WithTimeout(ctx, max(c.listTimeout, replyTimeout))
+	ctx, cancel := context.WithTimeout(ctx, max(c.listTimeout, ReplyTimeout))
 	defer cancel()
 	reading, err := c.Source.List(ctx, c.Table)
 	return EventFunc(func(s *State) {
 		if c.finishRead(s, err) {
-			c.listTimeout = min(2*max(c.listTimeout, replyTimeout), maxListTimeout)
+			c.listTimeout = min(2*max(c.listTimeout, ReplyTimeout), maxListTimeout)
 			return
 		}
 		c.listTimeout = 0
@@ -125,7 +125,7 @@
 		// A read that waits for changes would not notice the end of an outage until it returns.
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+replyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+ReplyTimeout)
 	defer cancel()
 	reading, err := c.Source.Changes(ctx, c.Table, c.version, wait)
 	return EventFunc(func(s *State) {
--- a/core/bergamotcluster/tablewatcher_test.go
+++ b/core/bergamotcluster/tablewatcher_test.go
@@ -1,6 +1,7 @@
 package bergamotcluster_test
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -122,6 +123,7 @@
 
 type rosterCase struct {
 	outage      bool          // reads failed before the row was deleted
+	down        time.Duration // for how long, 0 for a second
 	leaving     bool          // the runner was leaving
 	reregisters bool          // the runner registers again
 	after       time.Duration // time from then until the check
@@ -130,10 +132,11 @@
 
 var _ = ginkgo.Describe("a runner whose row is missing", func() {
 	// Guards against losing all runners because their rows expired during an outage, and against keeping runners that have
-	// left.
+	// left, also when a read failed because its connection went silent: such a runner was used for 2 s more.
 	bergamottest.Cases(map[string]rosterCase{
 		"is removed at once without an outage":           {want: false},
 		"stays for a grace period after an outage":       {outage: true, after: time.Second, want: true},
+		"is removed at once after a read that failed":    {outage: true, down: 100 * time.Millisecond, want: false},
 		"is removed two seconds after an outage":         {outage: true, after: 2500 * time.Millisecond, want: false},
 		"stays when it registers again after an outage":  {outage: true, reregisters: true, after: 5 * time.Second, want: true},
 		"is removed after an outage when it was leaving": {outage: true, leaving: true, want: false},
@@ -151,7 +154,7 @@
 			f.advance(time.Second)
 		}
 		f.feed.err, f.feed.changes = nil, []bergamotstore.Change{bergamotstore.NewChange(row("x", ""), true)}
-		f.advance(time.Second)
+		f.advance(cmp.Or(c.down, time.Second))
 		f.feed.changes = nil
 		if c.reregisters {
 			f.feed.changes = []bergamotstore.Change{bergamotstore.NewChange(row("x", value), false)}
--- a/io/bergamotfake/proxy.go
+++ b/io/bergamotfake/proxy.go
@@ -1,6 +1,7 @@
 package bergamotfake
 
 import (
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 	link    LinkState
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	silent  map[net.Conn]bool // deliver nothing any more
 }
 
 // NewProxy returns a proxy that forwards connections from a loopback port to target until Close.
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p = &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p = &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
 	go p.serve()
 	return p, nil
 }
@@ -57,6 +59,19 @@
 	}
 }
 
+// SilenceOpen makes the connections that are open now deliver nothing any more, while new ones work.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.Copy(p.silent, p.conns)
+}
+
+func (p *Proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 // Close closes the port and all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close() // the port is released either way
@@ -108,6 +123,8 @@
 		defer p.mu.Unlock()
 		delete(p.conns, to)
 		delete(p.conns, from)
+		delete(p.silent, to)
+		delete(p.silent, from)
 	}()
 	buffer := make([]byte, 4<<10)
 	for {
@@ -118,7 +135,7 @@
 		if link, _ := p.linkState(); link == LinkSlow {
 			<-time.After(linkDelay)
 		}
-		if n > 0 {
+		if n > 0 && !p.isSilent(from) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
