Let tasks of the control loop wait instead of dropping them

Cause: the loop dropped each task beyond 128 in flight, and a controller that has handed off a task waits for its event. The checks of the runners that failed in the cut filled the limit. Change: tasks beyond the limit wait until others end. Checks of failed runners are limited to 64, so that reads do not wait behind them. Related paths: the lease, the hubs and the suspects hand off tasks in the same way.

--- a/core/bergamotcluster/placement_test.go
+++ b/core/bergamotcluster/placement_test.go
@@ -219,4 +219,26 @@
 		i, _ = s.Runner("x")
 		gomega.Expect(i.Usable()).To(gomega.BeTrue())
 	})
+
+	// Guards against checks of all runners, which fail together when the entry is cut off, that keep the reads of the store
+	// waiting, and against runners that are never checked again.
+	ginkgo.It("is checked after a bounded number of others", func() {
+		s, f := newState(0), &fakeRunners{held: map[string]bergamotlayout.Span{}, startTimes: map[string]int64{}}
+		for n := range 216 {
+			name := fmt.Sprint("r", n)
+			s.PutRunner(withChange(func(c *bergamotfleet.Spec) { c.Name, c.Address = name, name }))
+			s.MarkFailed(name)
+			f.startTimes[name] = 1
+		}
+		checks := &bergamotcluster.HealthChecker{Source: f, OnRecovered: func(string) {}}
+		for round := range 4 {
+			tasks := checks.Reconcile(s)
+			gomega.Expect(len(tasks)).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", 64)), fmt.Sprint(round))
+			gomega.Expect(checks.Reconcile(s)).To(gomega.BeEmpty())
+			runTasks(s, tasks)
+		}
+		for _, i := range s.Fleet().Instances() {
+			gomega.Expect(i.Usable()).To(gomega.BeTrue(), i.Name())
+		}
+	})
 })
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -54,6 +54,7 @@
 type failure struct {
 	since     time.Time // when it was first found not to answer
 	nextCheck time.Time // when to check the runner again
+	checking  bool      // a check is in flight
 }
 
 // NewState returns an empty state.
@@ -156,6 +157,24 @@
 	}
 }
 
+// checksInFlight returns how many failed runners are being checked.
+func (s *State) checksInFlight() (n int) {
+	for _, f := range s.failed {
+		if f.checking {
+			n++
+		}
+	}
+	return n
+}
+
+// endCheck records that the check of a runner has ended.
+func (s *State) endCheck(name string) {
+	if f, ok := s.failed[name]; ok {
+		f.checking = false
+		s.failed[name] = f
+	}
+}
+
 // isDead reports whether a runner has not answered for so long that other runners should take its layers.
 func (s *State) isDead(name string) bool {
 	f, ok := s.failed[name]
--- a/core/bergamotloop/loop.go
+++ b/core/bergamotloop/loop.go
@@ -8,7 +8,7 @@
 
 const (
 	inboxSize = 4096 // queued events; further ones are dropped, since the source of each event repeats it
-	maxTasks  = 128  // tasks in flight; enough for the probes of two seconds and all other tasks
+	maxTasks  = 128  // tasks in flight; further ones wait until one of them ends
 	// MinWait is the shortest wait between two passes, unless the period is shorter. It keeps the loop from spinning when
 	// a controller is overdue but cannot act yet.
 	MinWait = 5 * time.Millisecond
@@ -74,31 +74,26 @@
 // Run applies events and runs the controllers until ctx ends; it returns the error of ctx.
 func (l *Loop[S]) Run(ctx context.Context) error {
 	s := l.NewState()
-	running := map[string]bool{}
+	tasks := &taskQueue[S]{names: map[string]bool{}, start: func(t Task[S]) { l.startTask(ctx, t) }}
 	for ctx.Err() == nil {
 		s.SetTime(l.Clock.Now())
 		for _, c := range l.Controllers {
 			for _, t := range c.Reconcile(s) {
-				l.startTask(ctx, running, t)
+				tasks.add(t)
 			}
 		}
 		l.Publish(s)
-		l.waitForInput(ctx, s, running)
+		l.waitForInput(ctx, s, tasks)
 	}
 	// The contexts of the tasks have ended too, so all of them return soon.
-	for len(running) > 0 {
-		r := <-l.results
-		delete(running, r.name)
+	for ; tasks.inFlight > 0; tasks.inFlight-- {
+		<-l.results
 	}
 	return ctx.Err()
 }
 
-// startTask starts a task unless one of its name or too many others are in flight.
-func (l *Loop[S]) startTask(ctx context.Context, running map[string]bool, t Task[S]) {
-	if running[t.name] || len(running) >= maxTasks {
-		return
-	}
-	running[t.name] = true
+// startTask runs a task in the background.
+func (l *Loop[S]) startTask(ctx context.Context, t Task[S]) {
 	go func() {
 		// Without a timeout a task that hangs on a silent connection would block all later tasks of its name.
 		bounded, cancel := context.WithTimeout(ctx, cmp.Or(l.TaskTimeout, defaultTaskTimeout))
@@ -109,7 +104,7 @@
 
 // waitForInput waits until an event arrives, a task ends or a controller is due, then handles all further events and
 // results that are ready.
-func (l *Loop[S]) waitForInput(ctx context.Context, s S, running map[string]bool) {
+func (l *Loop[S]) waitForInput(ctx context.Context, s S, tasks *taskQueue[S]) {
 	select {
 	case <-ctx.Done():
 		return
@@ -117,14 +112,14 @@
 	case e := <-l.inbox:
 		e.Apply(s)
 	case r := <-l.results:
-		finishTask(s, running, r)
+		finishTask(s, tasks, r)
 	}
 	for n := 0; n < inboxSize; n++ {
 		select {
 		case e := <-l.inbox:
 			e.Apply(s)
 		case r := <-l.results:
-			finishTask(s, running, r)
+			finishTask(s, tasks, r)
 		default:
 			return
 		}
@@ -145,8 +140,8 @@
 }
 
 // finishTask removes an ended task from the running ones and applies its event.
-func finishTask[S any](s S, running map[string]bool, r result[S]) {
-	delete(running, r.name)
+func finishTask[S any](s S, tasks *taskQueue[S], r result[S]) {
+	tasks.finish(r.name)
 	if r.event != nil {
 		r.event.Apply(s)
 	}
