--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -182,11 +182,17 @@
 
 // Handler returns the HTTP interface with the faults.
 func (f *RelayRunner) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /report", f.report)
-	mux.HandleFunc("POST /order", f.order)
-	mux.HandleFunc("/", f.answer)
-	return f.Faults.Wrap(mux)
+	// A ServeMux would redirect requests whose paths have two slashes.
+	return f.Faults.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method + " " + r.URL.Path {
+		case "GET /report":
+			f.report(w, r)
+		case "POST /order":
+			f.order(w, r)
+		default:
+			f.answer(w, r)
+		}
+	}))
 }
 
 func (f *RelayRunner) report(w http.ResponseWriter, _ *http.Request) {
