Follow a change of revokeMs in the filter for keys

Cause: the filter got its bound when the chain was built. Change: it asks for the bound with each request. The waits of the reads still are those of the start, as they were. Measured: go test ./core/bergamotrelay passes; the new spec could not be written against the code before, which has no function there.

--- a/core/bergamotrelay/authenticator.go
+++ b/core/bergamotrelay/authenticator.go
@@ -10,8 +10,8 @@
 // Authenticator determines the workspace of a request from its API key.
 type Authenticator struct {
 	Freshness      Freshness
-	MaxNegativeAge time.Duration // age of the configuration up to which the absence of a key is conclusive
-	MaxKeyAge      time.Duration // age of the configuration up to which its keys are accepted
+	MaxNegativeAge time.Duration        // age of the configuration up to which the absence of a key is conclusive
+	MaxKeyAge      func() time.Duration // returns the age of the configuration up to which its keys are accepted
 }
 
 // Name returns "identify".
@@ -25,7 +25,7 @@
 		return next.Handle(ctx, x)
 	}
 	age := f.Freshness.Age(x)
-	if age > f.MaxKeyAge {
+	if age > f.MaxKeyAge() {
 		return bergamotrequest.Refuse(bergamotrequest.ReasonStale, "the keys were last confirmed %s ago", age.Round(time.Millisecond)).
 			WithRetryAfter(otherEntryRetryAfter)
 	}
--- a/core/bergamotrelay/filters_test.go
+++ b/core/bergamotrelay/filters_test.go
@@ -56,9 +56,23 @@
 		x := NewExchange(NewRequest(RequestSpec{Host: "h", Path: c.path, APIKey: c.key, ArrivedAt: now}), view, &caller{})
 		chain := bergamotstep.Chain[*Exchange](bergamotstep.Func[*Exchange](func(context.Context, *Exchange) error { return nil }),
 			&RouteMatcher{Freshness: age(c.age), MaxNegativeAge: maxNegativeAge, Rand: func() float64 { return 0 }},
-			&Authenticator{Freshness: age(c.age), MaxNegativeAge: maxNegativeAge, MaxKeyAge: maxKeyAge})
+			&Authenticator{Freshness: age(c.age), MaxNegativeAge: maxNegativeAge, MaxKeyAge: func() time.Duration { return maxKeyAge }})
 		gomega.Expect(outcomeOf(chain.Handle(context.Background(), x))).To(gomega.Equal(c.want))
 	})
+
+	// Guards against keys that are accepted longer than the settings allow because these changed while the entry ran: after
+	// revokeMs had become 2.5 s, keys were accepted for 4.85 s without the store.
+	ginkgo.It("follow a change of the time for which keys are accepted", func() {
+		bound := time.Hour
+		f := &Authenticator{Freshness: age(time.Minute), MaxNegativeAge: time.Hour, MaxKeyAge: func() time.Duration { return bound }}
+		pass := func() string {
+			x := NewExchange(NewRequest(RequestSpec{APIKey: "k"}), bergamotcluster.NewView(cfg, 0, bergamotfleet.NewFleet(nil)), &caller{})
+			return outcomeOf(f.Filter(context.Background(), x, bergamotstep.Func[*Exchange](func(context.Context, *Exchange) error { return nil })))
+		}
+		gomega.Expect(pass()).To(gomega.Equal("answered"))
+		bound = time.Second
+		gomega.Expect(pass()).To(gomega.Equal("stale no"))
+	})
 })
 
 type deadlineCase struct {
