--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -186,7 +186,7 @@
 		return false
 	}
 	if address, found := w.findSilentSuspect(); found && !w.stopped.Load() {
-		return w.cancelAttempt(address, "another request found the runner silent, and so is its report")
+		return w.cancelAttempt(address, "another request failed at the runner, and it does not answer")
 	}
 	if idleTime < probeDelay {
 		return w.stopped.Load()
--- a/core/bergamotrelay/bufferlimit.go
+++ b/core/bergamotrelay/bufferlimit.go
@@ -109,7 +109,9 @@
 	l.total += size - b.size
 	p.total += size - b.size
 	b.size = size
-	if p.buffers[b] = true; size == 0 {
+	if size > 0 {
+		p.buffers[b] = true
+	} else {
 		delete(p.buffers, b)
 	}
 	if len(p.buffers) == 0 {
--- a/core/bergamotrelay/occupancy.go
+++ b/core/bergamotrelay/occupancy.go
@@ -1,31 +1,27 @@
 package bergamotrelay
 
-// occupancy holds the suspects of this entry that wait for their answers at a process. If it crashes while only one does, that
-// one is the likely cause.
-type occupancy struct{ suspects []*trial }
+import "slices"
 
 // enter records that a suspect is sent to a process, where it waits until it is answered, leaves or enters another one. If
-// only an empty one will do, it returns false for a process where another suspect waits.
+// only an empty one will do, it returns false for a process where another suspect of this entry waits: a crash would not
+// tell which of them is the cause.
 func (t *trial) enter(process string, onlyEmpty bool) bool {
 	q := t.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t.leaveLocked()
-	o := q.suspects[process]
-	if o != nil && onlyEmpty {
+	if len(q.suspects[process]) > 0 && onlyEmpty {
 		return false
 	}
-	if o == nil {
-		o = &occupancy{}
-		if q.suspects == nil {
-			q.suspects = map[string]*occupancy{}
-		}
-		q.suspects[process] = o
+	if q.suspects == nil {
+		q.suspects = map[string][]*trial{}
 	}
-	o.suspects = append(o.suspects, t)
-	t.process = process
-	for _, other := range o.suspects {
-		other.shared = len(o.suspects) > 1 || other.shared && other != t
+	q.suspects[process] = append(q.suspects[process], t)
+	t.process, t.shared = process, false
+	if len(q.suspects[process]) > 1 {
+		for _, other := range q.suspects[process] {
+			other.shared = true
+		}
 	}
 	return true
 }
@@ -44,20 +40,15 @@
 	t.leaveLocked()
 }
 
+// leaveLocked is leave for a caller that holds the lock of the quarantine.
 func (t *trial) leaveLocked() {
-	o := t.quarantine.suspects[t.process]
-	if o == nil {
+	if t.process == "" {
 		return
 	}
-	kept := o.suspects[:0]
-	for _, other := range o.suspects {
-		if other != t {
-			kept = append(kept, other)
-		}
-	}
-	o.suspects = kept
-	if len(kept) == 0 {
-		delete(t.quarantine.suspects, t.process)
+	suspects := t.quarantine.suspects
+	suspects[t.process] = slices.DeleteFunc(suspects[t.process], func(other *trial) bool { return other == t })
+	if len(suspects[t.process]) == 0 {
+		delete(suspects, t.process)
 	}
 	t.process = ""
 }
--- a/core/bergamotrelay/quarantine.go
+++ b/core/bergamotrelay/quarantine.go
@@ -51,7 +51,7 @@
 
 	mu       sync.Mutex
 	checks   map[string]*crashCheck // in progress, by process
-	suspects map[string]*occupancy  // suspects that wait for their answers, by process
+	suspects map[string][]*trial    // suspects that wait for their answers, by process
 	sound    soundContents
 }
 
--- a/core/bergamotrelay/shutdown.go
+++ b/core/bergamotrelay/shutdown.go
@@ -72,11 +72,13 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer context.AfterFunc(f.ended, func() {
+	stop := context.AfterFunc(f.ended, func() {
 		cancel(NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonDrain, errStopping))
-	})()
+	})
+	defer stop()
 	err := next.Handle(ctx, x)
-	if !x.Route().IsStreaming() && x.Trace().Attempts() > 0 {
+	// Calls without an answer have run into their timeout, which accepts looks at, or their runner failed.
+	if err == nil && !x.Route().IsStreaming() && x.Trace().Attempts() > 0 {
 		now := f.Clock.Now()
 		f.mu.Lock()
 		f.callTimes.record(x.Route().Name(), now.Sub(x.Request().ArrivedAt()), now)
--- a/core/bergamotrelay/soundcontents.go
+++ b/core/bergamotrelay/soundcontents.go
@@ -18,10 +18,12 @@
 // requests too, and what was answered just before is not the cause. That holds for one crash, until a request with the
 // content is answered again, since runners may begin to crash on a content, for instance with other weights.
 type soundContents struct {
-	mu      sync.Mutex
-	began   time.Time // of the current window
+	mu    sync.Mutex
+	began time.Time // of the current window
+	// current and last hold the contents of the current window and the one before, each with the process that broke off a
+	// request with it since, empty for none.
 	current map[bergamotsuspect.Digest]string
-	last    map[bergamotsuspect.Digest]string // of the window before; each value is the process that crashed since, empty for none
+	last    map[bergamotsuspect.Digest]string
 }
 
 // add records that a runner has begun to answer a request.
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -340,14 +340,16 @@
 	if take == nil {
 		return nil
 	}
-	avoid := maps.Clone(s.avoid) // s.avoid changes once the attempt has ended, when the function may still run
-	avoid[p.Stages()[0].Instance()] = true
+	h := s.handler
+	query := s.pathQuery(h.Views.View())
+	query.Avoid = maps.Clone(s.avoid) // s.avoid changes once the attempt has ended, when the function may still run
+	query.Avoid[p.Stages()[0].Instance()] = true
 	return func() bool {
-		query := s.pathQuery(s.handler.Views.View())
-		query.Avoid = avoid
-		other, ok := s.handler.Router.Route(query)
+		current := query
+		current.Fleet = h.Views.View().Fleet()
+		other, ok := h.Router.Route(current)
 		if ok {
-			s.handler.Router.Release(other, s.x.Request().Tokens())
+			h.Router.Release(other, query.Tokens)
 		}
 		return ok && take()
 	}
