Bound the shared failures of requests that only waited at runners

Cause: a request that is not answered after a crash before the header is recorded and shared, and the loss of many runners gives each of 840 entries hundreds of them, which all others read. A ledger that has to evict contents scans all of them for each new one. Change: up to 16 such failures wait for the store at each entry, and none is added while the table has 1,024 rows, unless the request ran alone: these confirm a request. Measured: the new spec of core/bergamotcluster fails with the bound of 16 raised to 1,600 and passes with it.

--- a/core/bergamotcluster/suspects.go
+++ b/core/bergamotcluster/suspects.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotspur/core/bergamotstore"
@@ -17,12 +18,18 @@
 	maxFailuresPerWrite = 50
 	// maxPendingFailures bounds the failures that wait for the store. More of them add nothing: two confirm a content.
 	maxPendingFailures = 256
+	// maxPendingUnstarted bounds those of requests that may only have waited at an instance. When many instances fail
+	// together, each entry has hundreds of them, and all entries read what each of them writes.
+	maxPendingUnstarted = 16
+	// maxStoredFailures is the number of rows from which only failures of requests that ran alone are added. A row has about
+	// 150 bytes, and a ledger that has to evict contents is slow.
+	maxStoredFailures = 1024
 	// failureRetryDelay is the time to the next write after a failed one; the longest is maxFailureRetryDelay.
 	failureRetryDelay    = 200 * time.Millisecond
 	maxFailureRetryDelay = 5 * time.Second
 )
 
-var errTooManyPending = errors.New("too many failures wait for the store")
+var errTooManyFailures = errors.New("too many failures are stored or wait for the store")
 
 // SuspectLedger holds the failures that entries share.
 type SuspectLedger interface {
@@ -55,16 +62,17 @@
 	mu      sync.Mutex
 	pending map[string]bergamotsuspect.Failure // to be written, by ID; without contents to be removed
 
-	stored     map[string]time.Time // when the rows expire, by key
-	writing    bool
-	nextWrite  time.Time
-	retryDelay time.Duration // after the last write, 0 when it succeeded
+	stored      map[string]time.Time // when the rows expire, by key
+	storedCount atomic.Int64         // rows in stored
+	writing     bool
+	nextWrite   time.Time
+	retryDelay  time.Duration // after the last write, 0 when it succeeded
 }
 
 // Share adds a failure to those to be written. It may be called by any goroutine and does not wake the control loop.
 func (c *Suspects) Share(f bergamotsuspect.Failure) {
 	if !c.addPending(f) {
-		c.OnFailure(f, errTooManyPending)
+		c.OnFailure(f, errTooManyFailures)
 	}
 }
 
@@ -75,14 +83,34 @@
 	if c.pending == nil {
 		c.pending = map[string]bergamotsuspect.Failure{}
 	}
-	_, known := c.pending[f.ID()]
-	if !known && len(c.pending) >= maxPendingFailures {
+	if _, known := c.pending[f.ID()]; !known && !c.hasRoom(f) {
 		return false
 	}
 	c.pending[f.ID()] = f
 	return true
 }
 
+// hasRoom reports whether a failure may be added to those to be written. The caller holds the lock.
+func (c *Suspects) hasRoom(f bergamotsuspect.Failure) bool {
+	if len(c.pending) >= maxPendingFailures {
+		return false
+	}
+	if f.RanAlone() || len(f.Contents()) == 0 {
+		return true
+	}
+	return c.storedCount.Load() < maxStoredFailures && (!f.IsUnstarted() || c.pendingUnstarted() < maxPendingUnstarted)
+}
+
+// pendingUnstarted returns how many of the failures to be written are of requests that may only have waited.
+func (c *Suspects) pendingUnstarted() (n int) {
+	for _, f := range c.pending {
+		if f.IsUnstarted() && !f.RanAlone() {
+			n++
+		}
+	}
+	return n
+}
+
 // Name returns "suspects".
 func (c *Suspects) Name() string { return "suspects" }
 
@@ -201,6 +229,7 @@
 
 func (c *Suspects) forget(key string) {
 	delete(c.stored, key)
+	c.storedCount.Store(int64(len(c.stored)))
 	c.Ledger.Forget(key)
 }
 
@@ -210,6 +239,7 @@
 	}
 	f, err := c.Decoder.Failure(r.Key(), r.Value())
 	c.stored[r.Key()] = s.Now().Add(c.MaxAge - f.Age())
+	c.storedCount.Store(int64(len(c.stored)))
 	if err == nil {
 		c.Ledger.Merge([]bergamotsuspect.Failure{f})
 	}
--- a/core/bergamotcluster/suspects_test.go
+++ b/core/bergamotcluster/suspects_test.go
@@ -156,6 +156,36 @@
 		gomega.Expect(table.writes).To(gomega.BeNumerically("<=", 2*crashes+50))
 	})
 
+	// Guards against a table that each of 840 entries has to read and that grows with all requests which waited at instances
+	// that failed together, and against leaving out the failures that confirm a request then.
+	ginkgo.It("bound what the loss of many instances adds to the table", func() {
+		const waiting, maxOwn, maxRows = 100, 20, 1500 // of each entry before it sees what the others write, and of all
+		clock := bergamotclock.NewVirtual(start)
+		table := &failureTable{rows: map[string][]byte{}}
+		e := newSuspectEntry(clock, table)
+		lose := func(e *suspectEntry, of string) {
+			for n := range waiting {
+				e.ledger.RecordUnstarted(contentsOf(fmt.Sprint(of, n)), fmt.Sprint("runner", n), false)
+			}
+		}
+		lose(e, "first")
+		e.step(clock.Now(), table, 0)
+		gomega.Expect(len(table.rows)).To(gomega.BeNumerically("<=", maxOwn))
+		for n := 0; n < 2*maxRows; n += maxOwn {
+			other := newSuspectEntry(clock, table)
+			lose(other, fmt.Sprint("other", n, "-"))
+			other.step(clock.Now(), table, len(table.changes))
+			other.step(clock.Now(), table, len(table.changes))
+		}
+		gomega.Expect(len(table.rows)).To(gomega.BeNumerically("<=", maxRows))
+		deadly := contentsOf("deadly")
+		last := newSuspectEntry(clock, table)
+		last.ledger.RecordUnstarted(deadly, "runner1", true)
+		last.step(clock.Now(), table, len(table.changes))
+		e.step(clock.Now(), table, len(table.changes))
+		gomega.Expect(e.ledger.IsSuspect(deadly...)).To(gomega.BeTrue())
+	})
+
 	// Guards against failures that other entries never learn because the store was away when they happened.
 	ginkgo.It("write a failure again after the store was down, and forget one that was cleared", func() {
 		clock := bergamotclock.NewVirtual(start)
