Do not count expired rows of failures as stored

Cause: expired rows are removed with the next write only. With 1,024 of them, no failure of a request that did not run alone was shared any more, and so nothing was written that would have removed them. Change: the bound looks at rows that have not expired. Measured: go test ./core/bergamotcluster passes; the new check in its spec was run with the count switched off too.

--- a/core/bergamotcluster/suspects.go
+++ b/core/bergamotcluster/suspects.go
@@ -63,7 +63,7 @@
 	pending map[string]bergamotsuspect.Failure // to be written, by ID; without contents to be removed
 
 	stored      map[string]time.Time // when the rows expire, by key
-	storedCount atomic.Int64         // rows in stored
+	storedCount atomic.Int64         // rows in stored, without those that were expired at the last pass
 	writing     bool
 	nextWrite   time.Time
 	retryDelay  time.Duration // after the last write, 0 when it succeeded
@@ -127,6 +127,9 @@
 // Reconcile writes the pending failures, and removes expired rows with them, so that the table stays small without calls
 // of its own.
 func (c *Suspects) Reconcile(s *State) []Task {
+	if len(c.stored) >= maxStoredFailures {
+		c.storedCount.Store(c.countStored(s.Now()))
+	}
 	put, remove := c.due(s.Now())
 	if len(put)+len(remove) == 0 {
 		return nil
@@ -162,6 +165,16 @@
 	return put, remove
 }
 
+// countStored returns how many rows have not expired. Expired ones stay until the next write.
+func (c *Suspects) countStored(now time.Time) (n int64) {
+	for _, t := range c.stored {
+		if now.Before(t) {
+			n++
+		}
+	}
+	return n
+}
+
 // expired returns the keys of up to n rows that have expired.
 func (c *Suspects) expired(now time.Time, n int) (keys []string) {
 	for key, t := range c.stored {
--- a/core/bergamotcluster/suspects_test.go
+++ b/core/bergamotcluster/suspects_test.go
@@ -184,6 +184,13 @@
 		last.step(clock.Now(), table, len(table.changes))
 		e.step(clock.Now(), table, len(table.changes))
 		gomega.Expect(e.ledger.IsSuspect(deadly...)).To(gomega.BeTrue())
+		// Expired rows, which go with the next write, must not keep failures out for good.
+		clock.Advance(time.Hour)
+		e.step(clock.Now(), table, len(table.changes))
+		before := table.writes
+		e.ledger.RecordFailure(contentsOf("later"), "runner2", false)
+		e.step(clock.Now(), table, len(table.changes))
+		gomega.Expect(table.writes).To(gomega.Equal(before + 1))
 	})
 
 	// Guards against failures that other entries never learn because the store was away when they happened.
