Inject failures in the middle of an answer only after its first token

Cause: the engines of the specs need no time for a step, so that they could run step 6, or the whole answer, before the session had opened its stream. For the same reason a crash at step 6 could come before any token was delivered, and the refusal then rightly said that it is unknown whether the request ran. The fault is in the specs, not in the session. Change: the hooks of failures in the middle of an answer wait until a caller has got a token. The expectations are unchanged. The case "freezes the open connections" of the table of failures now always freezes an open stream; before, it could pass without one. The package passes, also with -race.

--- a/io/bergamotengine/failure_test.go
+++ b/io/bergamotengine/failure_test.go
@@ -12,8 +12,8 @@
 	"bergamotspur/io/bergamotfake"
 )
 
-// failure is a fault of one engine of a stage. It occurs before the request is sent, or at the first step at or after a
-// position.
+// failure is a fault of one engine of a stage. It occurs before the request is sent, or once a caller has got a token, at
+// the first step at or after a position.
 type failure struct {
 	action        bergamotfake.Action
 	beforeStep    func(h *harness, e *bergamotfake.Engine)
@@ -59,6 +59,7 @@
 			if step.Position < position || !injected.CompareAndSwap(false, true) {
 				return bergamotfake.ActionRun
 			}
+			h.waitForDelivery()
 			if f.beforeStep != nil {
 				f.beforeStep(h, e)
 			}
--- a/io/bergamotengine/harness_test.go
+++ b/io/bergamotengine/harness_test.go
@@ -55,6 +55,8 @@
 	release                  chan struct{} // closed by close, lets hanging steps continue
 	retried                  chan struct{} // closed at the first retry
 	retryOnce                sync.Once
+	delivered                chan struct{} // closed at the first token that a caller gets
+	deliverOnce              sync.Once
 
 	mu      sync.Mutex
 	leaving []string // instances that replied that they are leaving
@@ -66,7 +68,7 @@
 	h := &harness{
 		engines: map[string]*bergamotfake.Engine{}, client: bergamotengine.NewClient(),
 		metrics: bergamotmetric.NewRegistry(), suspects: bergamotsuspect.NewLedger(bergamotclock.Real{}),
-		release: make(chan struct{}), retried: make(chan struct{}),
+		release: make(chan struct{}), retried: make(chan struct{}), delivered: make(chan struct{}),
 	}
 	for n := range replicas {
 		for index, stage := range []string{"a", "b", "c"} {
@@ -151,7 +153,7 @@
 	if err != nil {
 		return "", err
 	}
-	out := &sink{}
+	out := &sink{onToken: func() { h.deliverOnce.Do(func() { close(h.delivered) }) }}
 	x := bergamotchain.NewExchange(req, h.View(), out)
 	p, _ := adviceBundle.Pipeline("advice")
 	x.SetPipeline(p)
@@ -171,6 +173,15 @@
 	return nil
 }
 
+// waitForDelivery waits until a caller has got a token. Hooks of failures in the middle of an answer call it: the engines
+// can run many steps, even all of them, before the session has opened its stream.
+func (h *harness) waitForDelivery() {
+	select {
+	case <-h.delivered:
+	case <-h.release:
+	}
+}
+
 // hasRun reports whether the journal of any engine has a line of the session.
 func (h *harness) hasRun(session string) bool {
 	for _, e := range h.engines {
@@ -195,9 +206,10 @@
 // sink collects the text of an answer and keeps an error for a token out of order.
 type sink struct {
 	bergamottest.DiscardSink
-	text strings.Builder
-	next int
-	err  error
+	onToken func()
+	text    strings.Builder
+	next    int
+	err     error
 }
 
 func (s *sink) Token(_ context.Context, t bergamotrequest.Token) error {
@@ -206,5 +218,6 @@
 	}
 	s.next++
 	s.text.WriteString(t.Text())
+	s.onToken()
 	return nil
 }
--- a/io/bergamotengine/recovery_test.go
+++ b/io/bergamotengine/recovery_test.go
@@ -40,7 +40,10 @@
 		h := newHarness(1)
 		defer h.close()
 		e := h.engines["c00"]
-		e.SetHook(onceAt(6, bergamotfake.ActionRun, e.FreezeStreams))
+		e.SetHook(onceAt(6, bergamotfake.ActionRun, func() {
+			h.waitForDelivery() // a freeze before the stream is open has no effect
+			e.FreezeStreams()
+		}))
 		gomega.Expect(h.checkAnswer("request", "oil for oak")).To(gomega.Succeed())
 		gomega.Expect(h.metrics.Value("recovery.reconnect")).To(gomega.BeNumerically(">=", 1))
 		gomega.Expect(h.metrics.Value("retry.stall") + h.metrics.Value("retry.target")).To(gomega.BeZero())
