--- /dev/null
+++ b/core/bergamotaccount/suite_test.go
@@ -0,0 +1,9 @@
+package bergamotaccount
+
+import (
+	"testing"
+
+	"bergamotspur/core/bergamottest"
+)
+
+func TestAccount(t *testing.T) { bergamottest.Run(t, "account") }
