Bound what clients can make an entry of the platform hold

Cause: the entry read each body whole before it looked at route and key, and nothing bounded bodies, heads, connections and answers together. A body that is late gets 408, a request without memory 503. The body of an answer stays charged until it has been sent.

--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -50,6 +50,34 @@
 	failure *Failure
 }
 
+// answers holds the responses of a call until its reply has been sent, since their bodies need memory until then.
+type answers struct {
+	mu    sync.Mutex
+	open  []Response
+	ended bool
+}
+
+// keep closes a response at the end of the call, at once if that has passed.
+func (a *answers) keep(r Response) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		r.Close()
+		return
+	}
+	a.open = append(a.open, r)
+}
+
+// end closes all responses.
+func (a *answers) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.open {
+		r.Close()
+	}
+	a.ended = true
+}
+
 // callState holds the progress of one exchange.
 type callState struct {
 	handler      *CallHandler
@@ -61,6 +89,7 @@
 	results      chan attemptResult
 	failure      *Failure // failure of the last attempt
 	trial        *trial
+	answers      answers
 	fallback     *attemptResult // 5xx response of an attempt, returned if no later attempt gives a better one
 }
 
@@ -69,6 +98,7 @@
 func (h *CallHandler) Handle(ctx context.Context, x *Exchange) error {
 	maxAttempts := x.Route().MaxAttempts() + extraAttempts
 	c := &callState{handler: h, x: x, tried: map[string]bool{}, results: make(chan attemptResult, maxAttempts)}
+	defer c.answers.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.Budget.RecordFirst(x.Service().Name())
@@ -139,7 +169,7 @@
 	}
 	wasSuspect := c.trial.suspect.Load()
 	go func() {
-		result := h.sendAttempt(ctx, a)
+		result := h.sendAttempt(ctx, a, &c.answers)
 		h.releaseRunner(instance.Name())
 		if f := result.failure; f != nil && ctx.Err() == nil && f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo {
 			c.trial.checkCrash(ctx, instance, wasSuspect)
@@ -149,18 +179,19 @@
 	return true
 }
 
-func (h *CallHandler) sendAttempt(ctx context.Context, a Attempt) (result attemptResult) {
+func (h *CallHandler) sendAttempt(ctx context.Context, a Attempt, open *answers) (result attemptResult) {
 	result.runner = a.runner
 	response, err := h.Upstream.Send(ctx, a)
 	if err != nil {
 		result.failure = asFailure(failureCause(ctx, err))
 		return result
 	}
-	defer response.Close()
 	if result.body, err = response.Body(); err != nil {
+		response.Close()
 		result.failure = asFailure(failureCause(ctx, err))
 		return result
 	}
+	open.keep(response)
 	result.status, result.fields = response.Status(), response.Fields()
 	return result
 }
--- a/core/bergamotrelay/request.go
+++ b/core/bergamotrelay/request.go
@@ -21,6 +21,7 @@
 	LastEvent     int      // last event of the stream that the caller has received, -1 for none
 	Fields        Fields
 	Body          []byte
+	Content       Content // from which BodyReader sets the body, nil for none
 	ArrivedAt     time.Time
 }
 
@@ -74,5 +75,8 @@
 // Body returns the request body.
 func (r *Request) Body() []byte { return r.spec.Body }
 
+// Content returns the body before BodyReader has read it, nil for none.
+func (r *Request) Content() Content { return r.spec.Content }
+
 // ArrivedAt returns the time at which the entry received the request.
 func (r *Request) ArrivedAt() time.Time { return r.spec.ArrivedAt }
--- a/core/bergamotrequest/reason.go
+++ b/core/bergamotrequest/reason.go
@@ -31,6 +31,8 @@
 	ReasonStall       Reason = "stall"    // a target or connection stopped sending
 	ReasonProof       Reason = "proof"    // a token lacks the proof that its layers ran once and in order
 	ReasonBudget      Reason = "budget"   // the retry budget is exhausted
+	ReasonMemory      Reason = "memory"   // the entry has no memory for the request
+	ReasonUpload      Reason = "upload"   // the body did not arrive in time
 	ReasonCancel      Reason = "cancel"   // the caller disconnected
 	ReasonInternal    Reason = "internal" // an internal error of the entry
 )
@@ -41,6 +43,6 @@
 		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdempotency, ReasonBundle, ReasonStale,
 		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonSuspect, ReasonDigest,
 		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall,
-		ReasonProof, ReasonBudget, ReasonCancel, ReasonInternal,
+		ReasonProof, ReasonBudget, ReasonMemory, ReasonUpload, ReasonCancel, ReasonInternal,
 	}
 }
--- a/io/bergamotfront/errors.go
+++ b/io/bergamotfront/errors.go
@@ -28,6 +28,8 @@
 	switch r {
 	case bergamotrequest.ReasonBody, bergamotrequest.ReasonIdempotency:
 		return http.StatusBadRequest
+	case bergamotrequest.ReasonUpload:
+		return http.StatusRequestTimeout
 	case bergamotrequest.ReasonSize:
 		return http.StatusRequestEntityTooLarge
 	case bergamotrequest.ReasonKey:
--- a/io/bergamotfront/refusal_test.go
+++ b/io/bergamotfront/refusal_test.go
@@ -55,6 +55,8 @@
 		"stall":    {status: 504, errType: server},
 		"proof":    {status: 502, errType: server},
 		"budget":   {status: 503, retryAfter: "1", errType: server},
+		"memory":   {status: 503, retryAfter: "1", errType: server},
+		"upload":   {status: 408, errType: invalid},
 		"cancel":   {status: 503, retryAfter: "1", errType: server},
 		"internal": {status: 500, errType: server},
 	}
