Count evicted holders until they have ended

Evicted requests need a moment to end, and meanwhile others took their place in the account. Ordinary connections counted as large holders, since the fixed charge of one is 40 KiB. Change: beyond a quarter of the account that evicted holders still use, large holders that grow are refused instead of evicting more. A fixed part of a charge does not make it large. After a refusal 4 MiB are discarded, at most for 2 s, so that a client that sends a whole body of 4 MiB before it reads gets the refusal.

--- a/core/bergamotaccount/account.go
+++ b/core/bergamotaccount/account.go
@@ -13,6 +13,11 @@
 // for small requests and for answers while large requests run.
 const maxHeldShare = 0.75
 
+// maxLeavingShare is the share of the account that evicted holders may still use, since they need a moment to end. Beyond it,
+// large holders that grow are refused instead of evicting more. Without this bound, 2,100 heads of many lines at once made a
+// process of two threads hold twice what was charged.
+const maxLeavingShare = 0.25
+
 // Clock provides the current time.
 type Clock interface {
 	Now() time.Time
@@ -27,6 +32,7 @@
 	mu      sync.Mutex
 	epoch   time.Time // times of the holders count from here
 	total   int64
+	leaving int64         // bytes of evicted holders that have not been closed
 	held    int64         // bytes of held bodies of SmallHolder bytes or more
 	states  []holderState // of the open charges
 	charges []*Charge     // at the same positions
@@ -38,7 +44,8 @@
 type Charge struct {
 	account *Account
 	holder  Holder
-	index   int // position in the account, -1 once closed or evicted
+	index   int   // position in the account, -1 once closed or evicted
+	leaving int64 // bytes until it is closed, once evicted
 	cause   Cause
 }
 
@@ -71,7 +78,7 @@
 	if h.kind == KindStore || h.kind == KindPeer {
 		mode = modeHeld // the entry cannot do without them
 	}
-	a.states = append(a.states, holderState{kind: h.kind, mode: mode, owner: o, began: now, progress: now})
+	a.states = append(a.states, holderState{kind: h.kind, mode: mode, fixed: h.fixed, owner: o, began: now, progress: now})
 	a.charges = append(a.charges, c)
 	return c
 }
@@ -113,7 +120,10 @@
 		a.mu.Unlock()
 		return nil
 	}
-	victims := a.makeRoom(c.holder.kind)
+	var victims []victim
+	if s := &a.states[c.index]; s.mode == modeHeld || s.isSmall() || float64(a.leaving) <= maxLeavingShare*float64(a.Max) {
+		victims = a.makeRoom(c.holder.kind)
+	}
 	if a.total > a.Max && c.index >= 0 {
 		victims = append(victims, a.remove(c, CauseFull))
 	}
@@ -172,7 +182,7 @@
 		a.mu.Unlock()
 		return nil
 	}
-	if s.kind == KindBody && s.size >= SmallHolder && float64(a.held+s.size) > maxHeldShare*float64(a.Max) {
+	if s.kind == KindBody && !s.isSmall() && float64(a.held+s.size) > maxHeldShare*float64(a.Max) {
 		v := []victim{a.remove(c, CauseFull)}
 		a.mu.Unlock()
 		a.end(v, c)
@@ -199,6 +209,8 @@
 	if c.index >= 0 {
 		c.account.remove(c, "")
 	}
+	c.account.leaving -= c.leaving
+	c.leaving = 0
 }
 
 // update changes the state of an open charge.
@@ -253,6 +265,10 @@
 	a.states[last], a.charges[last] = holderState{}, nil
 	a.states, a.charges = a.states[:last], a.charges[:last]
 	c.index, c.cause = -1, cause
+	if cause != "" {
+		c.leaving = s.size
+		a.leaving += s.size
+	}
 	return victim{charge: c, event: Eviction{cause: cause, kind: s.kind, key: c.holder.key, bytes: s.size}}
 }
 
--- a/core/bergamotaccount/account_test.go
+++ b/core/bergamotaccount/account_test.go
@@ -218,7 +218,7 @@
 		for _, c := range open {
 			c.Close()
 		}
-		if a.total != 0 || a.held != 0 || len(a.states) != 0 || len(a.owners) != 0 {
+		if a.total != 0 || a.held != 0 || a.leaving != 0 || len(a.states) != 0 || len(a.owners) != 0 {
 			t.Fatalf("%d bytes of %d holders are left", a.total, len(a.states))
 		}
 	})
--- a/core/bergamotaccount/choose.go
+++ b/core/bergamotaccount/choose.go
@@ -20,11 +20,11 @@
 	if index = longestIdle(states); index >= 0 {
 		return index, CauseIdle
 	}
-	for _, minSize := range []int64{SmallHolder, 1} {
+	for _, small := range []bool{false, true} {
 		var c candidates
 		c.reset()
 		for i := range states {
-			if s := &states[i]; s.size >= minSize && s.isEvictable(requester) {
+			if s := &states[i]; s.size > 0 && s.isSmall() == small && s.isEvictable(requester) {
 				c.add(states, i, now)
 			}
 		}
--- a/core/bergamotaccount/choose_test.go
+++ b/core/bergamotaccount/choose_test.go
@@ -68,6 +68,10 @@
 			states: []holderState{fresh(many, 15*kb), body(small, kb, 9*time.Second, 9*time.Second, 1)},
 			want:   1, cause: CauseStalled,
 		},
+		"is no connection with a small head": {
+			states: []holderState{{kind: KindHead, owner: many, size: 55 * kb, fixed: 40 * kb}, fresh(small, 17*kb)},
+			want:   1, cause: CauseLargest,
+		},
 		"is no request that a runner has": {
 			states: []holderState{with(fresh(many, 300*kb), KindBody, modeHeld), fresh(small, kb)},
 			want:   1, cause: CauseLargest,
--- a/core/bergamotaccount/holder.go
+++ b/core/bergamotaccount/holder.go
@@ -31,6 +31,7 @@
 type Holder struct {
 	kind  Kind
 	key   string
+	fixed int64
 	evict func(Cause)
 }
 
@@ -40,6 +41,13 @@
 	return Holder{kind: kind, key: key, evict: evict}
 }
 
+// WithFixed returns a copy whose first bytes do not count when it is compared with SmallHolder: those that each holder of its
+// kind needs.
+func (h Holder) WithFixed(bytes int64) Holder {
+	h.fixed = bytes
+	return h
+}
+
 // Eviction describes a holder that was evicted.
 type Eviction struct {
 	cause Cause
@@ -81,14 +89,18 @@
 	mode     mode
 	owner    *owner
 	size     int64         // bytes
+	fixed    int64         // bytes of size that do not make it large
 	began    time.Duration // when its arrival began
 	progress time.Duration // when bytes last arrived, or since when it is idle
 	arrived  int64         // bytes since began
 }
 
+// isSmall reports whether the holder is evicted only when nothing larger is left.
+func (s *holderState) isSmall() bool { return s.size-s.fixed < SmallHolder }
+
 // heldBytes returns the bytes that count towards maxHeldShare.
 func (s *holderState) heldBytes() int64 {
-	if s.mode != modeHeld || s.kind != KindBody || s.size < SmallHolder {
+	if s.mode != modeHeld || s.kind != KindBody || s.isSmall() {
 		return 0
 	}
 	return s.size
--- a/io/bergamotlimit/closing.go
+++ b/io/bergamotlimit/closing.go
@@ -10,8 +10,8 @@
 const (
 	// discardTime and discardBytes bound what is read after a refusal. Unread bytes would make the kernel reset the
 	// connection, and the client would lose the refusal.
-	discardTime  = time.Second
-	discardBytes = 1 << 20
+	discardTime  = 2 * time.Second
+	discardBytes = 4 << 20
 	discardPiece = 16 << 10
 )
 
--- a/io/bergamotlimit/listener.go
+++ b/io/bergamotlimit/listener.go
@@ -91,7 +91,7 @@
 		}
 	}
 	c := &Conn{Conn: raw, listener: l, name: raw.RemoteAddr().String(), since: l.Clock.Now()}
-	c.charge = l.Account.Open(bergamotaccount.NewHolder(bergamotaccount.KindConnection, c.name, c.evict))
+	c.charge = l.Account.Open(bergamotaccount.NewHolder(bergamotaccount.KindConnection, c.name, c.evict).WithFixed(connectionBytes))
 	c.charge.Begin(bergamotaccount.KindHead)
 	l.mu.Lock()
 	if l.conns == nil {
