Wait in the spec of idle connections until the server sees them idle

Cause: the spec closed the connection that its client saw answered first; the server may record the end of the two requests in the other order. Change: the spec waits until the listener counts each connection as idle. Nothing is checked less.

--- a/io/bergamotlimit/suite_test.go
+++ b/io/bergamotlimit/suite_test.go
@@ -119,6 +119,18 @@
 	_, _ = w.Write(data)
 }
 
+// idle returns the number of connections between two requests.
+func (g *rig) idle() (n int) {
+	g.listener.mu.Lock()
+	defer g.listener.mu.Unlock()
+	for c := range g.listener.conns {
+		if _, p, _ := c.rank(); p == phaseIdle {
+			n++
+		}
+	}
+	return n
+}
+
 // client is a connection to a rig.
 type client struct {
 	net.Conn
