--- a/io/bergamotreplication/client.go
+++ b/io/bergamotreplication/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 // NewClient returns a client without connections.
 func NewClient() *Client { return &Client{client: bergamotwire.NewClient()} }
 
+// Wrap replaces the transport by what wrap returns for it. It has to be called before the first query.
+func (c *Client) Wrap(wrap func(http.RoundTripper) http.RoundTripper) { c.client.Wrap(wrap) }
+
 // Ask returns the reply of the entry to; self is the address at which others can follow the entry that asks. A reply of
 // another entry that has taken over the address is an error.
 func (c *Client) Ask(ctx context.Context, to, self bergamotmirror.Peer, q bergamotmirror.Query) (r bergamotmirror.Reply, err error) {
--- a/io/bergamotwire/client.go
+++ b/io/bergamotwire/client.go
@@ -72,6 +72,11 @@
 	}}
 }
 
+// Wrap replaces the transport by what wrap returns for it. It has to be called before the first request.
+func (c *Client) Wrap(wrap func(http.RoundTripper) http.RoundTripper) {
+	c.client.Transport = wrap(c.client.Transport)
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.client.CloseIdleConnections() }
 
