Choose ports outside the range of outgoing connections in the overload tests

Cause: the ports of an entry were free ones of the range from which the kernel takes the ports of outgoing connections, so that another process could take one before the entry listens there, and a case waited for five minutes for an entry that had ended. One of three runs of one case gave no result within 60 s beside other work, with 61,100 connections in TIME_WAIT; this is the likely cause, but its log was not kept. Change: ports from 20000 to 29999, all four chosen before any is released; a wait fails at once when the entry has ended.

--- a/io/bergamotcrowd/deployment_test.go
+++ b/io/bergamotcrowd/deployment_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -53,9 +54,10 @@
 
 // newDeployment starts everything and waits until a call and a stream are served.
 func newDeployment(ctx context.Context, m machine) *deployment {
+	free := freeAddresses(4)
 	d := &deployment{
 		machine: m, store: bergamotfake.NewMetadataStore(), released: make(chan struct{}),
-		front: freeAddress(), ready: freeAddress(), metrics: freeAddress(), peers: freeAddress(),
+		front: free[0], ready: free[1], metrics: free[2], peers: free[3],
 	}
 	store := d.listen(d.store.Handler())
 	addresses := map[string]string{}
@@ -80,6 +82,7 @@
 	d.entry = startProcess("platform", "--settings", d.writeSettings(store), "--metrics", metricsPort)
 	d.waitServed(ctx, "/o/1")
 	gomega.Eventually(ctx, func() int {
+		d.entry.expectAlive()
 		register() // with the layers that have been placed
 		return d.send(ctx, "/s/1").status
 	}).WithPolling(retryInterval).Should(gomega.Equal(http.StatusOK), d.entry.log.tail)
@@ -234,6 +237,7 @@
 // waitServed sends ordinary requests until one is served completely.
 func (d *deployment) waitServed(ctx context.Context, path string) {
 	gomega.Eventually(ctx, func() bool {
+		d.entry.expectAlive()
 		a := d.send(ctx, path)
 		return a.status == http.StatusOK && a.err == nil && a.body != ""
 	}).WithPolling(retryInterval).Should(gomega.BeTrue(), d.entry.log.tail)
@@ -249,6 +253,7 @@
 	}
 	for url, expected := range statuses {
 		gomega.Eventually(ctx, func() int {
+			d.entry.expectAlive()
 			r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
 			return do(r).status
@@ -256,10 +261,22 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = l.Close() }() // nothing has used it
-	return l.Addr().String()
+// Ports that freeAddresses chooses from. By default the kernel takes the ports of outgoing connections from 32768 on, so that none
+// of them takes a port between its choice and the start of the entry.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+// freeAddresses returns n different loopback addresses whose ports are free.
+func freeAddresses(n int) (addresses []string) {
+	for len(addresses) < n {
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount))))
+		if err != nil {
+			continue // the next port may be free
+		}
+		defer func() { _ = l.Close() }() // nothing has used it; open until all are chosen
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
 }
--- a/io/bergamotcrowd/overload_test.go
+++ b/io/bergamotcrowd/overload_test.go
@@ -107,7 +107,7 @@
 	d.sendEndless("")
 	if !c.stops {
 		d.waitServed(ctx, "/o/1")
-		gomega.Expect(d.entry.isAlive()).To(gomega.BeTrue(), d.entry.log.tail)
+		d.entry.expectAlive()
 	}
 	peak, open := d.entry.figures()
 	fmt.Printf("%s: idle %d MB, peak %d MB of %d; idle %d descriptors, most %d of %d; %d clients connected; a call meanwhile got %d\n",
--- a/io/bergamotcrowd/process_test.go
+++ b/io/bergamotcrowd/process_test.go
@@ -146,6 +146,11 @@
 	}
 }
 
+// expectAlive fails the spec at once if the process has ended.
+func (p *process) expectAlive() {
+	gomega.ExpectWithOffset(1, p.isAlive()).To(gomega.BeTrue(), "the process has ended\n%s", p.log.tail())
+}
+
 // waitSettled waits until the peak grows by less than settledGrowth in a second, so that what clients have sent has been read
 // as far as the process reads it. On a slow machine it may return early, which can only make the measured peak smaller.
 func (p *process) waitSettled(ctx context.Context) {
