Let the second hub of a data centre read the store through the first

Cause: both hubs of each data centre read every table of the store, so that six entries read the same changes at three data centres. Calls to the store are the largest cost after the machines.

Change: while there are four or more entries for each hub, the hub with the higher slot asks the one with the lower slot for changes, as other entries do, and goes on serving its followers. It reads the store itself when the first does not answer within the wait and 300 ms, answers with a copy that is 1.4 s old, is behind, or does not read the store itself; it then avoids the first for two seconds. 1.4 s instead of the 1.6 s of other entries lets it notice before its followers do. A hub that the store turns away reads it as before. An entry does not answer one that it is asking at that moment, so that two of them never accept the copy of each other. A hub does not count in the slot of another, and entries borrow retries from the nearest hub of their path, which counts them. An entry whose hub fails asks the other hub before it calls the store, if that answer arrives before its copy is too old.

Measured: tests of core/bergamotmirror, core/bergamotcluster and io/bergamotreplication pass with -race; those of platform and cmd/bergamotcommand pass. Calls are not measured yet.

--- a/cmd/bergamotcommand/layout.go
+++ b/cmd/bergamotcommand/layout.go
@@ -35,8 +35,8 @@
 }
 
 func printLayout(w *tabwriter.Writer, m bergamotplatform.StatusMessage) {
-	_, _ = fmt.Fprintf(w, "entry %s\tcentre %s\tready %v\tversion %d\tconfirmed %d ms ago\t%d entries\tplaces layers %v\t%d active\n",
-		m.Entry, m.Centre, m.Ready, m.Version, m.ConfigAge, m.Entries, m.HoldsLease, m.InFlight)
+	_, _ = fmt.Fprintf(w, "entry %s\tcentre %s\tready %v\tversion %d\tconfirmed %d ms ago\t%d entries\t%s\tplaces layers %v\t%d active\n",
+		m.Entry, m.Centre, m.Ready, m.Version, m.ConfigAge, m.Entries, cmp.Or(m.Role, "role unknown"), m.HoldsLease, m.InFlight)
 	_, _ = fmt.Fprintln(w, "SERVICE\tCENTRE\tLAYERS\tKIND\tRUNNER\tSTATE")
 	runners := slices.Clone(m.Runners)
 	slices.SortFunc(runners, func(a, b bergamotplatform.RunnerStatus) int {
--- a/cmd/bergamotcommand/layout_test.go
+++ b/cmd/bergamotcommand/layout_test.go
@@ -14,7 +14,7 @@
 	"bergamotspur/core/bergamottest"
 )
 
-const entryStatus = `{"entry":"e1","centre":"a","ready":true,"version":7,"age":40,"entries":4,"holder":true,"active":3,"runners":[
+const entryStatus = `{"entry":"e1","centre":"a","ready":true,"version":7,"age":40,"entries":4,"holder":true,"role":"second hub behind e0","active":3,"runners":[
 	{"name":"r1","service":"llm","centre":"a","kind":"l4","state":"live","from":0,"to":8},
 	{"name":"r2","service":"llm","centre":"a","kind":"l4","state":"failed","from":8,"to":16},
 	{"name":"r3","service":"llm","centre":"a","kind":"l4","state":"live","from":16,"to":80},
@@ -30,7 +30,7 @@
 	// Guards against output that does not show missing layers, and against a success when an entry does not answer.
 	bergamottest.Cases(map[string]layoutCase{
 		"shows the entry, its runners and missing layers": {entryStatus, 0, []string{
-			"entry e1 centre a ready true version 7 confirmed 40 ms ago 4 entries places layers true 3 active",
+			"entry e1 centre a ready true version 7 confirmed 40 ms ago 4 entries second hub behind e0 places layers true 3 active",
 			"llm a 8 to 16 l4 r2 failed", "llm a 8 to 16 missing", "app b - r4 leaving",
 		}},
 		"fails when an entry does not answer": {"", 1, []string{"does not answer, check that the process runs"}},
--- a/core/bergamotmirror/answer.go
+++ b/core/bergamotmirror/answer.go
@@ -7,7 +7,7 @@
 
 // Answer answers the query of another entry, which can be followed at peer's address.
 func (r *Reader) Answer(ctx context.Context, peer Peer, q Query) Reply {
-	if slices.Contains(r.Path(), q.entry) || !r.downstreams.Admit(NewPeer(q.entry, peer.address), q.entries) {
+	if r.readsThrough(q.entry) || !r.downstreams.Admit(NewPeer(q.entry, peer.address), q.entries) {
 		return NewRedirect(r.downstreams.Peers())
 	}
 	mirror := r.Mirror(q.table)
@@ -51,17 +51,61 @@
 	return r.path
 }
 
-// Hub returns the hub through which this entry reads the store, which may be itself; ok is false if there is none.
+// Role is how an entry reads the tables.
+type Role int
+
+// Roles of an entry.
+const (
+	RoleReader    Role = iota // it reads the store itself
+	RoleSecondHub             // it is a hub that reads the store through the first hub of its data centre
+	RoleFollower              // it follows another entry
+)
+
+// readsThrough reports whether this entry reads the store through another one, or asks it at the moment.
+func (r *Reader) readsThrough(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asking[name] > 0 || slices.Contains(r.path, name)
+}
+
+// setAsking adds n to the queries to an entry that have no answer so far.
+func (r *Reader) setAsking(name string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.asking[name] += n; r.asking[name] == 0 {
+		delete(r.asking, name)
+	}
+}
+
+// Hub returns the nearest hub through which this entry reads the store, which may be itself; ok is false if there is none.
+// It counts this entry in its slot, also if it reads the store through another hub.
 func (r *Reader) Hub() (hub Peer, ok bool) {
 	if r.Peers.IsHub() {
 		return r.Self(), true
 	}
-	if path := r.Path(); len(path) > 0 {
-		return r.Peers.hub(path[0])
+	for _, name := range slices.Backward(r.Path()) {
+		if hub, ok = r.Peers.hub(name); ok {
+			return hub, true
+		}
 	}
 	return Peer{}, false
 }
 
+// Role returns how this entry reads the tables, and the name of the entry that answered last, empty if it was the store.
+func (r *Reader) Role() (role Role, source string) {
+	r.mu.Lock()
+	source = r.source
+	r.mu.Unlock()
+	switch {
+	case source == "":
+		return RoleReader, ""
+	case r.Peers.isFirst(source):
+		return RoleSecondHub, source
+	default:
+		return RoleFollower, source
+	}
+}
+
 // Downstream returns how many entries read through this one, including itself.
 func (r *Reader) Downstream() int { return r.downstreams.Count() }
 
--- a/core/bergamotmirror/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -6,23 +6,49 @@
 	"time"
 )
 
+// upstream returns the entry to ask for changes of the tables; ok is false if the store itself must be read. chained is set
+// if this entry is the second hub of its data centre and reads the store through the first.
+func (r *Reader) upstream() (peer Peer, chained, ok bool) {
+	unreachable := r.unreachable.Load()
+	if !unreachable {
+		if peer, ok = r.Peers.firstHub(r.Entries()); ok {
+			return peer, true, true
+		}
+	}
+	peer, ok = r.Peers.Upstream(unreachable)
+	return peer, false, ok
+}
+
 // ask returns what another entry knows about a table after a version, the whole table for version 0; ok is false if there
 // is no entry to follow or it has no current version.
 func (r *Reader) ask(ctx context.Context, table string, after int64) (reading Reading, ok bool) {
 	if r.Network == nil {
 		return reading, false
 	}
-	mirror := r.Mirror(table)
+	failed := false
 	for range maxRedirects {
-		peer, ok := r.Peers.Upstream(r.unreachable.Load())
+		peer, chained, ok := r.upstream()
 		if !ok {
 			return reading, false
 		}
-		wait, timeout := r.queryTimes(ctx, table, after, mirror)
-		q := NewQuery(r.Self().name, table, after, mirror.StoreTime(), wait, r.downstreams.Count())
-		reply, err := r.query(ctx, peer, q, timeout)
+		wait, timeout := r.queryTimes(ctx, table, after, chained)
+		if failed {
+			// A second failure must not delay the read of the store beyond the age at which the copy is too old.
+			if wait, timeout = r.retryTimes(ctx, table, after); timeout <= 0 {
+				return reading, false
+			}
+		}
+		reply, err := r.query(ctx, peer, NewQuery(r.Self().name, table, after, r.Mirror(table).StoreTime(), wait, r.countForQuery()), timeout)
 		switch {
 		case err != nil || slices.Contains(reply.path, r.Self().name):
+			r.Peers.Avoid(peer.name)
+			if chained || failed {
+				return reading, false
+			}
+			failed = true
+			continue
+		case chained && len(reply.path) != 1:
+			// The first hub does not read the store itself.
 			r.Peers.Avoid(peer.name)
 			return reading, false
 		case len(reply.path) == 0:
@@ -30,51 +56,109 @@
 			r.Peers.Redirect(reply.redirect)
 			continue
 		}
-		u := reply.update
-		asOf, known := r.offset.localTime(u.storeTime)
-		if !known || u.version < max(after, mirror.Version()) {
-			return reading, false // the entry is behind this one
+		return r.accept(table, after, peer, reply, chained)
+	}
+	return reading, false
+}
+
+// accept applies the reply of another entry; ok is false if it is not current.
+func (r *Reader) accept(table string, after int64, peer Peer, reply Reply, chained bool) (reading Reading, ok bool) {
+	u, mirror := reply.update, r.Mirror(table)
+	asOf, known := r.offset.localTime(u.storeTime)
+	if !known || u.version < max(after, mirror.Version()) {
+		if chained {
+			r.Peers.Avoid(peer.name)
 		}
-		mirror.Apply(u)
-		r.setSource(peer.name, reply.path)
+		return reading, false // the entry is behind this one
+	}
+	mirror.Apply(u)
+	r.setSource(peer.name, reply.path)
+	if !chained { // a hub counts the entries and the hubs itself
 		if reply.entries > 0 {
 			r.CountEntries(reply.entries)
 		}
 		r.SetVacant(reply.vacant && !r.Peers.IsRemote())
-		if r.Clock.Uptime()-asOf >= r.maxRelayedAge(table) {
-			// The entry does not reach the store at present. While this one does not either, it still hears from the other
-			// one when that changes.
-			if !r.unreachable.Load() {
-				r.Peers.Avoid(peer.name)
-			}
-			return reading, false
+	}
+	if r.Clock.Uptime()-asOf >= r.maxAge(table, chained) {
+		// The entry does not reach the store at present. While this one does not either, it still hears from the other
+		// one when that changes.
+		if !r.unreachable.Load() {
+			r.Peers.Avoid(peer.name)
 		}
-		return NewReading(u, asOf, true), true
+		return reading, false
 	}
-	return reading, false
+	return NewReading(u, asOf, true), true
+}
+
+// countForQuery returns how many entries read through this one, 0 if it is a hub, whose slot has that number.
+func (r *Reader) countForQuery() int {
+	if r.Peers.IsHub() {
+		return 0
+	}
+	return r.downstreams.Count()
+}
+
+// maxAge returns the age from which an answer about a table does not count as current. A second hub has to notice that the
+// first one has none before its own followers do, or all of them would call the store at once.
+func (r *Reader) maxAge(table string, chained bool) time.Duration {
+	if chained {
+		return r.maxRelayedAge(table) - chainedMargin
+	}
+	return r.maxRelayedAge(table)
+}
+
+// copyLeft returns how long the copy of a table still counts as current, 0 or less if it does not.
+func (r *Reader) copyLeft(table string, chained bool) time.Duration {
+	asOf, known := r.offset.localTime(r.Mirror(table).StoreTime())
+	if !known {
+		return 0
+	}
+	return asOf + r.maxAge(table, chained) - r.Clock.Uptime()
 }
 
 // queryTimes returns how long the answer to a query may wait for changes after a version, and how long it may take in all.
 // The answer does not wait for longer than the copy counts as current.
-func (r *Reader) queryTimes(ctx context.Context, table string, after int64, mirror *Mirror) (wait, timeout time.Duration) {
+func (r *Reader) queryTimes(ctx context.Context, table string, after int64, chained bool) (wait, timeout time.Duration) {
 	if after == 0 {
 		return listWait, listTimeout
 	}
-	wait = MaxWait
-	if asOf, known := r.offset.localTime(mirror.StoreTime()); known {
-		if left := asOf + r.maxRelayedAge(table) - r.Clock.Uptime(); left > 0 {
-			wait = min(wait, left)
-		}
+	wait, timeout = MaxWait, MaxWait+answerTimeout
+	left := r.copyLeft(table, chained)
+	if left > 0 {
+		wait = min(wait, left)
 	}
 	if end, ok := ctx.Deadline(); ok {
 		wait = max(min(wait, time.Until(end)-answerTimeout-minDirectTimeout), 0)
 	}
-	return wait, wait + answerTimeout
+	timeout = wait + answerTimeout
+	if chained && left > 0 {
+		timeout = min(timeout, left+chainedMargin/2)
+	}
+	return wait, timeout
+}
+
+// retryTimes returns the same as queryTimes for a query after one that failed. Both times end before the copy is too old;
+// they are 0 if there is no time for an answer.
+func (r *Reader) retryTimes(ctx context.Context, table string, after int64) (wait, timeout time.Duration) {
+	if after == 0 {
+		return 0, 0
+	}
+	timeout = r.copyLeft(table, false)
+	if end, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(end)-minDirectTimeout)
+	}
+	if timeout < minRetryTimeout {
+		return 0, 0
+	}
+	return timeout - minRetryTimeout, timeout
 }
 
-// query sends one query and waits for its reply.
+// query sends one query and waits for its reply. Meanwhile this entry does not answer the other one, so that two entries
+// that ask each other at the same moment do not both accept the copy of the other.
 func (r *Reader) query(ctx context.Context, to Peer, q Query, timeout time.Duration) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	r.setAsking(to.name, 1)
+	defer r.setAsking(to.name, -1)
 	return r.Network.Ask(ctx, to, r.Self(), q)
 }
--- a/core/bergamotmirror/downstreams.go
+++ b/core/bergamotmirror/downstreams.go
@@ -9,6 +9,9 @@
 	// maxDownstreams is the number of entries that follow one entry; more are redirected to these. With it, the cost of
 	// an entry does not grow with the number of entries, and three levels hold 544 entries of a data centre.
 	maxDownstreams = 16
+	// reservedForHubs is the number of further places for hubs of the same data centre: the second one, and one that takes
+	// over its slot while the old one still counts.
+	reservedForHubs = 2
 	// downstreamTTL is how long after its last query an entry counts as following. Queries wait for up to MaxWait.
 	downstreamTTL = 3 * time.Second
 )
@@ -24,27 +27,31 @@
 // downstream is an entry that follows this one.
 type downstream struct {
 	peer     Peer
-	entries  int           // entries that read through it, including itself
+	entries  int           // entries that read through it, including itself; 0 for a hub, which registers them itself
 	lastSeen time.Duration // when its last query arrived
 }
 
 // Admit records a query of an entry that can itself be followed at peer's address, and reports whether the entry is one of
-// those that this entry serves.
+// those that this entry serves. Through the entry read entries entries, 0 for a hub, which registers them itself.
 func (d *Downstreams) Admit(peer Peer, entries int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire()
-	if _, known := d.entries[peer.name]; !known && len(d.entries) >= maxDownstreams {
+	limit := maxDownstreams
+	if entries <= 0 {
+		limit += reservedForHubs
+	}
+	if _, known := d.entries[peer.name]; !known && len(d.entries) >= limit {
 		return false
 	}
 	if d.entries == nil {
 		d.entries = map[string]downstream{}
 	}
-	d.entries[peer.name] = downstream{peer: peer, entries: max(entries, 1), lastSeen: d.Now()}
+	d.entries[peer.name] = downstream{peer: peer, entries: max(entries, 0), lastSeen: d.Now()}
 	return true
 }
 
-// Count returns how many entries read through this one, including itself.
+// Count returns how many entries read through this one, including itself, without those behind another hub.
 func (d *Downstreams) Count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -57,7 +64,12 @@
 }
 
 // Serving reports whether any entry follows this one.
-func (d *Downstreams) Serving() bool { return d.Count() > 1 }
+func (d *Downstreams) Serving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire()
+	return len(d.entries) > 0
+}
 
 // Peers returns some of the entries that follow this one.
 func (d *Downstreams) Peers() (peers []Peer) {
--- a/core/bergamotmirror/message.go
+++ b/core/bergamotmirror/message.go
@@ -13,7 +13,8 @@
 }
 
 // NewQuery returns a query of the entry of that name, whose copy of the table has the given version and store time, for
-// something newer. The answer may take up to wait. Through the entry read entries entries, including itself.
+// something newer. The answer may take up to wait. Through the entry read entries entries, including itself; a hub says 0,
+// since its slot has their number.
 func NewQuery(entry, table string, version int64, storeTime, wait time.Duration, entries int) Query {
 	return Query{entry: entry, table: table, version: version, storeTime: storeTime, wait: wait, entries: entries}
 }
@@ -33,7 +34,7 @@
 // Wait returns how long the answer may take.
 func (q Query) Wait() time.Duration { return q.wait }
 
-// Entries returns how many entries read through the one that asks, including itself.
+// Entries returns how many entries read through the one that asks, including itself, or 0 if it is a hub.
 func (q Query) Entries() int { return q.entries }
 
 // Reply is the answer to a query.
--- a/core/bergamotmirror/peers.go
+++ b/core/bergamotmirror/peers.go
@@ -14,6 +14,10 @@
 	avoidDuration = 2 * time.Second
 	// maxRedirects is the number of entries that a full hub names.
 	maxRedirects = 4
+	// minEntriesPerHub is the number of entries for each hub of all data centres from which the second hub of a data centre
+	// reads the store through the first. With fewer entries the calls that this saves are few, and a second independent
+	// reader serves a larger part of them.
+	minEntriesPerHub = 4
 )
 
 // Peer is an entry that others can follow.
@@ -64,6 +68,7 @@
 	mu       sync.Mutex
 	hubs     []Hub
 	isHub    bool
+	first    Peer          // the hub of this data centre with a lower slot, empty if there is none or this entry is no hub
 	known    chan struct{} // closed when the hubs have been set or could not be read
 	upstream Peer          // the entry that this one follows, empty for none
 	remote   bool          // the upstream is in another data centre
@@ -76,17 +81,26 @@
 	defer p.mu.Unlock()
 	p.hubs = hubs
 	p.markKnown()
-	p.isHub = slices.ContainsFunc(hubs, func(h Hub) bool { return h.name == p.Name })
-	if p.isHub {
-		p.upstream = Peer{}
+	own := slices.IndexFunc(hubs, func(h Hub) bool { return h.name == p.Name })
+	p.isHub, p.first = own >= 0, Peer{}
+	if !p.isHub {
+		return
+	}
+	p.upstream = Peer{}
+	for _, h := range p.leads() {
+		if h.centre == p.Centre && h.slot < hubs[own].slot {
+			p.first = h.Peer
+		}
 	}
 }
 
-// SetHubsUnknown records that the hubs could not be read.
+// SetHubsUnknown records that the hubs could not be read or written. A second hub that the store turns away must notice
+// when it is reached again, so that it reads the store by itself until the hubs are known again.
 func (p *Peers) SetHubsUnknown() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.markKnown()
+	p.first = Peer{}
 }
 
 // waitForHubs waits until the hubs have been set or could not be read, or for a timeout.
@@ -197,6 +211,24 @@
 	return p.upstream, true
 }
 
+// firstHub returns the hub through which this entry, the second hub of its data centre, reads the store; entries is the
+// number of entries of all data centres. ok is false if it must read the store itself.
+func (p *Peers) firstHub(entries int) (first Peer, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.first.name == "" || p.isAvoided(p.first.name) || entries < minEntriesPerHub*len(p.hubs) {
+		return Peer{}, false
+	}
+	return p.first, true
+}
+
+// isFirst reports whether this entry is the second hub behind the entry of that name.
+func (p *Peers) isFirst(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.first.name != "" && p.first.name == name
+}
+
 // IsRemote reports whether the entry that this one follows is in another data centre.
 func (p *Peers) IsRemote() bool {
 	p.mu.Lock()
--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -27,6 +27,11 @@
 	// count as current, and the store is read instead: the longest pause between two reads of a hub. A change must be in
 	// force two seconds after its acknowledgement even if the entry in between is frozen or cut off.
 	maxRelayTime = 800 * time.Millisecond
+	// chainedMargin is how much earlier than its followers a second hub reads the store because the answers of the first are
+	// too old. Half of it is for the answer of the first, the other half for that of the store, which takes 5 ms.
+	chainedMargin = 200 * time.Millisecond
+	// minRetryTimeout is the shortest time in which the entry that is asked after another one failed can answer.
+	minRetryTimeout = 100 * time.Millisecond
 	// unreachableInterval is the time between two calls to the store while it does not answer and other entries do. They
 	// pass the end of the outage on, so that only the hubs have to look for it more often.
 	unreachableInterval    = 2 * time.Second
@@ -92,8 +97,9 @@
 
 	mu      sync.Mutex
 	mirrors map[string]*Mirror
-	source  string   // entry that answered last, empty for the store
-	path    []string // entries between the store and this one
+	source  string         // entry that answered last, empty for the store
+	path    []string       // entries between the store and this one
+	asking  map[string]int // queries without an answer so far, by the entry that is asked
 	counts  entryCounts
 	vacant  bool // the data centre has too few hubs
 }
@@ -101,7 +107,7 @@
 // Init prepares the reader for use.
 func (r *Reader) Init() {
 	r.downstreams.Now = r.Clock.Uptime
-	r.mirrors = map[string]*Mirror{}
+	r.mirrors, r.asking = map[string]*Mirror{}, map[string]int{}
 }
 
 // List returns a whole table. The deadline of ctx is for the answer of the store; another entry may take up to
@@ -163,7 +169,7 @@
 	call func(ctx context.Context, wait time.Duration) (Update, error),
 ) (reading Reading, err error) {
 	unreachable := r.unreachable.Load()
-	_, following := r.Peers.Upstream(unreachable)
+	_, _, following := r.upstream()
 	if following && unreachable && r.isDirectCallDue() {
 		short, cancel := context.WithTimeout(ctx, minDirectTimeout)
 		reading, err = r.readStore(short, table, 0, call)
