--- a/core/bergamotmirror/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -19,6 +19,16 @@
 	return peer, false, ok
 }
 
+// outcome is how a query to another entry ended.
+type outcome int
+
+const (
+	outcomeCurrent    outcome = iota // the reply has a current version
+	outcomeFailed                    // there is no valid reply
+	outcomeRedirected                // the other entry does not serve this one
+	outcomeUseless                   // the other entry has no current version
+)
+
 // ask returns what another entry knows about a table after a version, the whole table for version 0; ok is false if there
 // is no entry to follow or it has no current version.
 func (r *Reader) ask(ctx context.Context, table string, after int64) (reading Reading, ok bool) {
@@ -38,29 +48,45 @@
 				return reading, false
 			}
 		}
-		reply, err := r.query(ctx, peer, NewQuery(r.Self().name, table, after, r.Mirror(table).StoreTime(), wait, r.countForQuery()), timeout)
+		reading, result := r.askPeer(ctx, peer, chained, table, after, wait, timeout)
 		switch {
-		case err != nil || slices.Contains(reply.path, r.Self().name):
-			r.Peers.Avoid(peer.name)
-			if chained || failed {
-				return reading, false
-			}
-			failed = true
-			continue
-		case chained && len(reply.path) != 1:
-			// The first hub does not read the store itself.
-			r.Peers.Avoid(peer.name)
-			return reading, false
-		case len(reply.path) == 0:
-			r.Peers.Avoid(peer.name)
-			r.Peers.Redirect(reply.redirect)
-			continue
+		case result == outcomeCurrent:
+			return reading, true
+		case chained || result == outcomeUseless || result == outcomeFailed && failed:
+			return Reading{}, false
 		}
-		return r.accept(table, after, peer, reply, chained)
+		failed = failed || result == outcomeFailed
 	}
 	return reading, false
 }
 
+// askPeer asks one entry and applies its reply. Until then this entry does not answer the other one, so that two entries
+// that ask each other at the same moment do not both accept the copy of the other.
+func (r *Reader) askPeer(ctx context.Context, peer Peer, chained bool, table string, after int64, wait, timeout time.Duration) (Reading, outcome) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r.setAsking(peer.name, 1)
+	defer r.setAsking(peer.name, -1)
+	q := NewQuery(r.Self().name, table, after, r.Mirror(table).StoreTime(), wait, r.countForQuery())
+	reply, err := r.Network.Ask(ctx, peer, r.Self(), q)
+	switch {
+	case err != nil || slices.Contains(reply.path, r.Self().name):
+		r.Peers.Avoid(peer.name)
+		return Reading{}, outcomeFailed
+	case chained && len(reply.path) != 1: // the first hub does not read the store itself
+		r.Peers.Avoid(peer.name)
+		return Reading{}, outcomeUseless
+	case len(reply.path) == 0:
+		r.Peers.Avoid(peer.name)
+		r.Peers.Redirect(reply.redirect)
+		return Reading{}, outcomeRedirected
+	}
+	if reading, ok := r.accept(table, after, peer, reply, chained); ok {
+		return reading, outcomeCurrent
+	}
+	return Reading{}, outcomeUseless
+}
+
 // accept applies the reply of another entry; ok is false if it is not current.
 func (r *Reader) accept(table string, after int64, peer Peer, reply Reply, chained bool) (reading Reading, ok bool) {
 	u, mirror := reply.update, r.Mirror(table)
@@ -152,13 +178,3 @@
 	}
 	return timeout - minRetryTimeout, timeout
 }
-
-// query sends one query and waits for its reply. Meanwhile this entry does not answer the other one, so that two entries
-// that ask each other at the same moment do not both accept the copy of the other.
-func (r *Reader) query(ctx context.Context, to Peer, q Query, timeout time.Duration) (Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	r.setAsking(to.name, 1)
-	defer r.setAsking(to.name, -1)
-	return r.Network.Ask(ctx, to, r.Self(), q)
-}
--- a/core/bergamotmirror/fakes_test.go
+++ b/core/bergamotmirror/fakes_test.go
@@ -104,7 +104,7 @@
 	r := &bergamotmirror.Reader{
 		Clock: f.clock, Store: client{f.store, name}, Network: f,
 		Self:  func() bergamotmirror.Peer { return bergamotmirror.NewPeer(name, name) },
-		Peers: &bergamotmirror.Peers{Centre: centre, Name: name, Random: random.IntN, Now: f.clock.Uptime},
+		Peers: &bergamotmirror.Peers{Centre: centre, Name: name, Random: random.IntN, Now: f.clock.Uptime, MinEntriesPerHub: 4},
 	}
 	r.Init()
 	f.names, f.readers[name] = append(f.names, name), r
--- a/core/bergamotmirror/peers.go
+++ b/core/bergamotmirror/peers.go
@@ -14,10 +14,9 @@
 	avoidDuration = 2 * time.Second
 	// maxRedirects is the number of entries that a full hub names.
 	maxRedirects = 4
-	// minEntriesPerHub is the number of entries for each hub of all data centres from which the second hub of a data centre
-	// reads the store through the first. With fewer entries the calls that this saves are few, and a second independent
-	// reader serves a larger part of them.
-	minEntriesPerHub = 4
+	// newHubDuration is how long a hub expects its first followers. Entries that start together read the hubs within a
+	// second, and those whose hub was restarted ask it again after avoidDuration.
+	newHubDuration = 3 * time.Second
 )
 
 // Peer is an entry that others can follow.
@@ -64,11 +63,15 @@
 	Name   string               // of this entry
 	Random func(n int) int      // returns a number from 0 to n-1
 	Now    func() time.Duration // time since the machine booted
+	// MinEntriesPerHub is the number of entries for each hub of all data centres from which the second hub of a data centre
+	// reads the store through the first, 0 for never.
+	MinEntriesPerHub int
 
 	mu       sync.Mutex
 	hubs     []Hub
 	isHub    bool
 	first    Peer          // the hub of this data centre with a lower slot, empty if there is none or this entry is no hub
+	hubSince time.Duration // when this entry became a hub
 	known    chan struct{} // closed when the hubs have been set or could not be read
 	upstream Peer          // the entry that this one follows, empty for none
 	remote   bool          // the upstream is in another data centre
@@ -82,10 +85,14 @@
 	p.hubs = hubs
 	p.markKnown()
 	own := slices.IndexFunc(hubs, func(h Hub) bool { return h.name == p.Name })
+	wasHub := p.isHub
 	p.isHub, p.first = own >= 0, Peer{}
 	if !p.isHub {
 		return
 	}
+	if !wasHub {
+		p.hubSince = p.Now()
+	}
 	p.upstream = Peer{}
 	for _, h := range p.leads() {
 		if h.centre == p.Centre && h.slot < hubs[own].slot {
@@ -137,6 +144,13 @@
 	return p.isHub
 }
 
+// isNewHub reports whether this entry has become a hub so recently that others may be about to follow it.
+func (p *Peers) isNewHub() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isHub && p.Now()-p.hubSince < newHubDuration
+}
+
 // Leads returns the first hub of each data centre, except this entry. A lead collects reports of the runners there.
 func (p *Peers) Leads() (leads []Peer) {
 	p.mu.Lock()
@@ -216,7 +230,10 @@
 func (p *Peers) firstHub(entries int) (first Peer, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.first.name == "" || p.isAvoided(p.first.name) || entries < minEntriesPerHub*len(p.hubs) {
+	if p.MinEntriesPerHub <= 0 || entries < p.MinEntriesPerHub*len(p.hubs) {
+		return Peer{}, false
+	}
+	if p.first.name == "" || p.isAvoided(p.first.name) {
 		return Peer{}, false
 	}
 	return p.first, true
--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -186,7 +186,9 @@
 		return reading, ErrStale
 	case following:
 		wait = 0 // the table may have changed while the other entry did not answer
-	case r.downstreams.Serving():
+	case r.downstreams.Serving() || r.Peers.isNewHub():
+		// Without the second condition a new hub would wait for longer than its copy counts as current, and all entries that
+		// begin to follow it meanwhile would call the store.
 		wait = min(wait, r.hubWait(table))
 	}
 	return r.readStore(ctx, table, wait, call)
