Ask the other hub before the store, and test the failures of hubs

Cause: when a hub is cut off from the store but answers, its followers found its copy too old at the same moment and all called the store.

The copy of a table records from which entry its latest store time came; only an answer with a later store time changes that, so that entries never have each other as sources.

--- a/core/bergamotcluster/simstore_test.go
+++ b/core/bergamotcluster/simstore_test.go
@@ -145,7 +145,10 @@
 		changed := c.changed
 		c.mu.Unlock()
 		if len(changes) > 0 || timedOut {
-			return changes, version, storeTime, c.end(ctx, start, storeTime)
+			if err = c.end(ctx, start, storeTime); err == nil {
+				c.entry.recordAnswer()
+			}
+			return changes, version, storeTime, err
 		}
 		select {
 		case <-changed:
@@ -217,3 +220,12 @@
 	c.mu.Unlock()
 	return row, ok, c.end(ctx, start, c.clock.Uptime()+simStoreAhead)
 }
+
+// takeSlot writes the row of a slot as if another entry had taken it.
+func (s *simStore) takeSlot(key, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row := s.hubRows[key]
+	h := row.hub
+	s.hubRows[key] = simHub{bergamotmirror.NewHub(bergamotmirror.NewPeer(name, name), h.Centre(), h.Slot(), h.Entries()), row.revision + 1, s.clock.Uptime()}
+}
--- a/core/bergamotcluster/simulation_test.go
+++ b/core/bergamotcluster/simulation_test.go
@@ -59,7 +59,8 @@
 	peerLink simLink             // to other entries, also of their queries to it
 	applied  map[int64]time.Time // when each version of the configuration took effect
 	feedSeen map[string]int64    // latest version of each table that was read
-	restored chan struct{}       // closed when a link changes
+	answered []time.Time         // when the store answered reads of changes
+	relinked chan struct{}       // closed when a link changes
 }
 
 // simLink is the state of a connection.
@@ -90,7 +91,7 @@
 func (s *simulation) startEntry(name, centre string, minPerHub int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &simEntry{
-		sim: s, name: name, cancel: cancel, done: make(chan struct{}), applied: map[int64]time.Time{}, feedSeen: map[string]int64{}, restored: make(chan struct{}),
+		sim: s, name: name, cancel: cancel, done: make(chan struct{}), applied: map[int64]time.Time{}, feedSeen: map[string]int64{}, relinked: make(chan struct{}),
 	}
 	random := rand.New(rand.NewPCG(1, uint64(len(s.names))))
 	var randomMu sync.Mutex
@@ -215,8 +216,40 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.link, e.peerLink = store, peers
-	close(e.restored)
-	e.restored = make(chan struct{})
+	close(e.relinked)
+	e.relinked = make(chan struct{})
+}
+
+// kill ends the process of an entry, so that its connections are refused.
+func (e *simEntry) kill() {
+	e.cancel()
+	e.setLinks(linkRefused, linkRefused)
+}
+
+// peerState returns the state of the connections to other entries, and a channel that is closed when it changes.
+func (e *simEntry) peerState() (simLink, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peerLink, e.relinked
+}
+
+// recordAnswer records that the store answered a read of changes.
+func (e *simEntry) recordAnswer() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answered = append(e.answered, time.Now())
+}
+
+// answerDelay returns how long after a time the store answered a read of changes for the first time, an hour if it did not.
+func (e *simEntry) answerDelay(from time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, at := range e.answered {
+		if !at.Before(from) {
+			return at.Sub(from)
+		}
+	}
+	return time.Hour
 }
 
 // waitLink takes the time of half a call, and waits until ctx ends while the connection is silent. Answers to calls that
@@ -255,10 +288,18 @@
 	}
 	answered := make(chan bergamotmirror.Reply, 1)
 	go func() { answered <- other.reader.Answer(ctx, self, q) }()
-	select {
-	case reply = <-answered:
-	case <-ctx.Done():
-		return reply, ctx.Err()
+	for waiting := true; waiting; {
+		state, changed := other.peerState()
+		if state == linkRefused {
+			return reply, errUnreachable
+		}
+		select {
+		case reply = <-answered:
+			waiting = false
+		case <-changed:
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		}
 	}
 	for _, end := range []*simEntry{other, e} {
 		if err = end.waitLink(ctx, true); err != nil {
@@ -268,20 +309,20 @@
 	return reply, nil
 }
 
-// sources returns the entry that answered each entry last.
-func (s *simulation) sources() map[string]string {
+// sources returns the entry from which each entry has the latest version of a table.
+func (s *simulation) sources(table string) map[string]string {
 	out := map[string]string{}
 	for name, e := range s.entries {
-		if _, source := e.reader.Role(); source != "" {
+		if source := e.reader.Mirror(table).Source(); source != "" {
 			out[name] = source
 		}
 	}
 	return out
 }
 
-// checkCycles fails the test if entries read through each other.
-func (s *simulation) checkCycles() {
-	sources := s.sources()
+// checkCycles fails the test if entries read a table through each other.
+func (s *simulation) checkCycles(table string) {
+	sources := s.sources(table)
 	for name := range sources {
 		var path []string
 		for at := name; at != ""; at = sources[at] {
@@ -294,11 +335,12 @@
 	}
 }
 
-// run lets time pass and checks for cycles every 20 ms.
+// run lets time pass and checks for cycles every 50 ms.
 func (s *simulation) run(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		<-time.After(min(20*time.Millisecond, time.Until(end)))
-		s.checkCycles()
+		<-time.After(min(50*time.Millisecond, time.Until(end)))
+		s.checkCycles("op")
+		s.checkCycles("servers")
 	}
 }
 
--- a/core/bergamotmirror/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -26,7 +26,8 @@
 	outcomeCurrent    outcome = iota // the reply has a current version
 	outcomeFailed                    // there is no valid reply
 	outcomeRedirected                // the other entry does not serve this one
-	outcomeUseless                   // the other entry has no current version
+	outcomeStale                     // the other entry does not reach the store at present
+	outcomeUseless                   // the other entry has no version that this one can use
 )
 
 // ask returns what another entry knows about a table after a version, the whole table for version 0; ok is false if there
@@ -35,16 +36,15 @@
 	if r.Network == nil {
 		return reading, false
 	}
-	failed := false
+	last := outcomeRedirected
 	for range maxRedirects {
 		peer, chained, ok := r.upstream()
 		if !ok {
 			return reading, false
 		}
 		wait, timeout := r.queryTimes(ctx, table, after, chained)
-		if failed {
-			// A second failure must not delay the read of the store beyond the age at which the copy is too old.
-			if wait, timeout = r.retryTimes(ctx, table, after); timeout <= 0 {
+		if last != outcomeRedirected {
+			if wait, timeout = r.retryTimes(ctx, table, after, last); timeout <= 0 {
 				return reading, false
 			}
 		}
@@ -52,10 +52,13 @@
 		switch {
 		case result == outcomeCurrent:
 			return reading, true
-		case chained || result == outcomeUseless || result == outcomeFailed && failed:
+		case chained || result == outcomeUseless || result != outcomeRedirected && last != outcomeRedirected:
 			return Reading{}, false
+		case result == outcomeStale && r.unreachable.Load():
+			return Reading{}, false
+		case result != outcomeRedirected:
+			last = result
 		}
-		failed = failed || result == outcomeFailed
 	}
 	return reading, false
 }
@@ -81,23 +84,20 @@
 		r.Peers.Redirect(reply.redirect)
 		return Reading{}, outcomeRedirected
 	}
-	if reading, ok := r.accept(table, after, peer, reply, chained); ok {
-		return reading, outcomeCurrent
-	}
-	return Reading{}, outcomeUseless
+	return r.accept(table, after, peer, reply, chained)
 }
 
-// accept applies the reply of another entry; ok is false if it is not current.
-func (r *Reader) accept(table string, after int64, peer Peer, reply Reply, chained bool) (reading Reading, ok bool) {
+// accept applies the reply of another entry.
+func (r *Reader) accept(table string, after int64, peer Peer, reply Reply, chained bool) (Reading, outcome) {
 	u, mirror := reply.update, r.Mirror(table)
 	asOf, known := r.offset.localTime(u.storeTime)
 	if !known || u.version < max(after, mirror.Version()) {
 		if chained {
 			r.Peers.Avoid(peer.name)
 		}
-		return reading, false // the entry is behind this one
+		return Reading{}, outcomeUseless // the entry is behind this one
 	}
-	mirror.Apply(u)
+	mirror.applyFrom(peer.name, u)
 	r.setSource(peer.name, reply.path)
 	if !chained { // a hub counts the entries and the hubs itself
 		if reply.entries > 0 {
@@ -111,9 +111,9 @@
 		if !r.unreachable.Load() {
 			r.Peers.Avoid(peer.name)
 		}
-		return reading, false
+		return Reading{}, outcomeStale
 	}
-	return NewReading(u, asOf, true), true
+	return NewReading(u, asOf, true), outcomeCurrent
 }
 
 // countForQuery returns how many entries read through this one, 0 if it is a hub, whose slot has that number.
@@ -163,13 +163,17 @@
 	return wait, timeout
 }
 
-// retryTimes returns the same as queryTimes for a query after one that failed. Both times end before the copy is too old;
-// they are 0 if there is no time for an answer.
-func (r *Reader) retryTimes(ctx context.Context, table string, after int64) (wait, timeout time.Duration) {
+// retryTimes returns the same as queryTimes for a query after one that ended with last. A second failure must not delay the
+// read of the store beyond the age at which the copy is too old, or minRetryTimeout if it is. Both times are 0 if there is no
+// time for an answer.
+func (r *Reader) retryTimes(ctx context.Context, table string, after int64, last outcome) (wait, timeout time.Duration) {
 	if after == 0 {
 		return 0, 0
 	}
 	timeout = r.copyLeft(table, false)
+	if last == outcomeStale {
+		timeout = minRetryTimeout
+	}
 	if end, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(end)-minDirectTimeout)
 	}
--- a/core/bergamotmirror/mirror.go
+++ b/core/bergamotmirror/mirror.go
@@ -18,6 +18,7 @@
 	rows      map[string]bergamotstore.Row
 	version   int64
 	storeTime time.Duration
+	source    string   // entry from which the latest store time came, empty for the store
 	history   []Update // the latest updates, oldest first
 	base      int64    // version before the first update of the history
 	kept      int      // changes in the history
@@ -31,12 +32,20 @@
 
 // Apply applies an update and wakes those that wait for one. Changes that arrive before the whole table, and updates that
 // are older than the copy, are ignored.
-func (m *Mirror) Apply(u Update) {
+func (m *Mirror) Apply(u Update) { m.applyFrom("", u) }
+
+// applyFrom applies an update of another entry, or of the store for an empty name. Only one with a later store time changes
+// the source: the store time of an entry is then never after that of its source, so that entries never have each other as
+// sources.
+func (m *Mirror) applyFrom(source string, u Update) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.known && u.version < m.version || !m.known && !u.whole {
 		return
 	}
+	if source == "" || u.storeTime > m.storeTime {
+		m.source = source
+	}
 	if u.whole {
 		clear(m.rows)
 		m.history, m.kept, m.base = nil, 0, u.version
@@ -59,6 +68,13 @@
 	m.updated = make(chan struct{})
 }
 
+// Source returns the entry from which the latest store time came, empty for the store.
+func (m *Mirror) Source() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.source
+}
+
 // Since returns what changed after a version, the whole table if the history does not reach back to it. It also returns a
 // channel that is closed at the next update. ok is false before the whole table has been read.
 func (m *Mirror) Since(version int64) (u Update, updated <-chan struct{}, ok bool) {
