Test hubs with a slow store

Cause: the simulation had one time for calls to the store and to other entries, so that a slow store could not be tried.

Change: two times; a case of TestHubFaults in which each call to the store takes 300 ms.

--- a/core/bergamotcluster/simfaults_test.go
+++ b/core/bergamotcluster/simfaults_test.go
@@ -70,6 +70,10 @@
 		"the first of 840 entries is frozen": {
 			large: true, fault: one(func(first, _ *simEntry) *simEntry { return links(first, linkSilent, linkSilent) }),
 		},
+		"the store is slow": {fault: func(s *simulation, _, _ *simEntry) []*simEntry {
+			s.callTime.Store(int64(300 * time.Millisecond))
+			return nil
+		}},
 		"the first slot changes hands": {fault: func(s *simulation, _, _ *simEntry) []*simEntry {
 			s.store.takeSlot("c0/0", "e21")
 			return nil
--- a/core/bergamotcluster/simulation_test.go
+++ b/core/bergamotcluster/simulation_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,7 +24,8 @@
 // The simulations are not built with the race detector: with the timers of several entries in a bubble of testing/synctest
 // it aborts by itself (SIGSEGV or a failed check in its own runtime, in five of nine runs).
 const (
-	simCallTime   = 2 * time.Millisecond // of a call to the store or another entry
+	simCallTime   = 2 * time.Millisecond // of a call to the store, unless a test sets another time
+	simPeerTime   = 2 * time.Millisecond // of a query to another entry that is answered at once
 	simConfigWait = 2500 * time.Millisecond
 	simFeedWait   = 5 * time.Second
 	simStoreAhead = 1000 * time.Hour // of the store's clock before that of the entries
@@ -44,6 +46,8 @@
 	clock simClock
 	store *simStore
 
+	callTime atomic.Int64 // of a call to the store in nanoseconds
+
 	mu      sync.Mutex
 	entries map[string]*simEntry
 	names   []string // in the order in which they were started
@@ -80,6 +84,7 @@
 func newSimulation(t *testing.T, entries, centres, minPerHub int) *simulation {
 	s := &simulation{t: t, clock: simClock{start: time.Now()}, entries: map[string]*simEntry{}}
 	s.store = newSimStore(s.clock)
+	s.callTime.Store(int64(simCallTime))
 	s.store.put("op", "config", "\x01")
 	for n := range 3 {
 		s.store.put("servers", fmt.Sprint("r", n), "ready")
@@ -259,17 +264,17 @@
 // waitLink takes the time of half a call, and waits until ctx ends while the connection is silent. Answers to calls that
 // were made before are lost as well.
 func (e *simEntry) waitLink(ctx context.Context, peers bool) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(simCallTime / 2):
-	}
 	e.mu.Lock()
-	state := e.link
+	state, latency := e.link, time.Duration(e.sim.callTime.Load())/2
 	if peers {
-		state = e.peerLink
+		state, latency = e.peerLink, simPeerTime/4 // each end waits once in each direction
 	}
 	e.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(latency):
+	}
 	switch state {
 	case linkSilent:
 		<-ctx.Done()
