Test a second hub whose first reads through another entry

Cause: the case passed without the check of the path, since the first hub had no current copy in it.

Change: the case makes the first hub follow that of another data centre, and checks it.

Measured: it fails without the check.

--- a/core/bergamotmirror/secondhub_test.go
+++ b/core/bergamotmirror/secondhub_test.go
@@ -36,11 +36,14 @@
 		"reads the store when the first reads through another entry": {
 			entries: enough, fault: func(f *fleet) {
 				f.store.down["a1"] = true
-				for range 4 { // the first finds that it is cut off and follows the hub of the other data centre
-					_, _ = f.changes("a1", 1) // fails until then
-					_, err := f.changes("b1", 1)
-					gomega.Expect(err).NotTo(gomega.HaveOccurred())
-				}
+				f.readers["a1"].Peers.Avoid("a2")
+				_, err := f.changes("b1", 1)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = f.changes("a1", 1) // the first finds that it is cut off
+				gomega.Expect(err).To(gomega.HaveOccurred())
+				_, err = f.changes("a1", 1) // it follows the hub of the other data centre
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				gomega.Expect(f.readers["a1"].Path()).To(gomega.Equal([]string{"b1"}))
 			}, rows: 1, direct: 1,
 		},
 		"reads the store when the first is behind it": {
