Read the other tables at once when the store answers again

Cause: when one table was read again after an outage, the others waited for the rest of their own delay, up to 0.4 s, although the entry knew that the store answers.

Change: a table whose last read failed is due at once when another one has been read since, unless the store limits the rate.

--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -44,6 +44,7 @@
 	missing       map[string]time.Time // when to remove the runners whose rows are missing since an outage, by name
 	failed        map[string]failure   // runners that do not answer, by name
 	fleet         *bergamotfleet.Fleet // cache of Fleet, nil after a change of a runner
+	lastResumed   time.Time            // when reads of a table last succeeded again after one that failed
 	outageEnd     time.Time            // when reads of a table last succeeded again after an outage
 	grant         bergamotlease.Grant  // placement lease
 	entryCount    int                  // entries that share the runners, including this one
--- a/core/bergamotcluster/tablewatcher.go
+++ b/core/bergamotcluster/tablewatcher.go
@@ -70,6 +70,7 @@
 	version      int64 // of the table at the last successful read
 	reading      bool
 	nextRead     time.Time
+	lastRead     time.Time     // start of the last read
 	retryDelay   time.Duration // after the last read, 0 when it succeeded
 	pause        time.Duration // after the last read, 0 when it had no changes
 	failingSince time.Time     // zero while reads succeed
@@ -82,18 +83,28 @@
 
 // Next returns when the next read is due.
 func (c *TableWatcher) Next(s *State) time.Time {
-	if c.reading {
+	switch {
+	case c.reading:
 		return s.Now().Add(time.Minute)
+	case c.hasResumed(s):
+		return s.Now()
+	default:
+		return c.nextRead
 	}
-	return c.nextRead
+}
+
+// hasResumed reports whether the last read failed, and a read of another table has succeeded since it was started. The next
+// one then need not wait, unless the store rejects reads because of its rate limit.
+func (c *TableWatcher) hasResumed(s *State) bool {
+	return !c.failingSince.IsZero() && c.retryDelay <= maxRetryDelay && s.lastResumed.After(c.lastRead)
 }
 
 // Reconcile reads the whole table first, and its changes after that.
 func (c *TableWatcher) Reconcile(s *State) []Task {
-	if c.reading || s.Now().Before(c.nextRead) {
+	if c.reading || s.Now().Before(c.nextRead) && !c.hasResumed(s) {
 		return nil
 	}
-	c.reading = true
+	c.reading, c.lastRead = true, s.Now()
 	if c.synced {
 		return []Task{NewTask(c.Name(), c.readChanges)}
 	}
@@ -195,7 +206,7 @@
 		return
 	}
 	down := s.Now().Sub(c.failingSince)
-	c.failingSince = time.Time{}
+	c.failingSince, s.lastResumed = time.Time{}, s.Now()
 	if down >= minOutage {
 		s.outageEnd = s.Now()
 	}
--- a/core/bergamotcluster/tablewatcher_test.go
+++ b/core/bergamotcluster/tablewatcher_test.go
@@ -176,3 +176,36 @@
 		gomega.Expect(f.state.Fleet().Instances()).To(gomega.HaveLen(1))
 	})
 })
+
+type resumedCase struct {
+	err     error // of the reads of this table
+	resumes bool  // reads of the other table succeed again
+	due     bool  // the next read of this table is due at once
+}
+
+var _ = ginkgo.Describe("a table whose read failed", func() {
+	// Guards against a configuration that comes up to a second after the end of an outage although the entry has noticed it
+	// with another table, and against reads that keep the store above its rate limit.
+	bergamottest.Cases(map[string]resumedCase{
+		"is read at once when another table is read again": {err: errStoreDown, resumes: true, due: true},
+		"waits while no other table is read":               {err: errStoreDown},
+		"waits while the store limits the rate":            {err: bergamotstore.ErrRateLimited, resumes: true},
+	}, func(c resumedCase) {
+		f, other := newWatcher(newConfigHandler()), newWatcher(newConfigHandler())
+		other.state = f.state
+		f.feed.err, other.feed.err = c.err, errStoreDown
+		for range 6 { // until the longest delays
+			f.advance(2 * time.Second)
+			other.advance(0)
+		}
+		f.advance(2 * time.Second)
+		if c.resumes {
+			other.feed.err = nil
+		}
+		other.advance(200 * time.Millisecond)
+		gomega.Expect(f.watcher.Next(f.state).After(f.state.Now())).To(gomega.Equal(!c.due))
+		before := f.feed.listCalls
+		f.advance(0)
+		gomega.Expect(f.feed.listCalls > before).To(gomega.Equal(c.due))
+	})
+})
