--- a/core/bergamotmirror/peers.go
+++ b/core/bergamotmirror/peers.go
@@ -14,6 +14,9 @@
 	avoidDuration = 2 * time.Second
 	// maxRedirects is the number of entries that a full hub names.
 	maxRedirects = 4
+	// newHubDuration is how long a hub expects its first followers. Entries that start together read the hubs within a
+	// second, and those whose hub was restarted ask it again after avoidDuration.
+	newHubDuration = 3 * time.Second
 )
 
 // Peer is an entry that others can follow.
@@ -60,14 +63,20 @@
 	Name   string               // of this entry
 	Random func(n int) int      // returns a number from 0 to n-1
 	Now    func() time.Duration // time since the machine booted
+	// MinEntriesPerHub is the number of entries for each hub of all data centres from which the second hub of a data centre
+	// reads the store through the first, 0 for never.
+	MinEntriesPerHub int
 
-	mu       sync.Mutex
-	hubs     []Hub
-	isHub    bool
-	known    chan struct{} // closed when the hubs have been set or could not be read
-	upstream Peer          // the entry that this one follows, empty for none
-	remote   bool          // the upstream is in another data centre
-	avoid    map[string]time.Duration
+	mu         sync.Mutex
+	hubs       []Hub
+	isHub      bool
+	first      Peer          // the hub of this data centre with a lower slot, empty if there is none or this entry is no hub
+	hubsFailed bool          // the hubs could not be read or written since the last call of takeStoreDoubt
+	hubSince   time.Duration // when this entry became a hub
+	known      chan struct{} // closed when the hubs have been set or could not be read
+	upstream   Peer          // the entry that this one follows, empty for none
+	remote     bool          // the upstream is in another data centre
+	avoid      map[string]time.Duration
 }
 
 // SetHubs sets the hubs of all data centres, of which this entry may be one.
@@ -76,17 +85,39 @@
 	defer p.mu.Unlock()
 	p.hubs = hubs
 	p.markKnown()
-	p.isHub = slices.ContainsFunc(hubs, func(h Hub) bool { return h.name == p.Name })
-	if p.isHub {
-		p.upstream = Peer{}
+	own := slices.IndexFunc(hubs, func(h Hub) bool { return h.name == p.Name })
+	wasHub := p.isHub
+	p.isHub, p.first = own >= 0, Peer{}
+	if !p.isHub {
+		return
+	}
+	if !wasHub {
+		p.hubSince = p.Now()
+	}
+	p.upstream = Peer{}
+	for _, h := range p.leads() {
+		if h.centre == p.Centre && h.slot < hubs[own].slot {
+			p.first = h.Peer
+		}
 	}
 }
 
-// SetHubsUnknown records that the hubs could not be read.
+// SetHubsUnknown records that the hubs could not be read or written.
 func (p *Peers) SetHubsUnknown() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.markKnown()
+	p.hubsFailed = true
+}
+
+// takeStoreDoubt reports whether this entry is a second hub that has failed to read or write the hubs since the last call.
+// Since it makes no other calls, it learns only from these that the store turns it away.
+func (p *Peers) takeStoreDoubt() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	failed := p.hubsFailed && p.first.name != ""
+	p.hubsFailed = false
+	return failed
 }
 
 // waitForHubs waits until the hubs have been set or could not be read, or for a timeout.
@@ -123,6 +154,13 @@
 	return p.isHub
 }
 
+// isNewHub reports whether this entry has become a hub so recently that others may be about to follow it.
+func (p *Peers) isNewHub() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isHub && p.Now()-p.hubSince < newHubDuration
+}
+
 // Leads returns the first hub of each data centre, except this entry. A lead collects reports of the runners there.
 func (p *Peers) Leads() (leads []Peer) {
 	p.mu.Lock()
@@ -197,6 +235,27 @@
 	return p.upstream, true
 }
 
+// firstHub returns the hub through which this entry, the second hub of its data centre, reads the store; entries is the
+// number of entries of all data centres. ok is false if it must read the store itself.
+func (p *Peers) firstHub(entries int) (first Peer, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.MinEntriesPerHub <= 0 || entries < p.MinEntriesPerHub*len(p.hubs) {
+		return Peer{}, false
+	}
+	if p.first.name == "" || p.isAvoided(p.first.name) {
+		return Peer{}, false
+	}
+	return p.first, true
+}
+
+// isFirst reports whether this entry is the second hub behind the entry of that name.
+func (p *Peers) isFirst(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.first.name != "" && p.first.name == name
+}
+
 // IsRemote reports whether the entry that this one follows is in another data centre.
 func (p *Peers) IsRemote() bool {
 	p.mu.Lock()
