Hold back less urgent requests while urgent ones need the capacity

Cause: all requests compete for the memory of the runners in the order of their arrival.

The effect on a deployment is not measured yet.

--- a/core/bergamotcluster/hubs.go
+++ b/core/bergamotcluster/hubs.go
@@ -117,7 +117,7 @@
 // updateCount passes a new number of entries on.
 func (c *Hubs) updateCount(s *State) {
 	if n := c.Reader.Entries(); n > 0 && n != c.entries {
-		c.entries, s.entryCount = n, n
+		c.entries, s.entryCount, s.counted = n, n, true
 		c.OnCount(n)
 	}
 }
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -47,6 +47,7 @@
 	outageEnd     time.Time            // when reads of a table last succeeded again after an outage
 	grant         bergamotlease.Grant  // placement lease
 	entryCount    int                  // entries that share the runners, including this one
+	counted       bool                 // whether the entries have been counted
 	hubRank       int                  // position of this entry in the order of all hubs, from 0; -1 if it is none
 }
 
@@ -207,6 +208,6 @@
 func (s *State) View() *View {
 	return &View{
 		config: s.config, confirmedAt: s.confirmedAt, fleet: s.Fleet(), entryCount: s.entryCount, takenAt: s.now, hasRunnerList: s.hasRunnerList,
-		holdsLease: s.grant.Valid(s.now),
+		holdsLease: s.grant.Valid(s.now), counted: s.counted,
 	}
 }
--- a/core/bergamotcluster/view.go
+++ b/core/bergamotcluster/view.go
@@ -16,6 +16,7 @@
 	entryCount    int
 	hasRunnerList bool
 	holdsLease    bool
+	counted       bool
 }
 
 // NewView returns a view of a configuration, which may be nil, and of the runners. The configuration was last confirmed
@@ -24,6 +25,13 @@
 	return &View{config: c, confirmedAt: confirmedAt, fleet: f, entryCount: 1, hasRunnerList: true}
 }
 
+// WithEntries returns a copy of v in which the entries have been counted.
+func (v *View) WithEntries(n int) *View {
+	out := *v
+	out.entryCount, out.counted = n, true
+	return &out
+}
+
 // TakenAt returns when the view was taken.
 func (v *View) TakenAt() time.Time { return v.takenAt }
 
@@ -39,6 +47,9 @@
 // EntryCount returns how many entries share the runners, including this one.
 func (v *View) EntryCount() int { return v.entryCount }
 
+// HasEntryCount reports whether the entries have been counted; until then EntryCount is 1.
+func (v *View) HasEntryCount() bool { return v.counted }
+
 // HasRunnerList reports whether the list of runners has been read.
 func (v *View) HasRunnerList() bool { return v.hasRunnerList }
 
--- a/core/bergamotconfig/config.go
+++ b/core/bergamotconfig/config.go
@@ -51,6 +51,9 @@
 	spec           Spec
 	routesByHost   map[string][]Route // sorted by descending length of the prefix
 	servicesByName map[string]Service
+	priorities     map[string]Priorities // by service
+
+	routesOutOfRange, keysOutOfRange int // number of those with a priority out of range
 }
 
 // New returns a configuration with the fields of s.
@@ -65,6 +68,7 @@
 	for _, v := range s.Services {
 		c.servicesByName[v.Name()] = v
 	}
+	c.setPriorities()
 	return c
 }
 
--- a/core/bergamotpath/usage.go
+++ b/core/bergamotpath/usage.go
@@ -25,6 +25,7 @@
 // usageReport is the memory that requests of other entries use on a runner.
 type usageReport struct {
 	used   float64 // token-layers
+	own    float64 // token-layers that requests of this entry used when the report was recorded
 	at     time.Time
 	shared bool // the entries share reports of the runner, so that the next one is due soon
 }
@@ -37,7 +38,7 @@
 	if r.otherUsage == nil {
 		r.otherUsage = map[string]usageReport{}
 	}
-	r.otherUsage[runner] = usageReport{used: max(used-r.used[runner], 0), at: r.Clock.Now()}
+	r.otherUsage[runner] = usageReport{used: max(used-r.used[runner], 0), own: r.used[runner], at: r.Clock.Now()}
 }
 
 // RecordShared is RecordUsage for a report that entries share and that has the given age.
@@ -49,7 +50,7 @@
 	}
 	at := r.Clock.Now().Add(-age)
 	if age < sharedTTL && !at.Before(r.otherUsage[runner].at) {
-		r.otherUsage[runner] = usageReport{used: max(used-r.used[runner], 0), at: at, shared: true}
+		r.otherUsage[runner] = usageReport{used: max(used-r.used[runner], 0), own: r.used[runner], at: at, shared: true}
 	}
 }
 
--- a/core/bergamotqueue/job.go
+++ b/core/bergamotqueue/job.go
@@ -42,3 +42,6 @@
 
 // Cost returns the expected tokens.
 func (j *Job) Cost() float64 { return j.spec.Cost }
+
+// Priority returns the priority without what waiting adds to it; higher ones are served first.
+func (j *Job) Priority() int { return j.spec.Priority }
--- a/core/bergamotrequest/reason.go
+++ b/core/bergamotrequest/reason.go
@@ -20,6 +20,7 @@
 	ReasonRate        Reason = "rate"     // the workspace exceeded its request rate
 	ReasonTokens      Reason = "tokens"   // the workspace exceeded its token rate
 	ReasonFull        Reason = "full"     // the queue or a runner is full
+	ReasonRoom        Reason = "room"     // the capacity left is expected to be needed by more urgent requests
 	ReasonSuspect     Reason = "suspect"  // the request is quarantined because targets failed while running it
 	ReasonDigest      Reason = "digest"   // the idempotency key was used with other content
 	ReasonProgress    Reason = "progress" // the same call is in progress
@@ -39,7 +40,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdempotency, ReasonBundle, ReasonStale,
-		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonSuspect, ReasonDigest,
+		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonRoom, ReasonSuspect, ReasonDigest,
 		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall,
 		ReasonProof, ReasonBudget, ReasonCancel, ReasonInternal,
 	}
