Judge a request by its part of this entry's share, and admit while much is free

Cause: with many entries the share of each has room for about one request of the 40 % that is free, so that less urgent requests were held back although nobody needed the capacity.

Change: before it is admitted, a request counts with its tokens divided by the number of entries, and in full afterwards.

--- a/core/bergamotcapacity/decision.go
+++ b/core/bergamotcapacity/decision.go
@@ -112,12 +112,23 @@
 		return d
 	}
 	d.reserve = min(demand, a.thresholds.MaxReserveShare*max(a.balance, 0))
-	// A request above the typical size needs room for a typical one only and is charged in full: shares of many entries are
-	// small, and a large request would wait while there is much room in all.
-	if a.balance-min(r.Tokens, e.typical) >= d.reserve && r.Tokens <= e.largest {
+	if r.Tokens <= e.largest && (a.isIdle(e) || a.balance-a.room(r, e) >= d.reserve) {
 		d.reason = ReasonFits
 		return d
 	}
 	d.action, d.reason = Wait, ReasonRoom
 	return d
 }
+
+// room returns the tokens that must be left of this entry's share beside the reserve. An admitted request is charged in full;
+// before that it counts with its part of this entry only, since shares of many entries are smaller than a request while there
+// is much room in all.
+func (a *Admission) room(r Request, e *Estimate) float64 {
+	return max(r.Tokens/float64(max(e.entries, 1)), a.thresholds.MinRoom*min(r.Tokens, e.typical))
+}
+
+// isIdle reports whether so much capacity is free that none has to be kept, and this entry has not admitted much more than its
+// share of it.
+func (a *Admission) isIdle(e *Estimate) bool {
+	return a.thresholds.IdleShare > 0 && e.free >= a.thresholds.IdleShare*e.total && a.balance > -a.thresholds.BorrowShares*e.Share()
+}
--- a/core/bergamotcapacity/estimate.go
+++ b/core/bergamotcapacity/estimate.go
@@ -46,12 +46,13 @@
 	age      time.Duration
 	centres  []Centre
 	free     float64
+	total    float64 // the same if no request ran
 	largest  float64
-	capacity float64
+	capacity float64 // tokens of the largest request that fits on a path
 	entries  int
-	typical  float64
-	own      float64
-	growth   float64
+	typical  float64 // tokens of a typical request
+	own      float64 // tokens of the requests of this entry that have a path
+	growth   float64 // what those have taken since the reports
 }
 
 // At returns when the estimate was made.
@@ -72,6 +73,9 @@
 // Free returns the tokens that still fit in all data centres together.
 func (e *Estimate) Free() float64 { return e.free }
 
+// Total returns the tokens that would fit if no request ran.
+func (e *Estimate) Total() float64 { return e.total }
+
 // Largest returns the tokens that still fit in the data centre with the most free capacity.
 func (e *Estimate) Largest() float64 { return e.largest }
 
--- a/core/bergamotcapacity/estimator.go
+++ b/core/bergamotcapacity/estimator.go
@@ -26,8 +26,8 @@
 	runners []Runner  // sorted by data centre, kept to reuse the allocation
 	bounds  []int     // layers at which those of a runner begin or end
 	largest []float64 // see segments
-	begin   []float64 // free memory of the runners whose layers begin at or after each boundary
-	end     []float64 // free memory of the runners whose layers end at or before each boundary
+	begin   []float64 // memory of the runners whose layers begin at or after each boundary
+	end     []float64 // memory of the runners whose layers end at or before each boundary
 }
 
 // entryCount is a number of entries and when it was last observed.
@@ -88,10 +88,11 @@
 
 // addCentre adds the free capacity of the runners of a data centre and reports whether they hold all layers.
 func (m *Estimator) addCentre(e *Estimate, name string, runners []Runner, layers int) bool {
-	free, ok := m.free(runners, layers)
-	if !ok {
+	if _, ok := m.segments(runners, layers); !ok {
 		return false
 	}
+	free := m.fitting(runners, freeMemory)
+	e.total += m.fitting(runners, func(r Runner) float64 { return r.Capacity })
 	c := Centre{name: name, free: free, age: -1}
 	for _, r := range runners {
 		if r.Reported && (c.age < 0 || r.Age < c.age) {
@@ -104,24 +105,19 @@
 	return true
 }
 
-// free returns the tokens that fit into the free memory of runners; ok is false if they do not hold all layers. For each
+// fitting returns the tokens that fit into the memory of runners that hold all layers and whose boundaries are set. For each
 // range of layers, the runners that hold any of them must have room for all tokens in all of these layers; the range with the
 // least room decides. That is never less than what fits, and more only where a runner's layers lie on both sides of others'.
-func (m *Estimator) free(runners []Runner, layers int) (tokens float64, ok bool) {
-	if _, ok = m.segments(runners, layers); !ok {
-		return 0, false
-	}
-	total := 0.0
-	for _, r := range runners {
-		total += freeMemory(r)
-	}
-	n := len(m.bounds)
+func (m *Estimator) fitting(runners []Runner, memory func(Runner) float64) (tokens float64) {
+	n, total := len(m.bounds), 0.0
 	m.begin, m.end = resize(m.begin, n), resize(m.end, n)
 	for _, r := range runners {
+		free := memory(r)
 		f, _ := slices.BinarySearch(m.bounds, r.From)
 		t, _ := slices.BinarySearch(m.bounds, r.To)
-		m.begin[f] += freeMemory(r)
-		m.end[t] += freeMemory(r)
+		m.begin[f] += free
+		m.end[t] += free
+		total += free
 	}
 	for i := 1; i < n; i++ {
 		m.end[i] += m.end[i-1]
@@ -138,7 +134,7 @@
 			tokens = min(tokens, max(room, 0)/float64(m.bounds[j]-m.bounds[i]))
 		}
 	}
-	return tokens, true
+	return tokens
 }
 
 // segments sets the boundaries of the runners' layers and returns the largest memory of a runner in each range between two of
