--- a/cmd/bergamotcommand/layout.go
+++ b/cmd/bergamotcommand/layout.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"bergamotspur/io/bergamotwire"
@@ -37,6 +39,9 @@
 func printLayout(w *tabwriter.Writer, m bergamotplatform.StatusMessage) {
 	_, _ = fmt.Fprintf(w, "entry %s\tcentre %s\tready %v\tversion %d\tconfirmed %d ms ago\t%d entries\tplaces layers %v\t%d active\n",
 		m.Entry, m.Centre, m.Ready, m.Version, m.ConfigAge, m.Entries, m.HoldsLease, m.InFlight)
+	for _, a := range m.Admission {
+		printAdmission(w, a)
+	}
 	_, _ = fmt.Fprintln(w, "SERVICE\tCENTRE\tLAYERS\tKIND\tRUNNER\tSTATE")
 	runners := slices.Clone(m.Runners)
 	slices.SortFunc(runners, func(a, b bergamotplatform.RunnerStatus) int {
@@ -56,6 +61,34 @@
 	}
 }
 
+// printAdmission prints the free capacity of a service and what happened with its requests by priority.
+func printAdmission(w *tabwriter.Writer, a bergamotplatform.AdmissionStatus) {
+	use := "used"
+	if !a.Known {
+		use = "not used"
+	}
+	_, _ = fmt.Fprintf(w, "capacity of %s\t%d of %d tokens free\treports %d ms old\testimate %s\tshare %d of %d entries\t%d in flight\n",
+		a.Service, a.Free, a.Total, a.Reports, use, a.Share, a.Entries, a.InFlight)
+	for _, c := range a.Centres {
+		_, _ = fmt.Fprintf(w, "\tcentre %s\t%d free\treports %d ms old\n", cmp.Or(c.Centre, "(across)"), c.Free, c.Reports)
+	}
+	for _, l := range a.Levels {
+		refused := "none"
+		if len(l.Refused) > 0 {
+			var parts []string
+			for _, reason := range slices.Sorted(maps.Keys(l.Refused)) {
+				parts = append(parts, fmt.Sprintf("%s %d", reason, l.Refused[reason]))
+			}
+			refused = strings.Join(parts, ", ")
+		}
+		_, _ = fmt.Fprintf(w, "\tpriority %d\treserve %d\t%d waiting\t%d waited\t%d admitted\t%d left\trefused: %s\n",
+			l.Priority, l.Reserve, l.Waiting, l.Waited, l.Admitted, l.Left, refused)
+	}
+	if a.Last != "" {
+		_, _ = fmt.Fprintf(w, "\tlast: %s\n", a.Last)
+	}
+}
+
 // missingLayers returns the half-open ranges of layers that no live runner of a data centre holds. Layers after the last
 // held one are not reported, since the number of layers of the model is not known here.
 func missingLayers(runners []bergamotplatform.RunnerStatus, service, centre string) (out [][2]int) {
