--- a/core/bergamotcapacity/load_test.go
+++ b/core/bergamotcapacity/load_test.go
@@ -111,6 +111,19 @@
 			})
 		}
 	}
+	cutOff := func(s *site) {
+		burst(s)
+		s.after(time.Second, func() {
+			for n := range s.entries {
+				s.mute[n] = n%2 == 0
+			}
+		})
+	}
+	hubsLost := func(s *site) {
+		burst(s)
+		s.after(2*time.Second, func() { s.silent = true })
+		s.after(4500*time.Millisecond, func() { s.silent = false })
+	}
 	isFair := func(with, _ *site) {
 		share := func(o *outcome) float64 { return float64(o.onTime) / float64(o.asked) }
 		gomega.Expect(share(with.workspaces["drafts"])).To(gomega.BeNumerically(">=", 0.95*share(with.workspaces["hot"])))
@@ -126,6 +139,8 @@
 			"group lost beside a roll":      {load: lost},
 			"crowd that returns at once":    {load: crowd},
 			"one workspace's hot key":       {load: hotKey, check: isFair},
+			"half of the entries cut off":   {load: cutOff},
+			"all reports missing for long":  {load: hubsLost},
 			"two large ones and many small": {load: large, check: servesLarge},
 		} {
 			c.entries = n
--- a/core/bergamotcapacity/site_test.go
+++ b/core/bergamotcapacity/site_test.go
@@ -16,6 +16,7 @@
 	typicalTokens  = 1200
 	reportInterval = 400 * time.Millisecond
 	reportLag      = 300 * time.Millisecond
+	reportTTL      = 1500 * time.Millisecond
 	pathPoll       = 40 * time.Millisecond
 	maxPathWait    = 1200 * time.Millisecond
 )
@@ -53,6 +54,7 @@
 	entries    []*siteEntry
 	centres    int
 	mute       map[int]bool     // entries that get no reports
+	silent     bool             // nobody gets reports
 	outcomes   map[int]*outcome // by priority
 	workspaces map[string]*outcome
 	violations []string
@@ -148,7 +150,7 @@
 	r := s.runners[n]
 	used, at := r.used, s.now
 	s.after(reportInterval, func() { s.report(n) })
-	if r.lost {
+	if r.lost || s.silent {
 		return
 	}
 	s.after(reportLag, func() {
@@ -188,7 +190,7 @@
 		}
 		own := e.own[n]
 		load := bergamotcapacity.Runner{Centre: names[r.centre], From: r.from, To: r.to, Capacity: runnerTokens, Own: own, Used: own, OwnUsed: own}
-		if age := s.now.Sub(r.reportedAt); age < 1500*time.Millisecond {
+		if age := s.now.Sub(r.reportedAt); age < reportTTL {
 			load.Used, load.OwnUsed, load.Age, load.Reported = max(r.reported, e.ownAt[n]), e.ownAt[n], age, true
 		}
 		e.loads = append(e.loads, load)
@@ -370,7 +372,10 @@
 		for range 3 {
 			n := centre*perCentre + s.random.IntN(perCentre/groupRunners)*groupRunners + part
 			r := s.runners[n]
-			used := max(r.reported-e.ownAt[n], 0) + e.own[n]
+			used := e.own[n]
+			if s.now.Sub(r.reportedAt) < reportTTL {
+				used += max(r.reported-e.ownAt[n], 0)
+			}
 			if !r.lost && used+perRunner <= runnerTokens && (best < 0 || used < bestUsed) {
 				best, bestUsed = n, used
 			}
--- a/core/bergamotrelay/admission_test.go
+++ b/core/bergamotrelay/admission_test.go
@@ -244,3 +244,28 @@
 		gomega.Expect(g.status().Balance()).To(gomega.Equal(before.Balance()))
 	})
 })
+
+var _ = ginkgo.Describe("estimates of capacity", func() {
+	// Guards against estimates that are made without a reason or too often, which would take processor time from requests, and
+	// against a notification that is lost while one is made.
+	ginkgo.It("are made after a notification, at most one in each interval", func() {
+		g := newAdmissionRig(4, priorityRoute("urgent", 0, time.Second), priorityRoute("draft", 2, time.Second))
+		g.router.RecordShared("x", 1, time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- g.estimates.Run(ctx) }()
+		madeAt := func() time.Time { return g.filter.Service("llm").EstimatedAt() }
+		gomega.Consistently(madeAt, "20ms").Should(gomega.BeZero())
+		g.estimates.Notify()
+		gomega.Eventually(madeAt).Should(gomega.Equal(now))
+		gomega.Eventually(g.clock.PendingTimers).Should(gomega.Equal(1))
+		g.clock.Advance(EstimateInterval / 2)
+		g.estimates.Notify()
+		g.estimates.Notify()
+		gomega.Consistently(madeAt, "20ms").Should(gomega.Equal(now))
+		g.clock.Advance(EstimateInterval / 2)
+		gomega.Eventually(madeAt).Should(gomega.Equal(now.Add(EstimateInterval)))
+		cancel()
+		gomega.Eventually(done).Should(gomega.Receive(gomega.MatchError(context.Canceled)))
+	})
+})
