--- a/core/bergamotrelay/bodyreader_test.go
+++ b/core/bergamotrelay/bodyreader_test.go
@@ -121,7 +121,3 @@
 		}
 	})
 })
-
-type handlerFunc func(ctx context.Context, x *Exchange) error
-
-func (f handlerFunc) Handle(ctx context.Context, x *Exchange) error { return f(ctx, x) }
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -285,3 +285,8 @@
 func reset() *Failure {
 	return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonTarget, errors.New("reset"))
 }
+
+// handlerFunc is a function used as the handler after a filter.
+type handlerFunc func(ctx context.Context, x *Exchange) error
+
+func (f handlerFunc) Handle(ctx context.Context, x *Exchange) error { return f(ctx, x) }
