Send long answers over the fast runners although these are busy

Change: the load of a runner counts in its cost with an exponent from 0.5 (answers of twice the typical length and more) to 2 (half and less). Long answers take the fast runners although these are busy, and short ones leave them to these.

--- a/core/bergamotconfig/service.go
+++ b/core/bergamotconfig/service.go
@@ -67,6 +67,9 @@
 // CrossingTime returns the time for which a typical prompt occupies the link between two data centres, 0 if unknown.
 func (e *Engine) CrossingTime() time.Duration { return e.spec.CrossingTime }
 
+// AnswerTokens returns the typical number of tokens in an answer.
+func (e *Engine) AnswerTokens() float64 { return e.spec.AnswerTokens }
+
 // RequestTokens returns the typical number of tokens in a request and its answer.
 func (e *Engine) RequestTokens() float64 { return e.spec.PromptTokens + e.spec.AnswerTokens }
 
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -1,6 +1,7 @@
 package bergamotpath
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -25,6 +26,9 @@
 	maxCrossingBurst = 4 // crossings that may start at once
 	// maxUtilization caps the memory utilization from which the cost of a runner is estimated.
 	maxUtilization = 0.95
+	// Bounds of the exponent of the load, for answers of twice the typical length and more, and of half of it and less.
+	minLoadExponent = 0.5
+	maxLoadExponent = 2.0
 )
 
 // Query describes the path that a request needs.
@@ -33,6 +37,7 @@
 	Service string
 	Fleet   *bergamotfleet.Fleet
 	Tokens  float64         // tokens of the prompt and the expected answer
+	Answer  float64         // expected tokens of the answer, 0 if unknown
 	Avoid   map[string]bool // runners that must not be used
 	Entries int             // number of entries that share the runners
 }
@@ -116,6 +121,16 @@
 	return r.crossingLimit.AllowN(r.Clock.Now(), crossings)
 }
 
+// loadExponent returns the exponent of the load in the cost of a runner. Long answers take the fast runners although these are busy,
+// and short ones leave them to these: a long answer on a slow path meets more failures before it is complete.
+func (q Query) loadExponent() float64 {
+	typical := q.Engine.AnswerTokens()
+	if q.Answer <= 0 || typical <= 0 {
+		return 1
+	}
+	return min(max(typical/q.Answer, minLoadExponent), maxLoadExponent)
+}
+
 // appendCandidates appends up to maxSampled available runners for each layer range in a data centre, at their current
 // cost. Larger groups are scanned from a random runner on.
 func (r *Router) appendCandidates(q Query, dc centreIndex) {
@@ -149,6 +164,6 @@
 	utilization := min(max(used, r.used[runner.name]*float64(max(q.Entries, 1)))/runner.capacity, maxUtilization)
 	return candidate{
 		name: runner.name, address: runner.address, centre: centre, from: runner.from, to: runner.to,
-		layerTime: runner.layerTime / (1 - utilization), maxLayers: (runner.capacity - used) / max(q.Tokens, 1),
+		layerTime: runner.layerTime * math.Pow(1-utilization, -q.loadExponent()), maxLayers: (runner.capacity - used) / max(q.Tokens, 1),
 	}, true
 }
--- a/core/bergamotrelay/request.go
+++ b/core/bergamotrelay/request.go
@@ -55,6 +55,9 @@
 // Model returns the name of the model, empty for a service without one.
 func (r *Request) Model() string { return r.spec.Model }
 
+// AnswerTokens returns the expected number of tokens of the answer.
+func (r *Request) AnswerTokens() float64 { return float64(r.spec.AnswerTokens) }
+
 // Tokens returns the sum of the prompt tokens and the expected answer tokens.
 func (r *Request) Tokens() float64 { return float64(r.spec.PromptTokens + r.spec.AnswerTokens) }
 
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -192,7 +192,7 @@
 func (s *streamState) pathQuery(v *bergamotcluster.View) bergamotpath.Query {
 	return bergamotpath.Query{
 		Engine: s.x.Service().Engine(), Service: s.x.Service().Name(), Fleet: v.Fleet(),
-		Tokens: s.x.Request().Tokens(), Avoid: s.avoid, Entries: v.EntryCount(),
+		Tokens: s.x.Request().Tokens(), Answer: s.x.Request().AnswerTokens(), Avoid: s.avoid, Entries: v.EntryCount(),
 	}
 }
 
