Bound what callers can make an entry of the first front end hold

Change: bergamotfront reads bodies through bergamotaccount and bergamotlimit; bergamotentry has the limited listener and server for callers and operators, with an idle timeout of 2 minutes, and counts and logs the causes. A body that is late gets 408, one without memory 503. Errors have a Content-Length, so that they are complete before the connection is closed. Measured: go test of bergamotfront, bergamotentry and cmd passes. No load was tried on this front end.

--- a/io/bergamotentry/component.go
+++ b/io/bergamotentry/component.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"bergamotspur/io/bergamotlimit"
 )
 
 // component is a part of the entry that the supervisor runs.
@@ -23,13 +25,15 @@
 // Timeouts of the listeners.
 const (
 	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute // longer than common clients keep an idle connection
 	closeTimeout  = 2 * time.Second
 )
 
 // newHTTPComponent returns a component that serves h on l until its context ends.
 func newHTTPComponent(name string, l net.Listener, h http.Handler) *component {
 	return &component{name: name, run: func(ctx context.Context) error {
-		server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+		s := &bergamotlimit.Server{Handler: h, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: http.DefaultMaxHeaderBytes}
+		server := s.New()
 		done := make(chan error, 1)
 		go func() { done <- server.Serve(l) }()
 		select {
--- a/io/bergamotentry/entry.go
+++ b/io/bergamotentry/entry.go
@@ -10,7 +10,9 @@
 
 	"github.com/samber/oops"
 	"github.com/thejerf/suture/v4"
+	"golang.org/x/time/rate"
 
+	"bergamotspur/core/bergamotaccount"
 	"bergamotspur/core/bergamotclaim"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
@@ -22,6 +24,7 @@
 	"bergamotspur/core/bergamotsetting"
 	"bergamotspur/core/bergamotsuspect"
 	"bergamotspur/io/bergamotfront"
+	"bergamotspur/io/bergamotlimit"
 	"bergamotspur/io/bergamotlog"
 	"bergamotspur/io/bergamotmetric"
 )
@@ -34,6 +37,8 @@
 	clock            bergamotclock.Real
 	log              *bergamotlog.Logger
 	metrics          *bergamotmetric.Registry
+	account          *bergamotaccount.Account // memory for callers
+	limitLines       *rate.Limiter            // of the log
 	loop             *bergamotcontrol.Loop
 	drain            *bergamotfilter.Drain
 	versions         *bergamotplacement.Versions
@@ -55,6 +60,8 @@
 	defer func() { err = oops.In("entry").Wrapf(err, "init") }()
 	e.log = bergamotlog.New(e.Log, e.Setting.Name(), "entry")
 	e.metrics = bergamotmetric.NewRegistry(counterNames()...)
+	e.limitLines = rate.NewLimiter(limitLines, limitLines)
+	e.account = &bergamotaccount.Account{Max: accountBytes, Clock: e.clock, OnEvict: e.recordEviction}
 	e.clients = newClients(e.Setting)
 	e.retries = e.newRetries()
 	e.claims = e.newClaims()
@@ -68,7 +75,7 @@
 	e.drain = bergamotfilter.NewDrain()
 	e.versions = &bergamotplacement.Versions{Clock: e.clock, MaxAge: maxVersionAge}
 	e.session = e.newSession()
-	if e.callerListener, err = net.Listen("tcp", e.Setting.CallerAddress()); err != nil {
+	if e.callerListener, err = bergamotlimit.Listen(e.Setting.CallerAddress()); err != nil {
 		return e.peers.closeListener(err)
 	}
 	if e.operatorListener, err = net.Listen("tcp", e.Setting.OperatorAddress()); err != nil {
@@ -98,12 +105,12 @@
 	defer e.clients.close()
 	defer e.peers.close()
 	defer e.session.Wait()
-	front := &bergamotfront.Server{Chain: e.newChain(), Views: e.loop, Clock: e.clock, Entry: e.Setting.Name()}
+	front := &bergamotfront.Server{Chain: e.newChain(), Views: e.loop, Clock: e.clock, Entry: e.Setting.Name(), Account: e.account}
 	root := suture.New(e.Setting.Name(), suture.Spec{EventHook: e.logSupervisorEvent, Timeout: 5 * time.Second})
 	root.Add(&component{name: "control", run: e.loop.Run})
 	root.Add(&component{name: "claims", run: e.claims.Run})
-	root.Add(newHTTPComponent("callers", e.callerListener, front.Handler()))
-	root.Add(newHTTPComponent("operators", e.operatorListener, e.operatorHandler()))
+	root.Add(newHTTPComponent("callers", e.limited(e.callerListener, callerConns), front.Handler()))
+	root.Add(newHTTPComponent("operators", e.limited(e.operatorListener, operatorConns), e.withoutBodies(e.operatorHandler())))
 	e.peers.addTo(root)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/io/bergamotfront/body.go
+++ b/io/bergamotfront/body.go
@@ -4,23 +4,82 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
+	"time"
 
+	"bergamotspur/core/bergamotaccount"
 	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/io/bergamotlimit"
 )
 
-// readBody returns the body of a request, or a refusal if it is too large or cannot be read.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
+// bodyTimeout is the time in which a body has to arrive. The time limit of the request may depend on its body.
+const bodyTimeout = 30 * time.Second
+
+// intake reads the body of a request into memory that is charged until the request has ended.
+type intake struct {
+	body   *bergamotlimit.Body
+	charge *bergamotaccount.Charge
+}
+
+func (s *Server) newIntake(w http.ResponseWriter, r *http.Request) *intake {
+	i := &intake{body: bergamotlimit.NewBody(http.NewResponseController(w), r)}
+	i.charge = s.Account.Open(bergamotaccount.NewHolder(bergamotaccount.KindBody, i.body.Connection(), func(bergamotaccount.Cause) { i.body.Abort() }))
+	return i
+}
+
+// read returns the body, or a refusal if it is too large, late or cannot be read, or if there is no memory for it.
+func (i *intake) read() ([]byte, error) {
+	if i.body.Length() > maxBodyBytes {
+		return nil, refuseSize()
+	}
+	head := i.body.HeadBytes()
+	i.body.MoveHead()
+	i.body.SetDeadline(time.Now().Add(bodyTimeout))
+	data, err := bergamotaccount.ReadAll(i.body, i.charge, head, i.body.Length(), maxBodyBytes)
+	if err == nil {
+		err = i.charge.Hold()
+	}
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonSize, "the body has more than %d bytes", tooLarge.Limit)
-	case err != nil:
+	case err == nil:
+		i.body.SetDeadline(time.Time{})
+		return data, nil
+	case errors.Is(err, bergamotaccount.ErrTooLarge):
+		return nil, refuseSize()
+	case errors.Is(err, bergamotaccount.ErrFull) || i.charge.Cause() != "":
+		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonMemory, "no memory for the request")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonUpload, "the body did not arrive in time")
+	default:
 		return nil, bergamotrequest.Refuse(bergamotrequest.ReasonBody, "the body could not be read: %s", err)
 	}
-	return data, nil
+}
+
+func refuseSize() error {
+	return bergamotrequest.Refuse(bergamotrequest.ReasonSize, "the body has more than %d bytes", maxBodyBytes)
+}
+
+// refuse writes a refusal, after which the rest of the body is not needed.
+func (i *intake) refuse(w http.ResponseWriter, f *bergamotrequest.Refusal) {
+	i.charge.Close()
+	i.body.Refuse(w.Header())
+	writeRefusal(w, f)
+}
+
+// end releases the memory, and ends the connection if a refusal requires that.
+func (i *intake) end() {
+	i.charge.Close()
+	i.body.End()
+}
+
+// withoutBody returns a handler for requests whose bodies are not used.
+func withoutBody(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body := bergamotlimit.NewBody(http.NewResponseController(w), r)
+		body.Refuse(w.Header())
+		defer body.End()
+		h(w, r)
+	}
 }
 
 // decodeBody decodes the body of a completion call. The error names the invalid or unsupported field, if there is one.
--- a/io/bergamotfront/call.go
+++ b/io/bergamotfront/call.go
@@ -13,12 +13,14 @@
 // handleServiceCall handles a call to a plain service.
 func (s *Server) handleServiceCall(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost && r.Method != http.MethodGet {
-		writeMethodNotAllowed(w, r, "GET, POST")
+		withoutBody(func(w http.ResponseWriter, r *http.Request) { writeMethodNotAllowed(w, r, "GET, POST") })(w, r)
 		return
 	}
-	req, err := s.serviceRequest(w, r)
+	in := s.newIntake(w, r)
+	defer in.end()
+	req, err := s.serviceRequest(in, r)
 	if err != nil {
-		writeRefusal(w, bergamotrequest.AsRefusal(err))
+		in.refuse(w, bergamotrequest.AsRefusal(err))
 		return
 	}
 	out := &replySink{}
@@ -44,13 +46,13 @@
 }
 
 // serviceRequest decodes a call to a plain service.
-func (s *Server) serviceRequest(w http.ResponseWriter, r *http.Request) (req *bergamotrequest.Request, err error) {
+func (s *Server) serviceRequest(in *intake, r *http.Request) (req *bergamotrequest.Request, err error) {
 	spec, err := s.spec(r, bergamotrequest.KindService)
 	if err != nil {
 		return nil, err
 	}
 	spec.Service, spec.Call = r.PathValue("service"), r.PathValue("call")
-	if spec.Body, err = readBody(w, r); err != nil {
+	if spec.Body, err = in.read(); err != nil {
 		return nil, err
 	}
 	if req, err = bergamotrequest.New(spec); err != nil {
--- a/io/bergamotfront/complete.go
+++ b/io/bergamotfront/complete.go
@@ -15,9 +15,11 @@
 const defaultMaxChatTokens = 1 << 20
 
 func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request, kind bergamotrequest.Kind) {
-	req, wantsUsage, err := s.completionRequest(w, r, kind)
+	in := s.newIntake(w, r)
+	defer in.end()
+	req, wantsUsage, err := s.completionRequest(in, r, kind)
 	if err != nil {
-		writeRefusal(w, bergamotrequest.AsRefusal(err))
+		in.refuse(w, bergamotrequest.AsRefusal(err))
 		return
 	}
 	out := newCompletionSink(w, req, s.Clock.Now())
@@ -31,12 +33,12 @@
 }
 
 // completionRequest decodes a completion call; wantsUsage reports whether the stream ends with a usage event.
-func (s *Server) completionRequest(w http.ResponseWriter, r *http.Request, kind bergamotrequest.Kind) (req *bergamotrequest.Request, wantsUsage bool, err error) {
+func (s *Server) completionRequest(in *intake, r *http.Request, kind bergamotrequest.Kind) (req *bergamotrequest.Request, wantsUsage bool, err error) {
 	spec, err := s.spec(r, kind)
 	if err != nil {
 		return nil, false, err
 	}
-	data, err := readBody(w, r)
+	data, err := in.read()
 	if err != nil {
 		return nil, false, err
 	}
--- a/io/bergamotfront/errors.go
+++ b/io/bergamotfront/errors.go
@@ -109,6 +109,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
 	w.WriteHeader(code)
 	// A write error means that the caller has disconnected and cannot be notified.
 	_, _ = w.Write(append(data, '\n'))
--- a/io/bergamotfront/server.go
+++ b/io/bergamotfront/server.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"bergamotspur/core/bergamotaccount"
 	"bergamotspur/core/bergamotchain"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotrequest"
@@ -43,6 +44,8 @@
 	Views Views
 	Clock Clock
 	Entry string // prefix of each request id
+	// Account has the memory of bodies.
+	Account *bergamotaccount.Account
 }
 
 // Handler returns the HTTP handler for all routes of callers.
@@ -54,18 +57,18 @@
 	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
 		s.handleCompletion(w, r, bergamotrequest.KindChat)
 	})
-	mux.HandleFunc("GET /v1/models", s.handleModels)
+	mux.HandleFunc("GET /v1/models", withoutBody(s.handleModels))
 	// Model names may contain slashes.
-	mux.HandleFunc("GET /v1/models/{model...}", s.handleModel)
+	mux.HandleFunc("GET /v1/models/{model...}", withoutBody(s.handleModel))
 	mux.HandleFunc("/v1/services/{service}/{call}", s.handleServiceCall)
 	for path, allow := range map[string]string{
 		"/v1/completions": "POST", "/v1/chat/completions": "POST", "/v1/models": "GET, HEAD", "/v1/models/{model...}": "GET, HEAD",
 	} {
-		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) { writeMethodNotAllowed(w, r, allow) })
+		mux.HandleFunc(path, withoutBody(func(w http.ResponseWriter, r *http.Request) { writeMethodNotAllowed(w, r, allow) }))
 	}
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("/", withoutBody(func(w http.ResponseWriter, r *http.Request) {
 		writeRefusal(w, bergamotrequest.Refuse(bergamotrequest.ReasonRoute, "no such path: %s", r.URL.Path))
-	})
+	}))
 	return mux
 }
 
--- a/io/bergamotfront/suite_test.go
+++ b/io/bergamotfront/suite_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotaccount"
 	"bergamotspur/core/bergamotbundle"
 	"bergamotspur/core/bergamotchain"
+	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotcontrol"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotrequest"
@@ -76,7 +78,7 @@
 		r.Header.Set(header[n], header[n+1])
 	}
 	w := httptest.NewRecorder()
-	s := &Server{Chain: h, Views: fixedViews{testBundle()}, Clock: fixedClock{}, Entry: "entry1"}
+	s := &Server{Chain: h, Views: fixedViews{testBundle()}, Clock: fixedClock{}, Entry: "entry1", Account: &bergamotaccount.Account{Max: 64 << 20, Clock: bergamotclock.Real{}}}
 	s.Handler().ServeHTTP(w, r)
 	return w
 }
