Serve the HTTP fakes with the same limits

Cause: the fakes had an HTTP server of their own without bounds. Change: bergamotfake.Listen uses the listener and the server of bergamotlimit, with 1 GiB and 10,000 connections for each fake. Measured: go test of bergamotfake, bergamotengine, bergamotservice, bergamotlist, bergamotsoak and platform passes.

--- a/io/bergamotfake/server.go
+++ b/io/bergamotfake/server.go
@@ -3,13 +3,27 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/samber/oops"
+
+	"bergamotspur/core/bergamotaccount"
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/io/bergamotlimit"
+)
+
+const (
+	maxMemory = 1 << 30 // bytes for connections and heads of one fake
+	maxConns  = 10_000
 )
 
+// noRecorder ignores what the limits of a fake refuse: its clients see it.
+type noRecorder struct{}
+
+// RecordLimit does nothing.
+func (noRecorder) RecordLimit(string, bergamotaccount.Kind, string, int64) {}
+
 // A Server serves the HTTP interface of a fake.
 type Server struct {
 	server  *http.Server
@@ -21,17 +35,23 @@
 // Listen listens on address and serves h in the background; port 0 takes any free port.
 func Listen(address string, h http.Handler) (s *Server, err error) {
 	defer func() { err = oops.In("fake").Wrapf(err, "listen on %s", address) }()
-	l, err := net.Listen("tcp", address)
+	l, err := bergamotlimit.Listen(address)
 	if err != nil {
 		return nil, err
 	}
+	limited := &bergamotlimit.Listener{
+		Listener: l, Account: &bergamotaccount.Account{Max: maxMemory, Clock: bergamotclock.Real{}}, Clock: bergamotclock.Real{}, Recorder: noRecorder{},
+		MaxHeaderBytes: http.DefaultMaxHeaderBytes,
+	}
+	limited.SetMaxConns(maxConns)
+	server := &bergamotlimit.Server{Handler: h, HeaderTimeout: 5 * time.Second, MaxHeaderBytes: http.DefaultMaxHeaderBytes}
 	s = &Server{
-		server:  &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second},
+		server:  server.New(),
 		address: l.Addr().String(), done: make(chan struct{}),
 	}
 	go func() {
 		defer close(s.done)
-		s.err = s.server.Serve(l)
+		s.err = s.server.Serve(limited)
 	}()
 	return s, nil
 }
