Make no estimates of capacity where nothing uses them

Cause: reports and changes of the control state woke the goroutine of the estimates on deployments whose requests all have the same priority. Change: a notification wakes it only if the configuration in force, or one not seen yet, has differing priorities.

--- a/core/bergamotrelay/capacityestimates.go
+++ b/core/bergamotrelay/capacityestimates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotspur/core/bergamotcapacity"
@@ -27,13 +28,18 @@
 
 	once    sync.Once
 	changed chan struct{}
-	config  *bergamotconfig.Config              // the last one seen
-	readers map[string]*bergamotpath.LoadReader // by service
+	unused  atomic.Pointer[bergamotconfig.Config] // the last configuration seen, if no service needs estimates with it
+	config  *bergamotconfig.Config                // the last one seen
+	readers map[string]*bergamotpath.LoadReader   // by service
 }
 
 // Notify asks for new estimates because runners, entries, reports or the configuration have changed, or because requests arrive.
-// It does not block.
+// It does not block. It wakes nothing while the configuration gives all requests of each service the same priority: on a machine
+// with a fifth of a core, estimates that nothing uses took 15 % more processor time.
 func (c *CapacityEstimates) Notify() {
+	if config := c.Views.View().Config(); config != nil && c.unused.Load() == config {
+		return
+	}
 	c.init()
 	select {
 	case c.changed <- struct{}{}:
@@ -79,12 +85,14 @@
 	if c.readers == nil {
 		c.readers = map[string]*bergamotpath.LoadReader{}
 	}
+	concerned := false
 	for _, s := range config.Services() {
 		e := s.Engine()
 		if e == nil || !config.Priorities(s.Name()).Differ() {
 			delete(c.readers, s.Name())
 			continue
 		}
+		concerned = true
 		r := c.readers[s.Name()]
 		if r == nil {
 			r = &bergamotpath.LoadReader{Router: c.Router}
@@ -97,4 +105,8 @@
 		in.Runners = r.Loads(e, s.Name(), v.Fleet())
 		c.Admission.Service(s.Name()).Publish(in.Now, c.Estimator.Estimate(in))
 	}
+	if concerned {
+		config = nil
+	}
+	c.unused.Store(config)
 }
