--- a/core/bergamotrelay/capacityestimates.go
+++ b/core/bergamotrelay/capacityestimates.go
@@ -34,8 +34,8 @@
 }
 
 // Notify asks for new estimates because runners, entries, reports or the configuration have changed, or because requests arrive.
-// It does not block. It wakes nothing while the configuration gives all requests of each service the same priority: on a machine
-// with a fifth of a core, estimates that nothing uses took 15 % more processor time.
+// It does not block. It wakes nothing while the configuration gives all requests of each service the same priority, since nothing
+// would use the estimates.
 func (c *CapacityEstimates) Notify() {
 	if config := c.Views.View().Config(); config != nil && c.unused.Load() == config {
 		return
