End an answer because of silence only when another path takes over

A runner that pauses for a second cannot be told from a dead one. The stall detector ended an attempt as soon as a runner of its path gave no report, whether or not the request could be sent again: on its last attempt, without a retry budget, on a route whose streams cannot be resumed, and without another path, the answer was cut off or refused with 502, though its runner went on later.

An attempt is now ended for silence only after a retry has been taken for another path without that runner. Until then the runner is reported, so that other requests avoid it, and the attempt goes on: it ends with the answer, when the runner breaks off, or when callers have given up on a silent stream. An event that arrives while the runners are asked for their reports keeps the attempt too.

The stand-in of a runner can pause now: all its connections stay open and silent, and go on where they stood.

--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -14,21 +14,34 @@
 // errStalled is wrapped by the failure of a stalled attempt.
 var errStalled = errors.New("no event for too long")
 
+// Causes of the end of a stalled attempt.
+var (
+	errSilentStage   = errors.New("a runner does not answer")
+	errSilentSuspect = errors.New("another request failed at the runner, and it does not answer")
+	errSilentFirst   = errors.New("the first runner of the path does not answer")
+	errWaitsFor      = errors.New("the first runner of the path waits for it")
+	errOverdue       = errors.New("the first event is overdue")
+	errNoPatience    = errors.New("no event until callers have given up")
+)
+
 // errQuarantined is the cause of the failure of an attempt that was cancelled because of its contents.
 var errQuarantined = errors.New("runners crashed on other requests with the same content")
 
 // watchSpec describes an attempt to a StallDetector.
 type watchSpec struct {
-	request      string // ID of the request
-	plan         bergamotroute.Plan
-	maxPause     time.Duration // longest pause that the route allows, 0 for the default
-	maxSilence   time.Duration // time without an event after which callers have given up, 0 for no limit
-	maxFirst     time.Duration // time in which the first event is on time, 0 for the default
-	isConfirmed  func() bool   // reports whether the request is known to make runners crash, nil for no
-	failoverFunc func() bool   // takes a retry for a failover; nil if no further attempt is allowed
-	// firstFailoverFunc is failoverFunc for an attempt that has no event yet.
-	firstFailoverFunc func() bool
-	cancel            context.CancelCauseFunc
+	request     string // ID of the request
+	plan        bergamotroute.Plan
+	maxPause    time.Duration // longest pause that the route allows, 0 for the default
+	maxSilence  time.Duration // time without an event after which callers have given up, 0 for no limit
+	maxFirst    time.Duration // time in which the first event is on time, 0 for the default
+	isContinued bool          // the caller has events of an earlier attempt
+	isConfirmed func() bool   // reports whether the request is known to make runners crash, nil for no
+	// takeSuccessor takes a retry for another path without the runner at an address, while less than the given share of the budget is
+	// used, and reports whether there is such a path and the budget allows it. It is nil if the route allows no further attempt.
+	takeSuccessor func(address string, share float64) bool
+	// onStall is called once with the address of a runner that stalls the attempt and with the cause, whether or not the attempt ends.
+	onStall func(address string, cause error)
+	cancel  context.CancelCauseFunc
 }
 
 // Callers give up on a stream without an event for the longest of these times, also before its first event.
@@ -51,6 +64,8 @@
 	lastProgress atomic.Int64 // time of the last progress in Unix nanoseconds
 	hasEvents    atomic.Bool  // at least one event has arrived
 	delivering   atomic.Bool  // the caller has not yet taken the last events
+	reported     atomic.Bool  // onStall has been called
+	stranded     atomic.Bool  // it is stalled, and no other path took over at the last check
 	stopped      atomic.Bool
 	longestPause time.Duration // longest pause between two events; used only by the goroutine of the attempt
 	timer        *time.Timer
@@ -98,16 +113,17 @@
 	return time.Duration(w.detector.Clock.Now().UnixNano() - w.lastProgress.Load())
 }
 
-// check cancels the attempt if it waits for a dead runner, and otherwise schedules the next check.
+// check ends the attempt if it waits for a dead runner and another path takes over, and otherwise schedules the next check.
 func (w *attemptWatch) check() {
 	if w.stopped.Load() {
 		return
 	}
 	next := checkPeriod
+	w.stranded.Store(false)
 	switch {
 	case w.delivering.Load():
 	case w.maxSilence > 0 && w.idleTime() >= w.maxSilence:
-		w.cancelAttempt(w.plan.Stages()[0].Address(), "no event although all runners answer")
+		w.cancel(stallFailure(w.plan.Stages()[0].Address(), errNoPatience))
 		return
 	case w.isConfirmed != nil && !w.hasEvents.Load() && w.isConfirmed():
 		// The request waits at the runner, or is about to crash it.
@@ -116,12 +132,15 @@
 	case w.hasEvents.Load():
 		if left := w.detector.pauseStats.stallTimeout(w.maxPause) - w.idleTime(); left > 0 {
 			next = left
-		} else if w.failOver() || w.cancelIfStalled() {
+		} else if w.failOver() || !w.stranded.Load() && w.leaveIfStalled() {
 			return
 		}
-	case w.cancelIfStalled() || w.failOverFirst():
+	case w.leaveIfStalled() || !w.stranded.Load() && w.failOverFirst():
 		return
 	}
+	if w.stranded.Load() {
+		next = pathPollInterval
+	}
 	w.timer.Reset(next)
 }
 
@@ -130,38 +149,27 @@
 // such an attempt counts for what is usual, so that attempts stay when all paths are slow.
 func (w *attemptWatch) failOverFirst() bool {
 	idleTime := w.idleTime()
-	if w.firstFailoverFunc == nil || idleTime < w.detector.firstEventStats.stallTimeout(w.maxFirst) {
+	if w.takeSuccessor == nil || idleTime < w.detector.firstEventStats.stallTimeout(w.maxFirst) {
 		return false
 	}
 	w.detector.firstEventStats.observe(idleTime)
-	if w.hasEvents.Load() || w.stopped.Load() || !w.firstFailoverFunc() {
-		return false
-	}
-	f := NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonStall, errors.Join(errStalled, errors.New("the first event is overdue")))
-	f.retryTaken = true
-	w.cancel(f.WithFaultAddress(w.plan.Stages()[0].Address()))
-	return true
+	return w.moveTo(w.plan.Stages()[0].Address(), idleTime, firstFailoverBudgetShare, errOverdue)
 }
 
 // failOver cancels an attempt whose stream pauses, so that the stream resumes on another path before the pause exceeds
 // what the route allows, and reports whether it did. It does so only if a runner of the path does not answer: a pause
 // on a path of slow runners is not worth one of the few attempts.
 func (w *attemptWatch) failOver() bool {
-	if w.failoverFunc == nil {
+	if w.takeSuccessor == nil {
 		return false
 	}
 	pause := w.idleTime()
 	address, found := w.detector.findUnresponsive(w.plan)
 	if !found {
 		w.detector.pauseStats.observe(pause)
-	}
-	if !found || w.stopped.Load() || w.delivering.Load() || w.idleTime() < pathReportTimeout || !w.failoverFunc() {
 		return false
 	}
-	f := NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonStall, errors.Join(errStalled, errors.New("a runner does not answer")))
-	f.retryTaken = true
-	w.cancel(f.WithFaultAddress(address))
-	return true
+	return w.moveIfStalled(address, pause, errSilentStage)
 }
 
 // findSilentSuspect asks the suspected runners of the path for their reports, and returns the address of one that does not
@@ -178,35 +186,67 @@
 	return "", false
 }
 
-// cancelIfStalled asks the suspected runners of the path and the first one what the attempt waits for, and reports whether
+// leaveIfStalled asks the suspected runners of the path and the first one what the attempt waits for, and reports whether
 // the attempt has ended.
-func (w *attemptWatch) cancelIfStalled() bool {
+func (w *attemptWatch) leaveIfStalled() bool {
 	idleTime := w.idleTime()
 	if idleTime < suspectedDelay {
 		return false
 	}
-	if address, found := w.findSilentSuspect(); found && !w.stopped.Load() {
-		return w.cancelAttempt(address, "another request failed at the runner, and it does not answer")
+	if address, found := w.findSilentSuspect(); found && w.moveIfStalled(address, idleTime, errSilentSuspect) {
+		return true
 	}
 	if idleTime < probeDelay {
 		return w.stopped.Load()
 	}
 	first := w.plan.Stages()[0].Address()
 	r, err := w.detector.fetchReport(first)
-	if w.stopped.Load() {
-		return true
-	}
 	if isSilent(err) {
-		return w.cancelAttempt(first, "the first runner of the path does not answer")
+		return w.moveIfStalled(first, idleTime, errSilentFirst)
 	}
 	if address, ok := r.StalledOn(w.request); ok && err == nil {
-		return w.cancelAttempt(address, "the first runner of the path waits for it")
+		return w.moveIfStalled(address, idleTime, errWaitsFor)
 	}
-	return false
+	return w.stopped.Load()
 }
 
-func (w *attemptWatch) cancelAttempt(address, detail string) bool {
-	f := NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonStall, errors.Join(errStalled, errors.New(detail)))
-	w.cancel(f.WithFaultAddress(address))
+// moveIfStalled reports a runner that stalls the attempt, ends the attempt if another path takes over, and reports whether the
+// attempt has ended. A runner that pauses looks like a dead one: without another path the answer can only come from it, and it
+// breaks off by itself if it is dead.
+func (w *attemptWatch) moveIfStalled(address string, idleTime time.Duration, cause error) bool {
+	if w.hasProgressed(idleTime) {
+		return w.stopped.Load()
+	}
+	if !w.reported.Swap(true) {
+		w.onStall(address, cause)
+	}
+	share := newRequestBudgetShare
+	if w.isContinued || w.hasEvents.Load() {
+		share = 1
+	}
+	ended := w.moveTo(address, idleTime, share, cause)
+	w.stranded.Store(!ended)
+	return ended
+}
+
+// moveTo ends the attempt if another path without the runner at an address takes over, and reports whether the attempt has ended.
+func (w *attemptWatch) moveTo(address string, idleTime time.Duration, share float64, cause error) bool {
+	if w.takeSuccessor == nil || w.hasProgressed(idleTime) || !w.takeSuccessor(address, share) {
+		return w.stopped.Load()
+	}
+	f := stallFailure(address, cause)
+	f.retryTaken = true
+	w.cancel(f)
 	return true
 }
+
+// hasProgressed reports whether the attempt has ended or has had an event since it was idle for idleTime. A runner that pauses may
+// go on while it is asked for its report.
+func (w *attemptWatch) hasProgressed(idleTime time.Duration) bool {
+	return w.stopped.Load() || w.delivering.Load() || w.idleTime() < idleTime
+}
+
+// stallFailure returns the failure of an attempt that was ended because of the runner at an address.
+func stallFailure(address string, cause error) *Failure {
+	return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonStall, errors.Join(errStalled, cause)).WithFaultAddress(address)
+}
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -34,7 +34,7 @@
 // recordFailure reports a failed attempt to the router and the observer.
 func (s *streamState) recordFailure(p bergamotroute.Plan) {
 	f := s.failure
-	name := runnerAtFault(p, f)
+	name := runnerAt(p, f.faultAddress)
 	s.x.Trace().RecordFailure(name, f)
 	if f.isEnd() {
 		return
@@ -54,11 +54,10 @@
 	s.handler.Observer.RunnerFailed(name, f.Error())
 }
 
-// runnerAtFault returns the name of the runner of a path that a failure identifies, or the first runner if it
-// identifies none.
-func runnerAtFault(p bergamotroute.Plan, f *Failure) string {
+// runnerAt returns the name of the runner of a path at an address, or that of the first runner if none has it.
+func runnerAt(p bergamotroute.Plan, address string) string {
 	for _, stage := range p.Stages() {
-		if stage.Address() == f.faultAddress {
+		if stage.Address() == address {
 			return stage.Instance()
 		}
 	}
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -223,8 +223,8 @@
 	defer cancel(nil)
 	w := h.StallDetector.watch(watchSpec{
 		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
-		maxFirst: s.x.Route().TargetLatency(), isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
-		failoverFunc: s.failoverFunc(1), firstFailoverFunc: s.firstFailoverFunc(p), cancel: cancel,
+		maxFirst: s.x.Route().TargetLatency(), isContinued: s.started, isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
+		takeSuccessor: s.successorFunc(p), onStall: s.reportStall(p), cancel: cancel,
 	})
 	defer w.stop()
 	response, err := h.Upstream.Send(ctx, Attempt{
@@ -324,37 +324,6 @@
 	return s.x.Priority()
 }
 
-// failoverFunc returns a function that takes a retry for a failover during an attempt while less than the given share of
-// the budget is used, or nil if the route allows no further attempt.
-func (s *streamState) failoverFunc(share float64) func() bool {
-	if !s.x.Route().IsRetryable() || !s.canAttempt(s.possibleRuns+1) {
-		return nil
-	}
-	return func() bool { return s.handler.Budget.TakeWithin(s.x.Service().Name(), share) }
-}
-
-// firstFailoverFunc is failoverFunc for an attempt without an event, which moves only if there is another path. If there is
-// none, a runner that is only slow still serves the caller.
-func (s *streamState) firstFailoverFunc(p bergamotroute.Plan) func() bool {
-	take := s.failoverFunc(firstFailoverBudgetShare)
-	if take == nil {
-		return nil
-	}
-	h := s.handler
-	query := s.pathQuery(h.Views.View())
-	query.Avoid = maps.Clone(s.avoid) // s.avoid changes once the attempt has ended, when the function may still run
-	query.Avoid[p.Stages()[0].Instance()] = true
-	return func() bool {
-		current := query
-		current.Fleet = h.Views.View().Fleet()
-		other, ok := h.Router.Route(current)
-		if ok {
-			h.Router.Release(other, query.Tokens)
-		}
-		return ok && take()
-	}
-}
-
 // forwardResponse forwards a response that is not a stream to the caller unchanged.
 func (s *streamState) forwardResponse(response Response) error {
 	body, err := response.Body()
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -62,14 +62,15 @@
 	// Guards against cutting off a stream at a slow runner whose first event is overdue although no other runner has its layers.
 	ginkgo.It("leaves a path without an event only for another path", func() {
 		g := newRig(route(resumable), model)
-		s := &streamState{handler: &StreamHandler{Clock: g.clock, Router: g.router, Views: g.views, Budget: unlimitedBudget{}}, x: g.x, avoid: map[string]bool{}}
+		s := &streamState{handler: &StreamHandler{Clock: g.clock, Router: g.router, Views: g.views, Budget: unlimitedBudget{}, Quarantine: g.quarantine()}, x: g.x, avoid: map[string]bool{}}
 		p, ok := g.router.Route(s.pathQuery(g.views.view))
 		gomega.Expect(ok).To(gomega.BeTrue())
-		gomega.Expect(s.firstFailoverFunc(p)()).To(gomega.BeTrue())
+		first := p.Stages()[0]
+		gomega.Expect(s.successorFunc(p)(first.Address(), 1)).To(gomega.BeTrue())
 		for _, name := range []string{"x", "y", "z"} {
-			s.avoid[name] = true
+			s.avoid[name] = name != first.Instance()
 		}
-		gomega.Expect(s.firstFailoverFunc(p)()).To(gomega.BeFalse())
+		gomega.Expect(s.successorFunc(p)(first.Address(), 1)).To(gomega.BeFalse())
 	})
 
 	// Guards against resuming a stream at the runner that has just failed.
--- a/io/bergamotfake/server.go
+++ b/io/bergamotfake/server.go
@@ -28,6 +28,7 @@
 type Server struct {
 	server  *http.Server
 	address string
+	pauses  *pauses
 	done    chan struct{}
 	err     error // why serving ended; valid once done is closed
 }
@@ -39,15 +40,16 @@
 	if err != nil {
 		return nil, err
 	}
+	p := &pauses{}
 	limited := &bergamotlimit.Listener{
-		Listener: l, Account: &bergamotaccount.Account{Max: maxMemory, Clock: bergamotclock.Real{}}, Clock: bergamotclock.Real{}, Recorder: noRecorder{},
+		Listener: &pauseListener{Listener: l, pauses: p}, Account: &bergamotaccount.Account{Max: maxMemory, Clock: bergamotclock.Real{}}, Clock: bergamotclock.Real{}, Recorder: noRecorder{},
 		MaxHeaderBytes: http.DefaultMaxHeaderBytes,
 	}
 	limited.SetMaxConns(maxConns)
 	server := &bergamotlimit.Server{Handler: h, HeaderTimeout: 5 * time.Second, MaxHeaderBytes: http.DefaultMaxHeaderBytes}
 	s = &Server{
 		server:  server.New(),
-		address: l.Addr().String(), done: make(chan struct{}),
+		address: l.Addr().String(), pauses: p, done: make(chan struct{}),
 	}
 	go func() {
 		defer close(s.done)
@@ -59,6 +61,13 @@
 // Address returns the host and port of the server.
 func (s *Server) Address() string { return s.address }
 
+// Pause makes all connections silent, or ends that: nothing is closed, new ones are accepted, and all goes on where it stood, as in
+// a process that stands still for a moment.
+func (s *Server) Pause(paused bool) { s.pauses.set(paused) }
+
+// Accepted returns how many connections the server has accepted, also in pauses.
+func (s *Server) Accepted() int { return s.pauses.acceptedConns() }
+
 // Kill closes the port and all connections at once; it may be called more than once.
 func (s *Server) Kill() {
 	// The port is released either way.
