Refuse a request whose connection is given up before its handler begins

Where memory was short and a connection was evicted after its head had been read, and before the handler was called, the connection was closed without an answer. It now gets the same 503 as a head that is given up while it arrives.

Both cases of go test ./io/bergamotlimit -ginkgo.focus 'between the head' failed before: a closed connection where 503 is expected.

--- a/io/bergamotlimit/conn.go
+++ b/io/bergamotlimit/conn.go
@@ -292,7 +292,7 @@
 	case phaseHead:
 		_ = c.Conn.SetReadDeadline(longAgo) // a closed connection needs none
 	case phaseActive:
-		// The handler refuses the request.
+		// The handler refuses the request if it has not begun.
 	default:
 		_ = c.Conn.Close() // the connection is not used again
 	}
--- a/io/bergamotlimit/server.go
+++ b/io/bergamotlimit/server.go
@@ -36,9 +36,10 @@
 // handler calls the handler of a server for requests whose connection has not been evicted.
 type handler struct{ next http.Handler }
 
-// ServeHTTP passes on a request.
+// ServeHTTP passes on a request, or refuses it if its connection was evicted before.
 func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c := connOf(r); c != nil && !c.serve() {
+		c.answer(refuseMemory)
 		c.stopReading()
 		panic(http.ErrAbortHandler) // closes the connection
 	}
--- a/io/bergamotlimit/suite_test.go
+++ b/io/bergamotlimit/suite_test.go
@@ -39,7 +39,10 @@
 	rigMaxBody     = 1 << 20
 )
 
-func newRig(memory int64, conns int) *rig {
+func newRig(memory int64, conns int) *rig { return newRigWith(memory, conns, func(*http.Server) {}) }
+
+// newRigWith returns a rig whose server prepare changes before it serves.
+func newRigWith(memory int64, conns int, prepare func(s *http.Server)) *rig {
 	g := &rig{account: &bergamotaccount.Account{Max: memory, Clock: bergamotclock.Real{}}, release: make(chan struct{}), causes: map[string]int{}}
 	g.account.OnEvict = func(e bergamotaccount.Eviction) { g.RecordLimit(string(e.Cause()), e.Kind(), e.Key(), e.Bytes()) }
 	l, err := Listen("127.0.0.1:0")
@@ -48,6 +51,7 @@
 	g.listener.SetMaxConns(conns)
 	s := &Server{Handler: g, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, MaxHeaderBytes: rigHeaderBytes}
 	g.server = s.New()
+	prepare(g.server)
 	done := make(chan error, 1)
 	go func() { done <- g.server.Serve(g.listener) }()
 	ginkgo.DeferCleanup(func() {
