--- a/core/bergamotrelay/exchange.go
+++ b/core/bergamotrelay/exchange.go
@@ -88,6 +88,9 @@
 // Trace returns the record of the steps taken for the request.
 func (x *Exchange) Trace() *Trace { return &x.trace }
 
+// RecordFilter records the last filter that the request has reached.
+func (x *Exchange) RecordFilter(name string) { x.trace.filter = name }
+
 // Contents returns the digests of what may make a runner crash: the whole request of this caller, then each shared part of
 // its prompt. It may be called concurrently once the workspace and the service are set.
 func (x *Exchange) Contents() []bergamotsuspect.Digest {
--- a/core/bergamotrelay/trace.go
+++ b/core/bergamotrelay/trace.go
@@ -9,6 +9,7 @@
 
 // Trace records the steps taken for a request, for the request's log line.
 type Trace struct {
+	filter         string // the last one that the request has reached
 	steps          []string
 	failureReasons []bergamotrequest.Reason
 	attempts       int
@@ -48,6 +49,9 @@
 	t.chunks++
 }
 
+// Filter returns the name of the last filter that the request has reached.
+func (t *Trace) Filter() string { return t.filter }
+
 // Steps returns the steps in order, separated by semicolons.
 func (t *Trace) Steps() string { return strings.Join(t.steps, "; ") }
 
--- a/core/bergamotstep/step.go
+++ b/core/bergamotstep/step.go
@@ -19,6 +19,11 @@
 // Handle calls f.
 func (f Func[X]) Handle(ctx context.Context, x X) error { return f(ctx, x) }
 
+// recorder is an exchange that records which filters it has reached.
+type recorder interface {
+	RecordFilter(name string)
+}
+
 // Chain returns a handler that passes an exchange through filters in order and then to last.
 func Chain[X any](last Handler[X], filters ...Filter[X]) Handler[X] {
 	h := last
@@ -36,5 +41,8 @@
 
 // Handle passes the exchange to the filter of the link.
 func (l link[X]) Handle(ctx context.Context, x X) error {
+	if r, ok := any(x).(recorder); ok {
+		r.RecordFilter(l.filter.Name())
+	}
 	return l.filter.Filter(ctx, x, l.next)
 }
