Return all changes up to the version that the feed of the fake store names

Where a row was written at the moment at which a wait of the feed ended, the reply had no change but named the version of that write, so that its reader never saw it. The platform's feed returns the changes up to its version; only the fake was wrong.

Found because go test ./platform -ginkgo.focus 'pause for a second' failed in 3 of about 70 runs on the busy machine: the configuration written last was not in force 10 s later.

--- a/io/bergamotfake/metadatastore.go
+++ b/io/bergamotfake/metadatastore.go
@@ -123,7 +123,7 @@
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	for {
+	for expired := false; ; {
 		s.mu.Lock()
 		if after < s.forgottenVersion {
 			s.writeReply(w, http.StatusGone, nil)
@@ -137,7 +137,7 @@
 			}
 		}
 		changed := s.changed
-		if len(rows) > 0 {
+		if len(rows) > 0 || expired {
 			s.writeReply(w, http.StatusOK, rows)
 			s.mu.Unlock()
 			return
@@ -146,10 +146,8 @@
 		select {
 		case <-changed:
 		case <-timeout:
-			s.mu.Lock()
-			s.writeReply(w, http.StatusOK, rows)
-			s.mu.Unlock()
-			return
+			// The reply names the newest version, so it must have the changes that were made meanwhile.
+			expired = true
 		case <-r.Context().Done():
 			return
 		}
