Restore the fake store from a copy

The platform may restore its store from an older copy: writes since then are lost, their versions are given out again, a read from a version that the store does not have gets 410, and a header in all answers counts the restores. The fake could do none of this, so that no specification could show what the program does then.

The fake now copies and restores its rows and history. A restore breaks off the feeds that wait. The header is written when an answer begins, also in refusals of injected faults. The specification of the fake passes, also with the race detector.

--- a/io/bergamotfake/metadatastore.go
+++ b/io/bergamotfake/metadatastore.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,8 +21,12 @@
 	history          []MetadataRow // changes, oldest first
 	forgottenVersion int64         // changes up to this version are no longer in the history
 	changed          chan struct{} // closed and replaced at each change
+	restored         chan struct{} // closed and replaced at each restore
 	writeDelay       time.Duration
 	startTime        time.Time
+
+	era   atomic.Int64 // number of restores
+	feeds atomic.Int64 // feeds in progress
 }
 
 // A MetadataRow is a row in the messages of the store.
@@ -38,7 +43,9 @@
 
 // NewMetadataStore returns an empty store.
 func NewMetadataStore() *MetadataStore {
-	return &MetadataStore{rows: map[string]MetadataRow{}, changed: make(chan struct{}), startTime: time.Now()}
+	return &MetadataStore{
+		rows: map[string]MetadataRow{}, changed: make(chan struct{}), restored: make(chan struct{}), startTime: time.Now(),
+	}
 }
 
 // Put writes a row, as operators and runners do; it panics if value cannot be encoded as JSON.
@@ -78,13 +85,14 @@
 	s.writeDelay = d
 }
 
-// Handler returns the HTTP interface with the faults.
+// Handler returns the HTTP interface with the faults. Each answer names the era of the store.
 func (s *MetadataStore) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.write)
-	return s.Faults.Wrap(mux)
+	h := s.Faults.Wrap(mux)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.ServeHTTP(eraWriter{w, &s.era}, r) })
 }
 
 func (s *MetadataStore) apply(puts, deletes []MetadataRow) {
@@ -123,9 +131,18 @@
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	restored := s.restored
+	s.mu.Unlock()
+	s.feeds.Add(1)
+	defer s.feeds.Add(-1)
 	for expired := false; ; {
 		s.mu.Lock()
-		if after < s.forgottenVersion {
+		if restored != s.restored {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < s.forgottenVersion || after > s.version {
 			s.writeReply(w, http.StatusGone, nil)
 			s.mu.Unlock()
 			return
@@ -145,6 +162,7 @@
 		s.mu.Unlock()
 		select {
 		case <-changed:
+		case <-restored:
 		case <-timeout:
 			// The reply names the newest version, so it must have the changes that were made meanwhile.
 			expired = true
