Let the handlers of tables know of a new era of the store

A restore of the store takes writes back whose versions are given out again. TableHandler.EraChanged is called before Replace with rows of a later era; it does nothing so far in the handlers of the runners, the configuration and the failures, and nothing calls it yet.

--- a/core/bergamotcluster/confighandler.go
+++ b/core/bergamotcluster/confighandler.go
@@ -19,6 +19,9 @@
 	OnConfig func(version int64, err error) // called for each configuration that takes effect or cannot be decoded
 }
 
+// EraChanged does nothing.
+func (c *ConfigHandler) EraChanged(*State, int64, int64) {}
+
 // Replace puts the configuration in force that the rows contain.
 func (c *ConfigHandler) Replace(s *State, rows []bergamotstore.Row) {
 	for _, r := range rows {
--- a/core/bergamotcluster/roster.go
+++ b/core/bergamotcluster/roster.go
@@ -31,6 +31,9 @@
 	graceEnd time.Time // until then a missing row may have expired only because of an outage
 }
 
+// EraChanged does nothing.
+func (c *Roster) EraChanged(*State, int64, int64) {}
+
 // Replace adds or updates all runners; those that are missing from the rows are removed.
 func (c *Roster) Replace(s *State, rows []bergamotstore.Row) {
 	present := map[string]bool{}
--- a/core/bergamotcluster/simulation_test.go
+++ b/core/bergamotcluster/simulation_test.go
@@ -356,6 +356,7 @@
 // ignoreTable is a table handler that does nothing.
 type ignoreTable struct{}
 
+func (ignoreTable) EraChanged(*bergamotcluster.State, int64, int64)          {}
 func (ignoreTable) Replace(*bergamotcluster.State, []bergamotstore.Row)      {}
 func (ignoreTable) ApplyChange(*bergamotcluster.State, bergamotstore.Change) {}
 func (ignoreTable) ReadsResumed(*bergamotcluster.State, time.Duration)       {}
--- a/core/bergamotcluster/suspects.go
+++ b/core/bergamotcluster/suspects.go
@@ -213,6 +213,9 @@
 	}
 }
 
+// EraChanged does nothing.
+func (c *Suspects) EraChanged(*State, int64, int64) {}
+
 // Replace learns all failures; those that are missing from the rows were removed.
 func (c *Suspects) Replace(s *State, rows []bergamotstore.Row) {
 	missing := maps.Clone(c.stored)
--- a/core/bergamotcluster/tablewatcher.go
+++ b/core/bergamotcluster/tablewatcher.go
@@ -43,6 +43,10 @@
 
 // TableHandler applies the rows and changes of a table to the control state.
 type TableHandler interface {
+	// EraChanged is called before Replace if the table service was restored from an older copy since the rows that the state
+	// matches were read: writes of the era from may be missing from the rows, which are of the era to. Versions and revisions
+	// of both cannot be compared.
+	EraChanged(s *State, from, to int64)
 	// Replace applies the whole table; rows that are missing from it have been deleted.
 	Replace(s *State, rows []bergamotstore.Row)
 	// ApplyChange applies one change of a row.
