Order the tables of the store by its era

After a restore from an older copy the store gives versions out again. Copies of tables were ordered by the number alone: an entry refused the lower number of its hub and read the store for itself, a copy of the lost era went before a true one, and an entry that came back when the new numbers had passed its own missed what was written under them.

Copies, queries, replies and feeds now carry a bergamotstore.Position. A whole table begins an era; changes of another era than the copy's are ignored; a copy of an earlier era counts as behind. A hub answers a position of a lost era with the whole table, also as the answer to a query for changes, which TableWatcher applies without a second query.

Entries of builds without eras are answered by number as before; their replies count as of the own era until this process has seen a restore, and are refused after that.

The spec "reads the whole table when it is behind the history" expected ErrHistoryDropped and then a whole table from a second query; it now expects the whole table at once, and that it is relayed.

--- a/core/bergamotcluster/tablewatcher.go
+++ b/core/bergamotcluster/tablewatcher.go
@@ -36,9 +36,9 @@
 type Feed interface {
 	// List returns all rows of a table.
 	List(ctx context.Context, table string) (bergamotmirror.Reading, error)
-	// Changes returns the changes after a version as soon as there is one, or none when the wait, or a shorter time, has
-	// passed. It fails with bergamotstore.ErrHistoryDropped when these changes are no longer known.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (bergamotmirror.Reading, error)
+	// Changes returns the changes after a position as soon as there is one, or none when the wait, or a shorter time, has
+	// passed. If these changes are no longer known, it returns the whole table or fails with bergamotstore.ErrHistoryDropped.
+	Changes(ctx context.Context, table string, after bergamotstore.Position, wait time.Duration) (bergamotmirror.Reading, error)
 }
 
 // TableHandler applies the rows and changes of a table to the control state.
@@ -69,9 +69,12 @@
 	// OnStatusChange is called with the error when reads begin to fail or the change history was dropped, and without
 	// one when reads succeed again after failing for the time down.
 	OnStatusChange func(table string, err error, down time.Duration)
+	// OnEraChange is called when the table is of a later era than before, with the last position of the era before and the
+	// first one of the new era; nil for none.
+	OnEraChange func(table string, last, first bergamotstore.Position)
 
-	synced       bool  // whether the whole table has been read
-	version      int64 // of the table at the last successful read
+	synced       bool                   // whether the whole table has been read
+	position     bergamotstore.Position // of the table at the last successful read
 	reading      bool
 	nextRead     time.Time
 	lastRead     time.Time     // start of the last read
@@ -126,13 +129,25 @@
 			return
 		}
 		c.listTimeout = 0
-		c.synced, c.version = true, reading.Version()
 		c.endOutage(s)
-		c.Handler.Replace(s, reading.Rows())
-		c.Handler.ConfirmCurrent(s, reading.AsOf())
+		c.replace(s, reading)
 	})
 }
 
+// replace passes the whole table to the handler.
+func (c *TableWatcher) replace(s *State, reading bergamotmirror.Reading) {
+	last, first := c.position, reading.Position()
+	c.synced, c.position = true, first
+	if !first.SameEra(last) {
+		if c.OnEraChange != nil {
+			c.OnEraChange(c.Table, last, first)
+		}
+		c.Handler.EraChanged(s, last.Era(), first.Era())
+	}
+	c.Handler.Replace(s, reading.Rows())
+	c.Handler.ConfirmCurrent(s, reading.AsOf())
+}
+
 // readChanges is a task that reads the changes since the last read.
 func (c *TableWatcher) readChanges(ctx context.Context) Event {
 	wait := c.MaxWait
@@ -142,13 +157,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+ReplyTimeout)
 	defer cancel()
-	reading, err := c.Source.Changes(ctx, c.Table, c.version, wait)
+	reading, err := c.Source.Changes(ctx, c.Table, c.position, wait)
 	return EventFunc(func(s *State) {
 		if c.finishRead(s, err) {
 			return
 		}
-		c.version = max(c.version, reading.Version())
 		c.endOutage(s)
+		if reading.Whole() {
+			c.pause = 0
+			c.replace(s, reading)
+			return
+		}
+		c.position = reading.Position()
 		for _, change := range reading.Changes() {
 			c.Handler.ApplyChange(s, change)
 		}
--- a/core/bergamotmirror/answer.go
+++ b/core/bergamotmirror/answer.go
@@ -13,8 +13,8 @@
 	mirror := r.Mirror(q.table)
 	timeout := r.Clock.After(q.wait)
 	for {
-		u, updated, ok := mirror.Since(q.version)
-		if ok && (u.version > q.version || u.storeTime > q.storeTime) {
+		u, updated, ok := mirror.Since(q.position)
+		if ok && hasNews(u, q) {
 			return r.reply(u)
 		}
 		select {
@@ -30,6 +30,12 @@
 	}
 }
 
+// hasNews reports whether a query need not wait for a later update than u. A copy of an era that the asking entry knows to be
+// lost is none, although it may have been read later.
+func hasNews(u Update, q Query) bool {
+	return q.position.IsBefore(u.position) || u.position.SameEra(q.position) && u.storeTime > q.storeTime
+}
+
 func (r *Reader) reply(u Update) Reply {
 	return NewReply(u, append(slices.Clone(r.Path()), r.Self().name), r.Entries(), r.Vacant())
 }
@@ -51,6 +57,9 @@
 	return r.path
 }
 
+// Era returns the latest era of the store that this process has seen in any table, 0 before the first answer that names one.
+func (r *Reader) Era() int64 { return r.era.current() }
+
 // Role is how an entry reads the tables.
 type Role int
 
--- a/core/bergamotmirror/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"bergamotspur/core/bergamotstore"
 )
 
 // upstream returns the entry to ask for changes of the tables; ok is false if the store itself must be read. chained is set
@@ -34,9 +36,9 @@
 	outcomeUseless                   // the other entry has no version that this one can use
 )
 
-// ask returns what another entry knows about a table after a version, the whole table for version 0; ok is false if there
+// ask returns what another entry knows about a table after a position, the whole table for the number 0; ok is false if there
 // is no entry to follow or it has no current version.
-func (r *Reader) ask(ctx context.Context, table string, after int64) (reading Reading, ok bool) {
+func (r *Reader) ask(ctx context.Context, table string, after bergamotstore.Position) (reading Reading, ok bool) {
 	if r.Network == nil {
 		return reading, false
 	}
@@ -69,7 +71,7 @@
 
 // askPeer asks one entry and applies its reply. Until then this entry does not answer the other one, so that two entries
 // that ask each other at the same moment do not both accept the copy of the other.
-func (r *Reader) askPeer(ctx context.Context, peer Peer, chained bool, table string, after int64, wait, timeout time.Duration) (Reading, outcome) {
+func (r *Reader) askPeer(ctx context.Context, peer Peer, chained bool, table string, after bergamotstore.Position, wait, timeout time.Duration) (Reading, outcome) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r.setAsking(peer.name, 1)
@@ -92,16 +94,25 @@
 }
 
 // accept applies the reply of another entry.
-func (r *Reader) accept(table string, after int64, peer Peer, reply Reply, chained bool) (Reading, outcome) {
+func (r *Reader) accept(table string, after bergamotstore.Position, peer Peer, reply Reply, chained bool) (Reading, outcome) {
 	u, mirror := reply.update, r.Mirror(table)
 	asOf, known := r.offset.localTime(u.storeTime)
-	if !known || u.version < max(after, mirror.Version()) {
+	position, ordered := r.era.observe(u.position)
+	u.position = position
+	ok := known && ordered && !position.IsBefore(after)
+	if ok {
+		u, ok = mirror.applyFrom(peer.name, u)
+	}
+	switch lost := !ordered || !position.SameEra(after); {
+	case !ok && lost: // the entry has a copy of an era that a restore of the store has ended, or cannot tell
+		r.Peers.AvoidOutdated(peer.name)
+		return Reading{}, outcomeStale
+	case !ok:
 		if chained {
 			r.Peers.Avoid(peer.name)
 		}
 		return Reading{}, outcomeUseless // the entry is behind this one
 	}
-	mirror.applyFrom(peer.name, u)
 	r.setSource(peer.name, reply.path)
 	if !chained { // a hub counts the entries and the hubs itself
 		if reply.entries > 0 {
@@ -113,7 +124,7 @@
 		// The entry does not reach the store at present. While this one does not either, it still hears from the other
 		// one when that changes.
 		if !r.unreachable.Load() {
-			r.Peers.Avoid(peer.name)
+			r.Peers.AvoidOutdated(peer.name)
 		}
 		return Reading{}, outcomeStale
 	}
@@ -146,10 +157,10 @@
 	return asOf + r.maxAge(table, chained) - r.Clock.Uptime()
 }
 
-// queryTimes returns how long the answer to a query may wait for changes after a version, and how long it may take in all.
+// queryTimes returns how long the answer to a query may wait for changes after a position, and how long it may take in all.
 // The answer does not wait for longer than the copy counts as current.
-func (r *Reader) queryTimes(ctx context.Context, table string, after int64, chained bool) (wait, timeout time.Duration) {
-	if after == 0 {
+func (r *Reader) queryTimes(ctx context.Context, table string, after bergamotstore.Position, chained bool) (wait, timeout time.Duration) {
+	if after.Number() == 0 {
 		return listWait, listTimeout
 	}
 	wait, timeout = MaxWait, MaxWait+answerTimeout
@@ -170,8 +181,8 @@
 // retryTimes returns the same as queryTimes for a query after one that ended with last. A second failure must not delay the
 // read of the store beyond the age at which the copy is too old, or minRetryTimeout if it is. Both times are 0 if there is no
 // time for an answer.
-func (r *Reader) retryTimes(ctx context.Context, table string, after int64, last outcome) (wait, timeout time.Duration) {
-	if after == 0 {
+func (r *Reader) retryTimes(ctx context.Context, table string, after bergamotstore.Position, last outcome) (wait, timeout time.Duration) {
+	if after.Number() == 0 {
 		return 0, 0
 	}
 	timeout = r.copyLeft(table, false)
--- a/core/bergamotmirror/message.go
+++ b/core/bergamotmirror/message.go
@@ -1,22 +1,26 @@
 package bergamotmirror
 
-import "time"
+import (
+	"time"
+
+	"bergamotspur/core/bergamotstore"
+)
 
 // Query is the request of an entry for the changes of a table.
 type Query struct {
 	entry     string
 	table     string
-	version   int64
+	position  bergamotstore.Position
 	storeTime time.Duration
 	wait      time.Duration
 	entries   int
 }
 
-// NewQuery returns a query of the entry of that name, whose copy of the table has the given version and store time, for
-// something newer. The answer may take up to wait. Through the entry read entries entries, including itself; a hub says 0,
+// NewQuery returns a query of the entry of that name, whose copy of the table has the given position and store time, for
+// something newer. With the number 0 in the position it asks for the whole table as of its era or a later one. The answer may take up to wait. Through the entry read entries entries, including itself; a hub says 0,
 // since its slot has their number.
-func NewQuery(entry, table string, version int64, storeTime, wait time.Duration, entries int) Query {
-	return Query{entry: entry, table: table, version: version, storeTime: storeTime, wait: wait, entries: entries}
+func NewQuery(entry, table string, p bergamotstore.Position, storeTime, wait time.Duration, entries int) Query {
+	return Query{entry: entry, table: table, position: p, storeTime: storeTime, wait: wait, entries: entries}
 }
 
 // Entry returns the name of the entry that asks.
@@ -25,8 +29,8 @@
 // Table returns the name of the table.
 func (q Query) Table() string { return q.table }
 
-// Version returns the version of the table that the entry has, 0 for none.
-func (q Query) Version() int64 { return q.version }
+// Position returns the position of the table that the entry has, with the number 0 for none.
+func (q Query) Position() bergamotstore.Position { return q.position }
 
 // StoreTime returns the store's clock at the entry's latest update.
 func (q Query) StoreTime() time.Duration { return q.storeTime }
--- a/core/bergamotmirror/peers.go
+++ b/core/bergamotmirror/peers.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// avoidDuration is how long an entry that did not answer is not asked again. A process that was killed is back after
-	// about a second.
-	avoidDuration = 2 * time.Second
 	// maxRedirects is the number of entries that a full hub names.
 	maxRedirects = 4
 	// newHubDuration is how long a hub expects its first followers. Entries that start together read the hubs within a
@@ -76,7 +73,7 @@
 	known      chan struct{} // closed when the hubs have been set or could not be read
 	upstream   Peer          // the entry that this one follows, empty for none
 	remote     bool          // the upstream is in another data centre
-	avoid      map[string]time.Duration
+	avoid      map[string]avoidance
 }
 
 // SetHubs sets the hubs of all data centres, of which this entry may be one.
@@ -263,19 +260,6 @@
 	return p.remote
 }
 
-// Avoid stops following an entry that does not answer or has no news.
-func (p *Peers) Avoid(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.avoid == nil {
-		p.avoid = map[string]time.Duration{}
-	}
-	p.avoid[name] = p.Now() + avoidDuration
-	if p.upstream.name == name {
-		p.upstream = Peer{}
-	}
-}
-
 // Redirect follows one of the entries that a full one has named.
 func (p *Peers) Redirect(to []Peer) {
 	p.mu.Lock()
@@ -286,13 +270,3 @@
 		p.upstream = usable[p.Random(len(usable))]
 	}
 }
-
-// isAvoided reports whether an entry is not to be asked yet.
-func (p *Peers) isAvoided(name string) bool {
-	until, ok := p.avoid[name]
-	if ok && p.Now() >= until {
-		delete(p.avoid, name)
-		return false
-	}
-	return ok
-}
--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -59,13 +59,14 @@
 
 // Store reads tables of the store.
 type Store interface {
-	// List returns all rows and the version of the table that they reflect; storeTime is the store's monotonic clock when
-	// it answered, 0 when it is not known.
-	List(ctx context.Context, table string) (rows []bergamotstore.Row, version int64, storeTime time.Duration, err error)
-	// Changes returns the changes after a version as soon as there is one, or none when the wait has passed; storeTime is
-	// the same as for List. It fails with bergamotstore.ErrHistoryDropped when the store no longer has these changes.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (
-		changes []bergamotstore.Change, version int64, storeTime time.Duration, err error)
+	// List returns all rows and the position in the store's history that they reflect; storeTime is the store's monotonic
+	// clock when it answered, 0 when it is not known.
+	List(ctx context.Context, table string) (rows []bergamotstore.Row, p bergamotstore.Position, storeTime time.Duration, err error)
+	// Changes returns the changes after a position as soon as there is one, or none when the wait has passed; storeTime is
+	// the same as for List. It fails with bergamotstore.ErrHistoryDropped when the store no longer has these changes, or is
+	// in another era; the position then has the era in which the store is, if it is known.
+	Changes(ctx context.Context, table string, after bergamotstore.Position, wait time.Duration) (
+		changes []bergamotstore.Change, p bergamotstore.Position, storeTime time.Duration, err error)
 }
 
 // Network sends queries to other entries.
@@ -94,6 +95,7 @@
 	// OnUpstream is called when this entry follows another one than before, empty for the store.
 	OnUpstream func(name string)
 
+	era         eraTracker
 	offset      clockOffset
 	downstreams Downstreams
 	unreachable atomic.Bool  // the last call to the store failed
@@ -125,18 +127,18 @@
 		defer cancel()
 	}
 	r.Peers.waitForHubs(ctx, r.Clock.After(maxHubWait))
-	return r.read(ctx, table, 0, 0, func(ctx context.Context, _ time.Duration) (Update, error) {
+	return r.read(ctx, table, r.era.start(), 0, func(ctx context.Context, _ time.Duration) (Update, error) {
 		if hasDeadline {
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, timeout)
 			defer cancel()
 		}
-		rows, version, storeTime, err := r.Store.List(ctx, table)
+		rows, p, storeTime, err := r.Store.List(ctx, table)
 		changes := make([]bergamotstore.Change, len(rows))
 		for i, row := range rows {
 			changes[i] = bergamotstore.NewChange(row, false)
 		}
-		return NewUpdate(changes, true, version, storeTime), err
+		return NewUpdate(changes, true, p, storeTime), err
 	})
 }
 
@@ -154,22 +156,22 @@
 	}
 }
 
-// Changes returns the changes of a table after a version as soon as there is one, or none when wait, or a shorter time,
-// has passed. It fails with bergamotstore.ErrHistoryDropped when these changes are no longer known.
-func (r *Reader) Changes(ctx context.Context, table string, after int64, wait time.Duration) (Reading, error) {
-	reading, err := r.read(ctx, table, after, wait, func(ctx context.Context, wait time.Duration) (Update, error) {
-		changes, version, storeTime, err := r.Store.Changes(ctx, table, after, wait)
-		return NewUpdate(changes, false, max(version, after), storeTime), err
+// Changes returns the changes of a table after a position as soon as there is one, or none when wait, or a shorter time, has
+// passed. If they are not known, it returns the whole table of an entry that has it, or fails with
+// bergamotstore.ErrHistoryDropped.
+func (r *Reader) Changes(ctx context.Context, table string, after bergamotstore.Position, wait time.Duration) (Reading, error) {
+	return r.read(ctx, table, after, wait, func(ctx context.Context, wait time.Duration) (Update, error) {
+		changes, p, storeTime, err := r.Store.Changes(ctx, table, after, wait)
+		if err == nil && p.SameEra(after) {
+			p = bergamotstore.NewPosition(p.Era(), max(p.Number(), after.Number()))
+		}
+		return NewUpdate(changes, false, p, storeTime), err
 	})
-	if err == nil && reading.Whole() {
-		return Reading{}, bergamotstore.ErrHistoryDropped
-	}
-	return reading, err
 }
 
 // read reads a table through another entry or, with call, from the store. The store is called first while it was
 // unreachable and a call is due, so that an entry notices that it is reached again.
-func (r *Reader) read(ctx context.Context, table string, after int64, wait time.Duration,
+func (r *Reader) read(ctx context.Context, table string, after bergamotstore.Position, wait time.Duration,
 	call func(ctx context.Context, wait time.Duration) (Update, error),
 ) (reading Reading, err error) {
 	_, _, following := r.upstream()
@@ -233,10 +235,20 @@
 	r.lastDirect.Store(int64(start))
 	u, err := call(ctx, wait)
 	r.unreachable.Store(err != nil && !errors.Is(err, bergamotstore.ErrHistoryDropped))
+	u.position, _ = r.era.observe(u.position)
 	if err != nil {
+		if !u.position.SameEra(r.Mirror(table).Position()) {
+			r.Peers.Readmit()
+		}
 		return reading, err
 	}
-	r.Mirror(table).Apply(u)
+	u, ok := r.Mirror(table).applyFrom("", u)
+	switch {
+	case !ok && u.whole: // another entry has passed on a table of a later era
+		return reading, ErrStale
+	case !ok: // changes that do not continue the copy
+		return reading, bergamotstore.ErrHistoryDropped
+	}
 	r.setSource("", nil)
 	return NewReading(u, r.offset.earliestAnswer(start, u.storeTime), false), nil
 }
--- a/core/bergamotmirror/update.go
+++ b/core/bergamotmirror/update.go
@@ -10,14 +10,14 @@
 type Update struct {
 	changes   []bergamotstore.Change
 	whole     bool
-	version   int64
+	position  bergamotstore.Position
 	storeTime time.Duration
 }
 
-// NewUpdate returns the changes of a table up to a version; storeTime is the store's monotonic clock when it had that
-// version, 0 if it is not known. If whole is set, the changes are all rows of the table.
-func NewUpdate(changes []bergamotstore.Change, whole bool, version int64, storeTime time.Duration) Update {
-	return Update{changes: changes, whole: whole, version: version, storeTime: storeTime}
+// NewUpdate returns the changes of a table up to a position in the store's history; storeTime is the store's monotonic clock
+// when it was there, 0 if it is not known. If whole is set, the changes are all rows of the table.
+func NewUpdate(changes []bergamotstore.Change, whole bool, p bergamotstore.Position, storeTime time.Duration) Update {
+	return Update{changes: changes, whole: whole, position: p, storeTime: storeTime}
 }
 
 // Changes returns the changes in their order; the caller must not change the slice.
@@ -26,10 +26,10 @@
 // Whole reports whether the changes are all rows of the table.
 func (u Update) Whole() bool { return u.whole }
 
-// Version returns the version of the table after the changes.
-func (u Update) Version() int64 { return u.version }
+// Position returns the position of the table after the changes.
+func (u Update) Position() bergamotstore.Position { return u.position }
 
-// StoreTime returns the store's monotonic clock when it had the version, 0 if it is not known.
+// StoreTime returns the store's monotonic clock when it was at the position, 0 if it is not known.
 func (u Update) StoreTime() time.Duration { return u.storeTime }
 
 // Rows returns the rows of the changes that are not deletions.
--- a/core/bergamotstore/position.go
+++ b/core/bergamotstore/position.go
@@ -28,5 +28,16 @@
 	return cmp.Or(cmp.Compare(p.era, q.era), cmp.Compare(p.number, q.number))
 }
 
+// SameEra reports whether p and q are of the same era as far as that is known.
+func (p Position) SameEra(q Position) bool { return p.era == q.era || p.era == 0 || q.era == 0 }
+
+// IsBefore reports whether p is before q. If one of the eras is not known, the numbers decide.
+func (p Position) IsBefore(q Position) bool {
+	if p.SameEra(q) {
+		return p.number < q.number
+	}
+	return p.era < q.era
+}
+
 // String returns the era and the number.
 func (p Position) String() string { return fmt.Sprintf("%d.%d", p.era, p.number) }
--- a/io/bergamotmetric/metric.go
+++ b/io/bergamotmetric/metric.go
@@ -10,7 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// Registry holds the counters and histograms of one entry.
+// Registry holds the counters, gauges and histograms of one entry.
 type Registry struct {
 	registry metrics.Registry
 }
@@ -27,6 +27,11 @@
 // Count adds 1 to the counter of that name.
 func (r *Registry) Count(name string) { metrics.GetOrRegisterCounter(name, r.registry).Inc(1) }
 
+// Set sets the gauge of that name.
+func (r *Registry) Set(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, r.registry).Update(value)
+}
+
 // Value returns the value of the counter of that name.
 func (r *Registry) Value(name string) int64 {
 	return metrics.GetOrRegisterCounter(name, r.registry).Count()
@@ -37,13 +42,15 @@
 	metrics.GetOrRegisterTimer(name, r.registry).Update(d)
 }
 
-// Lines returns "name value" for each counter, and the quantiles and the count of each histogram, sorted.
+// Lines returns "name value" for each counter and gauge, and the quantiles and the count of each histogram, sorted.
 func (r *Registry) Lines() (out []string) {
 	r.registry.Each(func(name string, v any) {
 		name = "bergamot_" + strings.ReplaceAll(name, ".", "_")
 		switch m := v.(type) {
 		case metrics.Counter:
 			out = append(out, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			out = append(out, fmt.Sprintf("%s %d", name, m.Value()))
 		case metrics.Timer:
 			t := m.Snapshot()
 			for _, q := range []float64{0.5, 0.95, 0.99} {
--- a/io/bergamotreplication/client.go
+++ b/io/bergamotreplication/client.go
@@ -30,7 +30,7 @@
 func (c *Client) Ask(ctx context.Context, to, self bergamotmirror.Peer, q bergamotmirror.Query) (r bergamotmirror.Reply, err error) {
 	defer func() { err = oops.In("replication").Wrapf(err, "ask %s for %s", to.Name(), q.Table()) }()
 	in := query{
-		Entry: q.Entry(), Address: self.Address(), Table: q.Table(), Version: q.Version(), Time: q.StoreTime(), Wait: q.Wait(), Entries: q.Entries(),
+		Entry: q.Entry(), Address: self.Address(), Table: q.Table(), Era: q.Position().Era(), Version: q.Position().Number(), Time: q.StoreTime(), Wait: q.Wait(), Entries: q.Entries(),
 	}
 	var out reply
 	if err = c.client.Post(ctx, to.Address(), pathFollow, in, &out); err != nil {
--- a/io/bergamotreplication/handler.go
+++ b/io/bergamotreplication/handler.go
@@ -8,6 +8,7 @@
 
 	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotstore"
 	"bergamotspur/io/bergamotwire"
 )
 
@@ -40,7 +41,8 @@
 		if !decode(w, r, &in) {
 			return
 		}
-		q := bergamotmirror.NewQuery(in.Entry, in.Table, in.Version, in.Time, min(in.Wait, bergamotmirror.MaxWait), in.Entries)
+		after := bergamotstore.NewPosition(in.Era, in.Version)
+		q := bergamotmirror.NewQuery(in.Entry, in.Table, after, in.Time, min(in.Wait, bergamotmirror.MaxWait), in.Entries)
 		out := s.Answer(r.Context(), bergamotmirror.NewPeer(in.Entry, in.Address), q)
 		message := encodeReply(out)
 		u := out.Update()
--- a/io/bergamotreplication/message.go
+++ b/io/bergamotreplication/message.go
@@ -20,6 +20,7 @@
 	Entry   string        `json:"entry"`
 	Address string        `json:"address"` // at which other entries can follow the one that asks
 	Table   string        `json:"table"`
+	Era     int64         `json:"era,omitempty"` // of the version; absent if it is not known, and in queries of older builds
 	Version int64         `json:"version"`
 	Time    time.Duration `json:"time"` // of the store's clock, in nanoseconds
 	Wait    time.Duration `json:"wait"` // in nanoseconds
@@ -31,6 +32,7 @@
 	Changes  []change      `json:"changes"`
 	Packed   []byte        `json:"packed"` // a long list of changes instead of Changes, as gzip of its JSON
 	Whole    bool          `json:"whole"`
+	Era      int64         `json:"era,omitempty"` // as in a query
 	Version  int64         `json:"version"`
 	Time     time.Duration `json:"time"` // of the store's clock, in nanoseconds
 	Path     []string      `json:"path"`
@@ -100,7 +102,10 @@
 // encodeReply returns the reply without its changes.
 func encodeReply(r bergamotmirror.Reply) reply {
 	u := r.Update()
-	out := reply{Whole: u.Whole(), Version: u.Version(), Time: u.StoreTime(), Path: r.Path(), Entries: r.Entries(), Vacant: r.Vacant()}
+	out := reply{
+		Whole: u.Whole(), Era: u.Position().Era(), Version: u.Position().Number(), Time: u.StoreTime(),
+		Path: r.Path(), Entries: r.Entries(), Vacant: r.Vacant(),
+	}
 	for _, p := range r.Redirect() {
 		out.Redirect = append(out.Redirect, peer{Name: p.Name(), Address: p.Address()})
 	}
@@ -123,5 +128,6 @@
 		}
 		changes[i] = bergamotstore.NewChange(bergamotstore.NewRow(c.Key, c.Revision, value), c.Deleted)
 	}
-	return bergamotmirror.NewReply(bergamotmirror.NewUpdate(changes, r.Whole, r.Version, r.Time), r.Path, r.Entries, r.Vacant)
+	u := bergamotmirror.NewUpdate(changes, r.Whole, bergamotstore.NewPosition(r.Era, r.Version), r.Time)
+	return bergamotmirror.NewReply(u, r.Path, r.Entries, r.Vacant)
 }
--- a/io/bergamotreplication/pack.go
+++ b/io/bergamotreplication/pack.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotstore"
 )
 
 const (
@@ -27,17 +28,17 @@
 	latest map[string]packedTable
 }
 
-// packedTable is a version of a table.
+// packedTable is a table at a position in the store's history.
 type packedTable struct {
-	version int64
-	data    []byte
+	position bergamotstore.Position
+	data     []byte
 }
 
 // pack returns the rows of a table as gzip of their JSON, or nil if they cannot be encoded.
 func (p *packedTables) pack(table string, u bergamotmirror.Update) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t, ok := p.latest[table]; ok && t.version == u.Version() {
+	if t, ok := p.latest[table]; ok && t.position == u.Position() {
 		return t.data
 	}
 	var b bytes.Buffer
@@ -48,7 +49,7 @@
 	if p.latest == nil {
 		p.latest = map[string]packedTable{}
 	}
-	p.latest[table] = packedTable{version: u.Version(), data: b.Bytes()}
+	p.latest[table] = packedTable{position: u.Position(), data: b.Bytes()}
 	return b.Bytes()
 }
 
