Keep the operator's newer row in the copies after a restore of the store

Until the operator writes again, the restored table may hold a configuration that it had replaced. An entry that started then took it from its hub, and admitted a key that was withdrawn. Reader.Newer orders rows by a number of their writer, set for the configuration by its version: when a whole table of a later era has a row that is older than the copy's, the copy keeps the newer content, with the revision of the restored row, and passes it on. The first write of the row in the new era replaces it, whatever its number.

Without the retention the specs "stays in the copy", "stays when the whole table is read again" and "is in the reading that the entry itself gets" fail.

--- a/core/bergamotmirror/answer.go
+++ b/core/bergamotmirror/answer.go
@@ -45,7 +45,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.mirrors[table] == nil {
-		r.mirrors[table] = NewMirror()
+		r.mirrors[table] = NewMirror(r.Newer[table])
 	}
 	return r.mirrors[table]
 }
--- a/core/bergamotmirror/mirror.go
+++ b/core/bergamotmirror/mirror.go
@@ -13,6 +13,8 @@
 
 // Mirror is a copy of a table with its latest changes. It may be used concurrently.
 type Mirror struct {
+	newer RowOrder
+
 	mu        sync.Mutex
 	known     bool // the whole table has been read
 	rows      map[string]bergamotstore.Row
@@ -25,9 +27,9 @@
 	updated   chan struct{}
 }
 
-// NewMirror returns an empty copy.
-func NewMirror() *Mirror {
-	return &Mirror{rows: map[string]bergamotstore.Row{}, updated: make(chan struct{})}
+// NewMirror returns an empty copy. Newer is as in Reader.Newer, nil for none.
+func NewMirror(newer RowOrder) *Mirror {
+	return &Mirror{newer: newer, rows: map[string]bergamotstore.Row{}, updated: make(chan struct{})}
 }
 
 // Apply applies an update and wakes those that wait for one. Changes that arrive before the whole table, and updates that
@@ -47,6 +49,7 @@
 		m.source = source
 	}
 	if u.whole {
+		u.changes = m.retain(u)
 		clear(m.rows)
 		m.history, m.kept, m.base = nil, 0, u.position.Number()
 	} else if m.position.IsBefore(u.position) {
--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -92,6 +92,9 @@
 	// Waits is how long a read of the store waits for changes at an entry that others follow, by table. Tables without one
 	// have to show within two seconds that the store is still reached.
 	Waits map[string]time.Duration
+	// Newer compares rows of a table whose writer numbers them, by table. After a restore of the store from an older copy,
+	// this entry's copy of the table keeps the rows that the restore took back until the writer writes them again.
+	Newer map[string]RowOrder
 	// OnUpstream is called when this entry follows another one than before, empty for the store.
 	OnUpstream func(name string)
 
