--- a/core/bergamotmirror/era_test.go
+++ b/core/bergamotmirror/era_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
@@ -17,7 +20,7 @@
 
 // restore replaces the table by a copy that lacks the latest writes.
 func (s *store) restore(lost int) {
-	s.changes = s.changes[:len(s.changes)-lost]
+	s.changes = slices.Clone(s.changes[:len(s.changes)-lost]) // copies may still have the others
 	s.era++
 }
 
@@ -194,3 +197,55 @@
 		}
 	})
 })
+
+// TestCopiesAcrossEras guards against copies that go back or mix rows of two eras, for any order of writes, restores, reads and
+// entries that do not answer.
+func TestCopiesAcrossEras(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	rapid.Check(t, func(t *rapid.T) {
+		f := newSmallFleet()
+		names := []string{"a1", "a2", "b1", "leaf"}
+		truth := map[bergamotstore.Position]map[string]string{}
+		record := func() {
+			rows := map[string]string{}
+			for _, c := range f.store.changes {
+				rows[c.Row().Key()] = string(c.Row().Value())
+			}
+			truth[bergamotstore.NewPosition(f.store.era, int64(len(f.store.changes)))] = rows
+		}
+		record()
+		has := map[string]bergamotstore.Position{}
+		for _, name := range names {
+			has[name] = at(1)
+		}
+		f.readers["a2"].CountEntries(12)
+		for n := range rapid.IntRange(10, 60).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			f.clock.now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1:
+				f.store.put(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "key"), fmt.Sprint(n))
+				record()
+			case 2:
+				f.store.restore(rapid.IntRange(0, len(f.store.changes)-1).Draw(t, "lost"))
+				record()
+			case 3:
+				f.silent[name] = !f.silent[name]
+			default:
+				reading := f.read(name, has[name])
+				if reading.Position().IsBefore(has[name]) {
+					t.Fatalf("%s goes back from %v to %v", name, has[name], reading.Position())
+				}
+				has[name] = reading.Position()
+			}
+			for _, name := range names {
+				u, _, _ := f.readers[name].Mirror("t").Since(bergamotstore.Position{})
+				rows := map[string]string{}
+				for _, r := range u.Rows() {
+					rows[r.Key()] = string(r.Value())
+				}
+				gomega.Expect(rows).To(gomega.Equal(truth[u.Position()]), "%s at %v", name, u.Position())
+			}
+		}
+	})
+}
