Read a lost table from the store sooner when the hubs are gone

An entry that has seen a new era waits for its hub's whole table. Hubs are asked again only when the store has said that the history is gone, not after any failed call in a new era.

--- a/core/bergamotmirror/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -161,6 +161,10 @@
 // The answer does not wait for longer than the copy counts as current.
 func (r *Reader) queryTimes(ctx context.Context, table string, after bergamotstore.Position, chained bool) (wait, timeout time.Duration) {
 	if after.Number() == 0 {
+		if r.Mirror(table).Position().Number() > 0 {
+			// After a restore of the store, changes must be in force in time although the other entry has failed meanwhile.
+			return listWait, listWait + answerTimeout
+		}
 		return listWait, listTimeout
 	}
 	wait, timeout = MaxWait, MaxWait+answerTimeout
--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -238,14 +238,15 @@
 	r.lastDirect.Store(int64(start))
 	u, err := call(ctx, wait)
 	r.unreachable.Store(err != nil && !errors.Is(err, bergamotstore.ErrHistoryDropped))
+	mirror := r.Mirror(table)
+	if errors.Is(err, bergamotstore.ErrHistoryDropped) && !u.position.SameEra(mirror.Position()) {
+		r.Peers.Readmit()
+	}
 	u.position, _ = r.era.observe(u.position)
 	if err != nil {
-		if !u.position.SameEra(r.Mirror(table).Position()) {
-			r.Peers.Readmit()
-		}
 		return reading, err
 	}
-	u, ok := r.Mirror(table).applyFrom("", u)
+	u, ok := mirror.applyFrom("", u)
 	switch {
 	case !ok && u.whole: // another entry has passed on a table of a later era
 		return reading, ErrStale
