Let no lease of a lost era run beside one of the new era

After a restore of the store from an older copy the row of the lease was missing or named an earlier holder. A candidate took a row that was free or expired in the copy at once, while the holder whose row was lost still acted, and fencing tokens began again from the number in the copy. A conditional write whose revision had been given out again counted as a renewal.

Records name the era of the row that they replaced, and count only in it. The entry with a valid grant writes the lost row again and goes on; others wait for a term from when they first read it, so that each grant of the era before has ended. A write that is answered in another era than its row was read in is not counted, and those of unknown outcome are dropped. A store that names no era, or has never been restored, behaves as before.

--- a/core/bergamotlease/lease.go
+++ b/core/bergamotlease/lease.go
@@ -40,6 +40,8 @@
 	// RemoteClock lets an entry take over a lease whose term has ended by the clock of the table service although the entry
 	// did not see the last renewal, as after an outage; nil disables this.
 	RemoteClock TableClock
+	// OnRestore is called when the row is first read in a later era of the table service; nil for none.
+	OnRestore func(o RestoreOutcome)
 
 	grant     Grant
 	lastRow   bergamotstore.Row
@@ -60,8 +62,18 @@
 // grant of this entry, which is not valid while another entry holds the lease. An error leaves the grant unchanged.
 func (l *Lease) AcquireOrRenew(ctx context.Context) (g Grant, err error) {
 	defer func() { err = oops.In("lease").Wrapf(err, "acquire or renew %s", l.Key) }()
+	for range maxSteps {
+		if g, err = l.step(ctx); !errors.Is(err, errRestored) {
+			break
+		}
+	}
+	return g, err
+}
+
+// step is one attempt of AcquireOrRenew. It fails with errRestored if the table service was restored since the row was read.
+func (l *Lease) step(ctx context.Context) (g Grant, err error) {
 	if r, decodeErr := decodeRecord(l.lastRow.Value()); decodeErr == nil && l.grant.Valid(l.Clock.Now()) && l.pending == nil &&
-		r.Holder == l.Holder && r.FencingToken == l.grant.fencingToken {
+		l.isOwn(r) && !isLost(l.lastRow, r) {
 		// The holder need not read the row that it wrote last: the write fails if another entry has replaced it.
 		return l.write(ctx, l.lastRow, r.FencingToken)
 	}
@@ -75,15 +87,20 @@
 	}
 	now := l.Clock.Now()
 	switch {
-	case l.grant.Valid(now) && r.Holder == l.Holder && r.FencingToken == l.grant.fencingToken:
-		return l.write(ctx, row, r.FencingToken)
-	case r.Holder == "" || now.Sub(l.lastRowAt) >= l.Term || l.hasExpired(r):
-		return l.write(ctx, row, r.FencingToken+1)
+	case l.grant.Valid(now) && (l.isOwn(r) || isLost(row, r)):
+		return l.write(ctx, row, l.grant.fencingToken)
+	case now.Sub(l.lastRowAt) >= l.Term || !isLost(row, r) && (r.Holder == "" || l.hasExpired(r)):
+		return l.write(ctx, row, nextToken(row, r))
 	default:
 		return l.grant, nil
 	}
 }
 
+// isOwn reports whether a record is of the grant of this entry.
+func (l *Lease) isOwn(r record) bool {
+	return r.Holder == l.Holder && r.FencingToken == l.grant.fencingToken
+}
+
 // hasExpired reports whether the term of a record has ended by the clock of the table service.
 func (l *Lease) hasExpired(r record) bool {
 	if l.RemoteClock == nil || r.ExpiresMS == 0 {
@@ -96,6 +113,9 @@
 // FreeIn returns how long the term in the row that was read last goes on; it is 0 if the lease is free or that is unknown.
 func (l *Lease) FreeIn() time.Duration {
 	r, err := decodeRecord(l.lastRow.Value())
+	if err == nil && isLost(l.lastRow, r) {
+		return max(l.Term-l.Clock.Now().Sub(l.lastRowAt), 0)
+	}
 	if err != nil || r.Holder == "" || l.RemoteClock == nil || r.ExpiresMS == 0 {
 		return 0
 	}
@@ -122,9 +142,9 @@
 // Release gives up the lease, so that another entry can acquire it without waiting for the end of the term.
 func (l *Lease) Release(ctx context.Context) (err error) {
 	defer func() { err = oops.In("lease").Wrapf(err, "release %s", l.Key) }()
-	fencingToken := l.grant.fencingToken
+	held := l.grant
 	l.grant, l.pending = Grant{}, nil
-	if fencingToken == 0 {
+	if held.fencingToken == 0 {
 		return nil
 	}
 	row, err := l.Table.Read(ctx, l.Key)
@@ -132,10 +152,17 @@
 		return err
 	}
 	r, err := decodeRecord(row.Value())
-	if err != nil || r.Holder != l.Holder || r.FencingToken != fencingToken {
+	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(record{FencingToken: fencingToken, WriteID: l.NewWriteID()})
+	released := record{FencingToken: held.fencingToken, WriteID: l.NewWriteID(), Era: r.Era}
+	switch own := r.Holder == l.Holder && r.FencingToken == held.fencingToken; {
+	case held.Valid(l.Clock.Now()) && (own || isLost(row, r)):
+		released.Era = row.Era() // nobody else can hold the lease
+	case !own:
+		return nil
+	}
+	value, err := json.Marshal(released)
 	if err != nil {
 		return err
 	}
@@ -149,37 +176,44 @@
 	if r, err = decodeRecord(row.Value()); err != nil {
 		return r, err
 	}
-	if row.Revision() != l.lastRow.Revision() || l.lastRowAt.IsZero() {
+	restored, held := !l.lastRowAt.IsZero() && row.Era() != l.lastRow.Era(), l.grant.Valid(l.Clock.Now())
+	if restored {
+		l.pending = nil // what this entry wrote before is lost
+	}
+	if restored || row.Revision() != l.lastRow.Revision() || l.lastRowAt.IsZero() {
 		l.lastRow, l.lastRowAt = row, l.Clock.Now()
 	}
 	if w, ok := l.pending[r.WriteID]; ok {
 		// A write whose reply was lost took effect. Its term began when it was sent.
 		l.updateGrant(w.fencingToken, w.sent)
 		l.pending = nil
-	} else if l.grant.fencingToken != 0 && (r.Holder != l.Holder || r.FencingToken != l.grant.fencingToken) {
+	} else if l.grant.fencingToken != 0 && !l.isOwn(r) && !isLost(row, r) {
 		l.grant = Grant{}
 	}
+	if restored && l.OnRestore != nil {
+		l.reportRestore(held, isLost(row, r))
+	}
 	return r, nil
 }
 
 // write stores the lease with a fencing token, and reads it back if the reply is lost.
 func (l *Lease) write(ctx context.Context, row bergamotstore.Row, fencingToken int64) (g Grant, err error) {
 	writeID := l.NewWriteID()
-	value, err := json.Marshal(record{Holder: l.Holder, FencingToken: fencingToken, WriteID: writeID, ExpiresMS: l.termEnd()})
+	value, err := json.Marshal(record{Holder: l.Holder, FencingToken: fencingToken, WriteID: writeID, ExpiresMS: l.termEnd(), Era: row.Era()})
 	if err != nil {
 		return l.grant, err
 	}
 	w := pendingWrite{fencingToken: fencingToken, sent: l.Clock.Now()}
 	stored, ok, err := l.Table.CompareAndSet(ctx, l.Key, row.Revision(), value)
 	switch {
-	case err == nil && ok:
+	case err == nil && ok && stored.Era() == row.Era():
 		l.updateGrant(fencingToken, w.sent)
 		l.pending = nil
 		l.lastRow, l.lastRowAt = stored, l.Clock.Now()
 		return l.grant, nil
 	case err == nil:
-		_, err = l.observe(stored)
-		return l.grant, err
+		// A conflict, or the revision of the row was given out again after a restore.
+		return l.grant, l.observeAfter(row, stored)
 	case errors.Is(err, bergamotstore.ErrRejected):
 		return l.grant, err
 	}
@@ -191,8 +225,7 @@
 	if readErr != nil {
 		return l.grant, errors.Join(err, readErr)
 	}
-	_, err = l.observe(current)
-	return l.grant, err
+	return l.grant, l.observeAfter(row, current)
 }
 
 // updateGrant sets the grant of a successful write. Its term is counted from when the write was sent, which is before the
--- a/core/bergamotlease/lease_test.go
+++ b/core/bergamotlease/lease_test.go
@@ -120,12 +120,21 @@
 		gomega.Expect(acquireOrRenew(b).FencingToken()).To(gomega.Equal(int64(2)))
 	})
 
-	// Guards against two holders with the same fencing token, and against two valid grants at once. The latter is only
+	// Guards against two holders with the same fencing token, and against two valid grants at once, also when the table is restored
+	// from an older copy and gives revisions out again. The latter is only
 	// checked while no clock stands still as on a suspended machine; with such pauses, targets rely on the fencing token.
 	ginkgo.It("never gives a fencing token to two holders and never has two valid holders", func() {
 		rapid.Check(ginkgo.GinkgoTB(), func(t *rapid.T) {
 			suspended := rapid.Bool().Draw(t, "suspended")
 			store := bergamotmemory.NewStore()
+			store.Era = int64(rapid.IntRange(0, 1).Draw(t, "era"))
+			restores, older := store.Era > 0 && rapid.Bool().Draw(t, "restores"), store.Clone()
+			store.Hook = func(context.Context, string) bergamotmemory.Fault {
+				if restores && rapid.IntRange(0, 7).Draw(t, "restore") == 0 {
+					store.Restore(older)
+				}
+				return bergamotmemory.OK
+			}
 			clocks := []*bergamotclock.Virtual{}
 			leases := []*bergamotlease.Lease{}
 			grants := make([]bergamotlease.Grant, 3)
@@ -133,12 +142,21 @@
 				clocks = append(clocks, bergamotclock.NewVirtual(time.Unix(int64(n)*1e6, 0)))
 				leases = append(leases, newLease(store, clocks[n], fmt.Sprint(n)))
 			}
+			tableTime := bergamotclock.NewVirtual(time.Unix(5e6, 0))
+			if rapid.Bool().Draw(t, "remote") {
+				for _, l := range leases {
+					l.RemoteClock = tableClock{tableTime}
+				}
+			}
 			owners := map[int64]int{}
 			for range rapid.IntRange(10, 120).Draw(t, "steps") {
 				n := rapid.IntRange(0, 2).Draw(t, "holder")
 				loseReply := rapid.IntRange(0, 4).Draw(t, "lose") == 0
 				delay := rapid.IntRange(0, 6).Draw(t, "delay") == 0
 				store.Plan[bergamotmemory.Swap], store.Outage = nil, nil
+				if restores && rapid.IntRange(0, 4).Draw(t, "copy") == 0 {
+					older = store.Clone()
+				}
 				if delay {
 					store.Plan[bergamotmemory.Swap] = []bergamotmemory.Fault{bergamotmemory.Delayed}
 				}
@@ -151,7 +169,12 @@
 				if rapid.IntRange(0, 6).Draw(t, "read") == 0 {
 					store.Outage = append(store.Outage, bergamotmemory.Read)
 				}
-				grants[n], _ = leases[n].AcquireOrRenew(ctx)
+				if rapid.IntRange(0, 12).Draw(t, "release") == 0 {
+					grants[n] = bergamotlease.Grant{}
+					_ = leases[n].Release(ctx) // the lease expires if this fails
+				} else {
+					grants[n], _ = leases[n].AcquireOrRenew(ctx)
+				}
 				if rapid.Bool().Draw(t, "late") {
 					store.Deliver()
 				}
@@ -170,6 +193,7 @@
 					t.Fatalf("%d valid holders", valid)
 				}
 				d := time.Duration(rapid.IntRange(0, 5000).Draw(t, "advance")) * time.Millisecond
+				tableTime.Advance(d)
 				for k, c := range clocks {
 					if !suspended || k != n {
 						c.Advance(d)
--- a/core/bergamotmemory/store.go
+++ b/core/bergamotmemory/store.go
@@ -15,6 +15,7 @@
 type Store struct {
 	FaultInjector
 	OnWrite func(ctx context.Context) // called for each table write that takes effect; may be nil
+	Era     int64                     // era of the rows, 0 for a service that names none; Restore raises it
 
 	mu      sync.Mutex
 	rows    map[string]bergamotstore.Row
@@ -38,6 +39,15 @@
 	return out
 }
 
+// Restore replaces the content by that of an older copy, so that revisions are given out again. Requests that are delayed
+// apply to the new content.
+func (s *Store) Restore(older *Store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.objects = maps.Clone(older.rows), maps.Clone(older.objects)
+	s.Era++
+}
+
 // Read returns a row, with revision 0 when it does not exist, or ErrNoReply.
 func (s *Store) Read(ctx context.Context, key string) (bergamotstore.Row, error) {
 	if s.nextFault(ctx, Read) != OK {
@@ -160,12 +170,12 @@
 	if s.OnWrite != nil {
 		s.OnWrite(ctx)
 	}
-	return s.rows[key], true
+	return s.row(key), true
 }
 
 func (s *Store) row(key string) bergamotstore.Row {
 	if row, ok := s.rows[key]; ok {
-		return row
+		return row.In(s.Era)
 	}
-	return bergamotstore.NewRow(key, 0, nil)
+	return bergamotstore.NewRow(key, 0, nil).In(s.Era)
 }
