Write the slot of a hub again when a restore lost it

After a restore of the store from an older copy the row of a hub was an earlier holder's. The hub took that for a conflict that it had lost, gave its slot up and read the hubs again after four minutes; its followers lost it meanwhile.

Slots name the era in which they were read. After a conflict with a row of another era the hub writes its own row with the present revision; one conflict of an era at most is answered that way, so that two entries do not take a slot from each other again and again. A hub registers, and a candidate or holder of the lease reads its row, as soon as a table shows the new era. A stopping hub also gives its slot up when it did not know the revision.

The specs of a copy with earlier holders, also after a failed registration, fail on the code before.

--- a/core/bergamotcluster/calls_test.go
+++ b/core/bergamotcluster/calls_test.go
@@ -126,5 +126,15 @@
 		gomega.Expect(lease.n).To(gomega.Equal(before + 1))
 		runTasks(f.state, leadership.Reconcile(f.state))
 		gomega.Expect(lease.n).To(gomega.Equal(before + 1))
+		// A restore from a copy may follow an outage that no read noticed.
+		f.advance(time.Second)
+		newConfigHandler().EraChanged(f.state, 1, 2)
+		gomega.Expect(leadership.Next(f.state)).To(gomega.Equal(f.state.Now()))
+		runTasks(f.state, leadership.Reconcile(f.state))
+		gomega.Expect(lease.n).To(gomega.Equal(before + 2))
+		f.advance(time.Second)
+		newConfigHandler().EraChanged(f.state, 1, 2) // of another table
+		runTasks(f.state, leadership.Reconcile(f.state))
+		gomega.Expect(lease.n).To(gomega.Equal(before + 2))
 	})
 })
--- a/core/bergamotcluster/confighandler.go
+++ b/core/bergamotcluster/confighandler.go
@@ -19,8 +19,8 @@
 	OnConfig func(version int64, err error) // called for each configuration that takes effect or cannot be decoded
 }
 
-// EraChanged does nothing.
-func (c *ConfigHandler) EraChanged(*State, int64, int64) {}
+// EraChanged records the new era.
+func (c *ConfigHandler) EraChanged(s *State, _, to int64) { s.enterEra(to) }
 
 // Replace puts the configuration in force that the rows contain.
 func (c *ConfigHandler) Replace(s *State, rows []bergamotstore.Row) {
--- a/core/bergamotcluster/hubs.go
+++ b/core/bergamotcluster/hubs.go
@@ -61,7 +61,10 @@
 	Stopping func() bool    // reports whether the entry is stopping, so that another one should take its slot
 	// OnChange is called when this entry becomes or stops being a hub, and after each error.
 	OnChange func(hub bool, slot int, err error)
-	OnCount  func(entries int) // called for the first number of entries and for each change
+	// OnReclaim is called when the row of this entry's slot was lost in a restore of the store, or names an earlier holder, so
+	// that the entry writes it again; nil for none.
+	OnReclaim func(slot int)
+	OnCount   func(entries int) // called for the first number of entries and for each change
 
 	own      HubSlot // slot of this entry, with an empty name for none
 	slots    []HubSlot
@@ -72,6 +75,7 @@
 	counted  bool      // the rows count all entries, as those of before a restart do
 	released bool      // the slot was given up for good
 	holdoff  time.Time // until then reports of a free slot are ignored
+	restored time.Time // last restore of the store after which this entry registered at once
 }
 
 // Name returns "hubs".
@@ -82,7 +86,7 @@
 	switch {
 	case c.inFlight || c.released:
 		return s.Now().Add(time.Minute)
-	case c.Stopping() && c.isHub():
+	case c.isHub() && (c.Stopping() || s.restoredAt.After(c.restored)):
 		return s.Now()
 	default:
 		return c.nextStep
@@ -104,12 +108,19 @@
 			c.nextStep = early
 		}
 	}
+	restored := s.restoredAt.After(c.restored)
+	c.restored = s.restoredAt
+	if c.isHub() && restored {
+		c.nextStep = s.Now()
+	}
 	if s.Now().Before(c.nextStep) || c.Self().Address() == "" {
 		return nil
 	}
 	c.inFlight = true
 	if c.isHub() {
-		return []Task{NewTask(c.Name(), c.renew)}
+		// Right after a restore, the rows of the other hubs may be missing too until they register again.
+		readOthers := c.renewals%2 == 1 && !restored
+		return []Task{NewTask(c.Name(), func(ctx context.Context) Event { return c.renew(ctx, readOthers) })}
 	}
 	return []Task{NewTask(c.Name(), c.join)}
 }
@@ -148,53 +159,22 @@
 	})
 }
 
-// freeSlot returns the slot of the data centre that this entry should take; ok is false if all are taken. A slot that an
-// earlier process of this entry held is its own, and its count of entries holds until the entries follow it again.
-func (c *Hubs) freeSlot(slots []HubSlot, self bergamotmirror.Peer) (free HubSlot, ok bool) {
-	var candidates []HubSlot
-	for n := range hubsPerCentre {
-		slot := HubSlot{hub: bergamotmirror.NewHub(self, c.Centre, n, 0)}
-		taken := false
-		for _, held := range slots {
-			if held.hub.Centre() != c.Centre || held.hub.Slot() != n {
-				continue
-			}
-			slot.revision = held.revision
-			if held.hub.Name() == self.Name() {
-				slot.hub = bergamotmirror.NewHub(self, c.Centre, n, held.hub.Entries())
-				return slot, true
-			}
-			taken = held.isLive()
-		}
-		if !taken {
-			candidates = append(candidates, slot)
-		}
-	}
-	if len(candidates) == 0 {
-		return free, false
-	}
-	return candidates[int(c.Random()*float64(len(candidates)))], true
-}
-
-// withSlot returns the slots with one added or replaced.
-func (c *Hubs) withSlot(slots []HubSlot, stored HubSlot) []HubSlot {
-	out := slices.DeleteFunc(slices.Clone(slots), func(s HubSlot) bool {
-		return s.hub.Centre() == stored.hub.Centre() && s.hub.Slot() == stored.hub.Slot()
-	})
-	return append(out, stored)
-}
-
-// renew is a task that registers this entry again. Every second time it also reads the other hubs.
-func (c *Hubs) renew(ctx context.Context) Event {
+// renew is a task that registers this entry again and, if readOthers is set, reads the other hubs.
+func (c *Hubs) renew(ctx context.Context, readOthers bool) Event {
 	ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 	defer cancel()
 	hub := bergamotmirror.NewHub(c.Self(), c.Centre, c.own.hub.Slot(), c.Reader.Downstream())
 	own, ok, err := c.Table.PutHub(ctx, hub, c.own.revision)
 	slots := c.slots
-	if err == nil && c.renewals%2 == 1 {
+	if err == nil && readOthers {
 		slots, err = c.Table.Hubs(ctx)
 	}
 	return EventFunc(func(s *State) {
+		if err == nil && !ok && own.isRestored(c.own) && own.hub.Name() != hub.Name() {
+			// The row is older than the registration that was lost. Whoever took the slot since gives it up.
+			own = HubSlot{hub: hub, revision: own.revision, era: own.era}
+			c.reclaimed(hub.Slot())
+		}
 		if err == nil {
 			slots = c.withSlot(slots, own)
 		}
@@ -209,6 +189,13 @@
 	})
 }
 
+// reclaimed passes on that the row of the own slot was lost.
+func (c *Hubs) reclaimed(slot int) {
+	if c.OnReclaim != nil {
+		c.OnReclaim(slot)
+	}
+}
+
 // finish applies the result of join or renew.
 func (c *Hubs) finish(s *State, slots []HubSlot, own HubSlot, err error) {
 	c.inFlight = false
@@ -277,7 +264,10 @@
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 		defer cancel()
-		_, _, err := c.Table.PutHub(ctx, empty, revision)
+		stored, ok, err := c.Table.PutHub(ctx, empty, revision)
+		if err == nil && !ok && stored.hub.Name() == c.Self().Name() {
+			_, _, err = c.Table.PutHub(ctx, empty, stored.revision) // the revision was not known, or the store was restored
+		}
 		return EventFunc(func(*State) { c.OnChange(false, empty.Slot(), err) })
 	})}
 }
--- a/core/bergamotcluster/hubs_test.go
+++ b/core/bergamotcluster/hubs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -23,10 +24,23 @@
 	calls    int
 	vacant   bool // the other hub says that one is missing
 	err      error
+	era      int64
+}
+
+// copy returns a copy of the table.
+func (t *hubTable) copy() *hubTable {
+	c := *t
+	c.rows, c.written, c.revision = maps.Clone(t.rows), maps.Clone(t.written), maps.Clone(t.revision)
+	return &c
+}
+
+// restore replaces the rows by those of an older copy in a new era.
+func (t *hubTable) restore(older *hubTable) {
+	t.rows, t.written, t.revision, t.era = older.rows, older.written, older.revision, t.era+1
 }
 
 func newHubTable(now func() time.Time) *hubTable {
-	return &hubTable{now: now, rows: map[string]bergamotmirror.Hub{}, written: map[string]time.Time{}, revision: map[string]int64{}}
+	return &hubTable{now: now, rows: map[string]bergamotmirror.Hub{}, written: map[string]time.Time{}, revision: map[string]int64{}, era: 1}
 }
 
 func (t *hubTable) put(h bergamotmirror.Hub) (key string) {
@@ -37,7 +51,7 @@
 }
 
 func (t *hubTable) slot(key string) bergamotcluster.HubSlot {
-	return bergamotcluster.NewHubSlot(t.rows[key], t.revision[key], t.now().Sub(t.written[key]))
+	return bergamotcluster.NewHubSlot(t.rows[key], t.revision[key], t.now().Sub(t.written[key])).In(t.era)
 }
 
 func (t *hubTable) Hubs(context.Context) (slots []bergamotcluster.HubSlot, err error) {
@@ -113,6 +127,17 @@
 	}
 }
 
+// restore replaces the table by an older copy; if noticed is set, the entries learn of it from another table.
+func (f *hubFleet) restore(older *hubTable, noticed bool) {
+	f.table.restore(older)
+	for _, s := range f.states {
+		if noticed {
+			s.SetTime(f.state.Now())
+			(&bergamotcluster.ConfigHandler{}).EraChanged(s, 1, 2)
+		}
+	}
+}
+
 // hubs returns the entries that are hubs by their own account.
 func (f *hubFleet) hubs() (names []string) {
 	for name, e := range f.entries {
@@ -158,6 +183,26 @@
 			f.run(20 * time.Second)
 			f.table.err = nil
 		}, after: 4 * time.Second, same: true},
+		"stay hubs after a restore of a copy without their rows": {before: func(f *hubFleet, _ string) {
+			f.restore(newHubTable(f.state.Now), true)
+		}, after: 200 * time.Millisecond, same: true},
+		"stay hubs after a restore that they hear of from no table": {before: func(f *hubFleet, _ string) {
+			f.restore(newHubTable(f.state.Now), false)
+		}, after: 4100 * time.Millisecond, same: true},
+		"stay hubs after a restore of a copy with earlier holders": {before: func(f *hubFleet, _ string) {
+			older := f.table.copy()
+			older.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("x", "x"), "a", 0, 1))
+			older.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("y", "y"), "a", 1, 1))
+			f.restore(older, true)
+		}, after: 200 * time.Millisecond, same: true},
+		"stay hubs after a restore and a failed registration": {before: func(f *hubFleet, _ string) {
+			f.table.err = errStoreDown
+			f.run(5 * time.Second)
+			f.table.err = nil
+			older := f.table.copy()
+			older.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("x", "x"), "a", 0, 1))
+			f.restore(older, true)
+		}, after: 200 * time.Millisecond, same: true},
 	}, func(c hubCase) {
 		f := newHubFleet(12)
 		f.run(10 * time.Second)
@@ -185,6 +230,20 @@
 		gomega.Expect(f.hubs()).To(gomega.BeEmpty())
 	})
 
+	// Guards against two entries that take a slot from each other again and again after a restore.
+	ginkgo.It("write a lost slot again only once", func() {
+		f := newHubFleet(1)
+		f.run(5 * time.Second)
+		f.restore(newHubTable(f.state.Now), true)
+		f.run(time.Second)
+		gomega.Expect(f.hubs()).To(gomega.HaveLen(1))
+		for n := range 2 {
+			f.table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("x", "x"), "a", n, 1))
+		}
+		f.run(5 * time.Second)
+		gomega.Expect(f.hubs()).To(gomega.BeEmpty())
+	})
+
 	// Guards against a share of the retry budget that is too large because the first registrations count hubs only, and
 	// against entries without any after all of them were killed.
 	ginkgo.It("count entries only after others had time to follow them, but at once after a restart", func() {
--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -39,7 +39,7 @@
 	nextStep      time.Time
 	inFlight      bool
 	released      bool
-	handledOutage time.Time // end of the last store outage after which an attempt was made at once
+	handledResume time.Time // last return of the store after which an attempt was made at once
 }
 
 // Name returns "leadership".
@@ -52,7 +52,7 @@
 		return s.Now().Add(time.Minute)
 	case !c.mayHold(s):
 		return s.Now().Add(time.Minute)
-	case s.outageEnd.After(c.handledOutage):
+	case s.resumedAt().After(c.handledResume):
 		return s.Now()
 	default:
 		return c.nextStep
@@ -79,9 +79,10 @@
 	if c.nextStep.IsZero() {
 		c.nextStep = s.Now().Add(c.InitialDelay)
 	}
-	if s.outageEnd.After(c.handledOutage) {
-		// The holder could not renew the lease during the outage, and runners may have left meanwhile.
-		c.handledOutage, c.nextStep = s.outageEnd, s.Now()
+	if s.resumedAt().After(c.handledResume) {
+		// The holder could not renew the lease during the outage, and runners may have left meanwhile. After a restore, it writes
+		// its row again, and the term for which the others wait begins when they read the row.
+		c.handledResume, c.nextStep = s.resumedAt(), s.Now()
 	}
 	if c.inFlight || s.Now().Before(c.nextStep) || !c.mayHold(s) {
 		return nil
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -46,6 +46,8 @@
 	fleet         *bergamotfleet.Fleet // cache of Fleet, nil after a change of a runner
 	lastResumed   time.Time            // when reads of a table last succeeded again after one that failed
 	outageEnd     time.Time            // when reads of a table last succeeded again after an outage
+	era           int64                // of the store, 0 before the first change of it
+	restoredAt    time.Time            // when a table was first found to be of that era
 	grant         bergamotlease.Grant  // placement lease
 	entryCount    int                  // entries that share the runners, including this one
 	counted       bool                 // whether the entries have been counted
