Hold removed runners back when a restored table shows them again

After a restore of the store from an older copy the list had runners again whose removal was lost, and they got requests as if they were sound; runners that registered after the copy was made were removed at once if the outage was short; and a row of an earlier process replaced the present one.

A restore counts as an outage of any length. One that a restored table shows again is leaving if it was, or gets no work until its health path answers that it is healthy, since a runner that leaves goes on giving reports, or until it writes its row again. An earlier process than the known one, or a row that cannot be read, counts as a missing row. A leaving process stays so although its row names another address.

--- a/core/bergamotcluster/healthchecker.go
+++ b/core/bergamotcluster/healthchecker.go
@@ -13,9 +13,18 @@
 	maxChecks = 64
 )
 
+// Prober asks runners whether they may have work.
+type Prober interface {
+	// Healthy returns an error unless the runner of that name answers at path that it is healthy and not leaving.
+	Healthy(ctx context.Context, address, path, runner string) error
+}
+
 // HealthChecker is the controller that checks whether failed runners answer again.
 type HealthChecker struct {
-	Source      Reporter
+	Source Reporter
+	// Prober is asked too about runners that were removed before a restore of the store brought them back: one that leaves goes on
+	// giving reports.
+	Prober      Prober
 	OnRecovered func(runner string) // called when a failed runner answers again
 }
 
@@ -47,23 +56,32 @@
 			continue
 		}
 		free--
-		s.failed[name] = failure{since: f.since, nextCheck: s.Now().Add(checkInterval), checking: true}
+		f.nextCheck, f.checking = s.Now().Add(checkInterval), true
+		s.failed[name] = f
 		i, _ := s.Runner(name)
-		tasks = append(tasks, NewTask("check "+name, c.check(name, i.Address())))
+		path := ""
+		if f.held {
+			path = s.healthPath(i)
+		}
+		tasks = append(tasks, NewTask("check "+name, c.check(name, i.Address(), path)))
 	}
 	return tasks
 }
 
-// check returns a task function that reads the report of a runner and clears its failure.
-func (c *HealthChecker) check(name, address string) func(ctx context.Context) Event {
+// check returns a task function that reads the report of a runner and clears its failure. If path is not empty, the runner must
+// also be healthy.
+func (c *HealthChecker) check(name, address, path string) func(ctx context.Context) Event {
 	return func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
 		r, err := c.Source.Report(ctx, address)
+		if err == nil && path != "" {
+			err = c.Prober.Healthy(ctx, address, path, name)
+		}
 		return EventFunc(func(s *State) {
 			s.endCheck(name)
 			i, known := s.Runner(name)
-			if err != nil || !known || i.Address() != address {
+			if err != nil || !known || i.Address() != address || s.failed[name].held && path == "" {
 				return
 			}
 			spec := i.Spec()
--- a/core/bergamotcluster/roster.go
+++ b/core/bergamotcluster/roster.go
@@ -16,6 +16,12 @@
 // went silent is none.
 const minLapseOutage = 500 * time.Millisecond
 
+// Events of a runner that a restore of the store brought back although its process had been removed.
+const (
+	EventHeldBack = "held back after a restore"
+	EventLetIn    = "registered again after a restore"
+)
+
 // RunnerDecoder decodes the row of a runner.
 type RunnerDecoder interface {
 	Runner(key string, value []byte) (bergamotfleet.Spec, error)
@@ -28,18 +34,23 @@
 	// OnRunnerChange is called for each runner that joins, starts leaving, is removed or cannot be decoded.
 	OnRunnerChange func(i bergamotfleet.Instance, event string, err error)
 
-	graceEnd time.Time // until then a missing row may have expired only because of an outage
+	graceEnd time.Time // until then a missing row may have expired only because of an outage, or was lost in a restore
+	restored bool      // the next whole table is the first one after a restore
 }
 
-// EraChanged does nothing.
-func (c *Roster) EraChanged(*State, int64, int64) {}
+// EraChanged starts the grace period, however short the outage was: the copy lacks the runners that registered after it was made.
+func (c *Roster) EraChanged(s *State, _, to int64) {
+	s.enterEra(to)
+	c.restored = true
+	c.startGrace(s)
+}
 
 // Replace adds or updates all runners; those that are missing from the rows are removed.
 func (c *Roster) Replace(s *State, rows []bergamotstore.Row) {
+	defer func() { c.restored = false }()
 	present := map[string]bool{}
 	for _, r := range rows {
-		present[r.Key()] = true
-		c.applyRow(s, r)
+		present[r.Key()] = c.applyRow(s, r)
 	}
 	for name := range s.runners {
 		if !present[name] {
@@ -63,6 +74,11 @@
 	if down < minLapseOutage {
 		return
 	}
+	c.startGrace(s)
+}
+
+// startGrace starts the time after which missing runners are removed.
+func (c *Roster) startGrace(s *State) {
 	c.graceEnd = s.Now().Add(reregistrationGrace)
 	for name := range s.missing {
 		s.missing[name] = c.graceEnd
@@ -98,23 +114,38 @@
 	return nil
 }
 
-// applyRow adds or updates the runner of a row.
-func (c *Roster) applyRow(s *State, r bergamotstore.Row) {
+// applyRow adds or updates the runner of a row. It reports whether the row tells about the process that is known now.
+func (c *Roster) applyRow(s *State, r bergamotstore.Row) bool {
 	spec, err := c.Decoder.Runner(r.Key(), r.Value())
 	if err != nil {
 		// A row that cannot be decoded describes no runner.
 		c.OnRunnerChange(bergamotfleet.NewInstance(bergamotfleet.Spec{Name: r.Key()}), "unreadable entry", err)
-		s.RemoveRunner(r.Key())
-		return
+		if !c.restored {
+			s.RemoveRunner(r.Key())
+		}
+		return !c.restored
 	}
 	old, known := s.Runner(spec.Name)
+	if c.restored && known && spec.StartTime < old.StartTime() {
+		return false
+	}
 	switch {
 	case !known || old.StartTime() != spec.StartTime:
 		c.OnRunnerChange(bergamotfleet.NewInstance(spec), "joined", nil)
 	case spec.Leaving && !old.Leaving():
 		c.OnRunnerChange(bergamotfleet.NewInstance(spec), "leaving", nil)
 	}
+	if c.restored {
+		if s.restoreRunner(spec, r.Revision()) {
+			c.OnRunnerChange(bergamotfleet.NewInstance(spec), EventHeldBack, nil)
+		}
+		return true
+	}
 	s.PutRunner(spec)
+	if s.endHold(spec.Name, r.Revision()) {
+		c.OnRunnerChange(bergamotfleet.NewInstance(spec), EventLetIn, nil)
+	}
+	return true
 }
 
 // removeRow removes the runner of a deleted row, but only after the grace period if there was an outage.
@@ -123,9 +154,9 @@
 	if !known {
 		return
 	}
-	// A leaving runner is expected to disappear. Shortly after an outage the row of any other runner may be missing
-	// only because the runner could not renew it.
-	if !i.Leaving() && s.Now().Before(c.graceEnd) {
+	// A leaving runner is expected to disappear, and one that is held back was gone before. Shortly after an outage the row of any
+	// other runner may be missing only because the runner could not renew it.
+	if !i.Leaving() && !s.failed[name].held && s.Now().Before(c.graceEnd) {
 		s.missing[name] = c.graceEnd
 		return
 	}
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -43,6 +43,7 @@
 	lastLeaving   time.Time            // when the last runner started leaving
 	missing       map[string]time.Time // when to remove the runners whose rows are missing since an outage, by name
 	failed        map[string]failure   // runners that do not answer, by name
+	removed       removedProcesses     // processes of runners that were removed
 	fleet         *bergamotfleet.Fleet // cache of Fleet, nil after a change of a runner
 	lastResumed   time.Time            // when reads of a table last succeeded again after one that failed
 	outageEnd     time.Time            // when reads of a table last succeeded again after an outage
@@ -59,6 +60,8 @@
 	since     time.Time // when it was first found not to answer
 	nextCheck time.Time // when to check the runner again
 	checking  bool      // a check is in flight
+	held      bool      // it was removed, and a restored table shows it again; a check must also find it healthy
+	revision  int64     // of the row in that table
 }
 
 // NewState returns an empty state.
@@ -100,6 +103,12 @@
 // one, so nothing of the old one is kept.
 func (s *State) PutRunner(spec bergamotfleet.Spec) {
 	old, known := s.runners[spec.Name]
+	if known && old.StartTime() == spec.StartTime {
+		// A draining process never returns to service, so an outdated row must not clear the flag.
+		spec.Leaving = spec.Leaving || old.Leaving()
+	} else if known {
+		s.removed.add(old, s.now)
+	}
 	switch {
 	case !known || old.StartTime() != spec.StartTime || old.Address() != spec.Address:
 		s.lastJoined = s.now
@@ -110,8 +119,6 @@
 		if spec.Leaving && !old.Leaving() {
 			s.lastLeaving = s.now
 		}
-		// A draining runner never returns to service, so an outdated row must not clear the flag.
-		spec.Leaving = spec.Leaving || old.Leaving()
 	}
 	delete(s.missing, spec.Name)
 	_, spec.Failed = s.failed[spec.Name]
@@ -119,8 +126,11 @@
 	s.fleet = nil
 }
 
-// RemoveRunner deletes a runner.
+// RemoveRunner deletes a runner; its process is remembered for some time.
 func (s *State) RemoveRunner(name string) {
+	if i, known := s.runners[name]; known {
+		s.removed.add(i, s.now)
+	}
 	delete(s.runners, name)
 	delete(s.failed, name)
 	delete(s.missing, name)
--- a/core/bergamotconfig/service.go
+++ b/core/bergamotconfig/service.go
@@ -4,13 +4,23 @@
 
 // Service is a set of interchangeable runners, or of runners that execute the layers of one model.
 type Service struct {
-	name   string
-	engine *Engine
+	name       string
+	engine     *Engine
+	healthPath string
 }
 
 // NewService returns a service; engine is nil for a plain service, whose runners hold no layers of a model.
 func NewService(name string, engine *Engine) Service { return Service{name: name, engine: engine} }
 
+// WithHealthPath returns a copy of s whose runners tell at a path whether they may have work.
+func (s Service) WithHealthPath(path string) Service {
+	s.healthPath = path
+	return s
+}
+
+// HealthPath returns the path at which the runners tell whether they may have work, empty if it is not declared.
+func (s Service) HealthPath() string { return s.healthPath }
+
 // Name returns the unique name.
 func (s Service) Name() string { return s.name }
 
