Remove a runner that does not register again although it answers

A runner whose row was missing after an outage and that answered a check or a poll of its layers lost the mark with the end of its grace period, since both write the runner into the state: it was used for good although its row was gone. Only a row ends the mark now. The spec fails on the code before.

--- a/core/bergamotcluster/removed.go
+++ b/core/bergamotcluster/removed.go
@@ -62,6 +62,7 @@
 // failed until it is found to be healthy or writes its row again.
 func (s *State) restoreRunner(spec bergamotfleet.Spec, revision int64) (held bool) {
 	old, known := s.runners[spec.Name]
+	delete(s.missing, spec.Name)
 	removed, ok := s.removed.find(bergamotfleet.NewInstance(spec).Process(), s.now)
 	if !ok || known && old.StartTime() == spec.StartTime {
 		s.PutRunner(spec)
--- a/core/bergamotcluster/roster.go
+++ b/core/bergamotcluster/roster.go
@@ -142,6 +142,7 @@
 		return true
 	}
 	s.PutRunner(spec)
+	delete(s.missing, spec.Name)
 	if s.endHold(spec.Name, r.Revision()) {
 		c.OnRunnerChange(bergamotfleet.NewInstance(spec), EventLetIn, nil)
 	}
--- a/core/bergamotcluster/roster_test.go
+++ b/core/bergamotcluster/roster_test.go
@@ -148,6 +148,18 @@
 		gomega.Expect(f.status()).To(gomega.Equal(c.last))
 	})
 
+	// Guards against a runner that is used for good since it answered a check while its row was missing.
+	ginkgo.It("is removed although it answers, if it does not register again", func() {
+		f := newRosterFixture(true, 1)
+		f.apply("1")
+		f.restore("", 2)
+		f.state.MarkFailed("x")
+		f.wait(time.Second)
+		gomega.Expect(f.status()).To(gomega.Equal("sound"))
+		f.wait(2 * time.Second)
+		gomega.Expect(f.status()).To(gomega.Equal("gone"))
+	})
+
 	// Guards against a whole table that is read again in the same era and counts as the word of a runner that is held back.
 	ginkgo.It("is not let in by another read of the same row", func() {
 		f := newRosterFixture(false, 1)
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -120,7 +120,6 @@
 			s.lastLeaving = s.now
 		}
 	}
-	delete(s.missing, spec.Name)
 	_, spec.Failed = s.failed[spec.Name]
 	s.runners[spec.Name] = bergamotfleet.NewInstance(spec)
 	s.fleet = nil
