Take the later one of two configurations with the same version

After a restore of the store from an older copy the operator may write a version whose number an entry already has in force, with another content: the entry ignored it as not newer. The row with the later position in the history of the store is in force now. An older version of the operator never comes back, and the same content written again changes nothing, as before.

--- a/core/bergamotcluster/confighandler.go
+++ b/core/bergamotcluster/confighandler.go
@@ -1,6 +1,7 @@
 package bergamotcluster
 
 import (
+	"bytes"
 	"time"
 
 	"bergamotspur/core/bergamotconfig"
@@ -17,16 +18,32 @@
 	Key      string // of the row with the newest configuration
 	Decoder  ConfigDecoder
 	OnConfig func(version int64, err error) // called for each configuration that takes effect or cannot be decoded
+	// OnLost is called when the version in the store, 0 for none, becomes older than the one in force, as after a restore from an
+	// older copy until the operator writes it again, and with lost false when it is no more; nil for none.
+	OnLost func(inForce, stored int64, lost bool)
+
+	era   int64                  // of the rows, 0 before the first restore
+	at    bergamotstore.Position // of the row with the configuration in force
+	value []byte                 // of that row
+	lost  bool                   // whether OnLost was called last with that
 }
 
-// EraChanged records the new era.
-func (c *ConfigHandler) EraChanged(s *State, _, to int64) { s.enterEra(to) }
+// EraChanged records the new era, in which the operator may give a version out again with another content.
+func (c *ConfigHandler) EraChanged(s *State, _, to int64) {
+	s.enterEra(to)
+	c.era = to
+}
 
 // Replace puts the configuration in force that the rows contain.
 func (c *ConfigHandler) Replace(s *State, rows []bergamotstore.Row) {
+	present := false
 	for _, r := range rows {
+		present = present || r.Key() == c.Key
 		c.applyRow(s, r)
 	}
+	if !present {
+		c.recordStored(s, 0)
+	}
 }
 
 // ApplyChange puts the configuration in force that the change contains; the deletion of the row is ignored.
@@ -55,7 +72,28 @@
 		c.OnConfig(0, err)
 		return
 	}
-	if s.SetConfig(cfg) {
+	at := bergamotstore.NewPosition(c.era, r.Revision())
+	switch {
+	case s.SetConfig(cfg):
+		c.at, c.value = at, r.Value()
 		c.OnConfig(cfg.Version(), nil)
+	case cfg.Version() == s.Config().Version() && at.Compare(c.at) > 0:
+		if !bytes.Equal(r.Value(), c.value) {
+			s.replaceConfig(cfg)
+			c.OnConfig(cfg.Version(), nil)
+		}
+		c.at, c.value = at, r.Value()
+	}
+	c.recordStored(s, cfg.Version())
+}
+
+// recordStored compares the version in the store with the one in force.
+func (c *ConfigHandler) recordStored(s *State, stored int64) {
+	if s.Config() == nil || c.OnLost == nil {
+		return
+	}
+	if lost := stored < s.Config().Version(); lost != c.lost {
+		c.lost = lost
+		c.OnLost(s.Config().Version(), stored, lost)
 	}
 }
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -81,7 +81,8 @@
 // Config returns the configuration in force, nil before the first is known.
 func (s *State) Config() *bergamotconfig.Config { return s.config }
 
-// SetConfig puts c in force and reports whether it did; a version that is not newer is ignored.
+// SetConfig puts c in force and reports whether it did; a version that is not newer is ignored. The order
+// is the operator's own, so that a restore of the store from an older copy takes no version back.
 func (s *State) SetConfig(c *bergamotconfig.Config) bool {
 	if s.config != nil && c.Version() <= s.config.Version() {
 		return false
@@ -90,6 +91,9 @@
 	return true
 }
 
+// replaceConfig puts c in force, which has the version of the configuration in force.
+func (s *State) replaceConfig(c *bergamotconfig.Config) { s.config = c }
+
 // ConfirmConfig records that the configuration was current at a time of the clock that counts suspended time.
 func (s *State) ConfirmConfig(at time.Duration) { s.confirmedAt = max(s.confirmedAt, at) }
 
