Write failures again that a restore of the store lost

After a restore of the store from an older copy all entries forgot the failures that the copy lacked, so that a deadly content cost runners again, and learned those again whose contents had been cleared, so that sound requests were refused for up to ten minutes.

A failure that is missing from a restored table stays in the ledger until it expires. The entry that wrote or removed the row of a failure last does that again, within a second; the others write nothing, so that the calls do not grow with the entries. If that entry is gone, the failure is not written again, and a cleared one stays until it expires. A write whose reply arrives after the restore is repeated.

Five of the six specs of the table fail when the first table of an era is read like any other, as before.

--- a/core/bergamotcluster/suspects.go
+++ b/core/bergamotcluster/suspects.go
@@ -58,6 +58,11 @@
 	// OnFailure is called for each failure that is learned from the store, and with an error for each row that cannot be
 	// decoded, each failed write, and each failure that is not shared. It may be called by any goroutine.
 	OnFailure func(f bergamotsuspect.Failure, err error)
+	// OnRewrite is called for each failure that this entry writes or removes again since a restore lost that; nil for none.
+	OnRewrite func(f bergamotsuspect.Failure)
+	// Random returns a number from 0 (included) to 1 (excluded), nil for 0. It delays what entries write after a restore, so that
+	// they do not all write at once.
+	Random func() float64
 
 	mu      sync.Mutex
 	pending map[string]bergamotsuspect.Failure // to be written, by ID; without contents to be removed
@@ -67,6 +72,9 @@
 	writing     bool
 	nextWrite   time.Time
 	retryDelay  time.Duration // after the last write, 0 when it succeeded
+	own         ownFailures
+	era         int64 // of the rows, 0 before the first restore
+	restored    bool  // the next whole table is the first one after a restore
 }
 
 // Share adds a failure to those to be written. It may be called by any goroutine and does not wake the control loop.
@@ -135,12 +143,12 @@
 		return nil
 	}
 	c.writing = true
-	expired := c.expired(s.Now(), maxFailuresPerWrite-len(remove))
+	era, expired := c.era, c.expired(s.Now(), maxFailuresPerWrite-len(remove))
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 		defer cancel()
 		err := c.Table.PutFailures(ctx, put, append(slices.Clone(remove), expired...))
-		return EventFunc(func(s *State) { c.finish(s, put, remove, err) })
+		return EventFunc(func(s *State) { c.finish(s, put, remove, era, err) })
 	})}
 }
 
@@ -185,11 +193,12 @@
 	return keys
 }
 
-// finish schedules the next write, and the same one again after an error.
-func (c *Suspects) finish(s *State, put []bergamotsuspect.Failure, remove []string, err error) {
+// finish schedules the next write, and the same one again after an error or if the store may have been restored since.
+func (c *Suspects) finish(s *State, put []bergamotsuspect.Failure, remove []string, era int64, err error) {
 	c.writing = false
-	if err == nil {
+	if err == nil && era == c.era {
 		c.retryDelay = 0
+		c.own.written(put, remove, s.Now(), c.MaxAge)
 		return
 	}
 	c.retryDelay = min(max(2*c.retryDelay, failureRetryDelay), maxFailureRetryDelay)
@@ -200,10 +209,12 @@
 	for _, id := range remove {
 		c.shareAgain(bergamotsuspect.NewCleared(id))
 	}
-	c.OnFailure(bergamotsuspect.Failure{}, err)
+	if err != nil {
+		c.OnFailure(bergamotsuspect.Failure{}, err)
+	}
 }
 
-// shareAgain adds a failure whose write failed, unless it has changed meanwhile.
+// shareAgain adds a failure whose write failed or was lost, unless it has changed meanwhile.
 func (c *Suspects) shareAgain(f bergamotsuspect.Failure) {
 	c.mu.Lock()
 	_, changed := c.pending[f.ID()]
@@ -213,11 +224,18 @@
 	}
 }
 
-// EraChanged does nothing.
-func (c *Suspects) EraChanged(*State, int64, int64) {}
+// EraChanged prepares for a table that lacks writes of the entries.
+func (c *Suspects) EraChanged(s *State, _, to int64) {
+	s.enterEra(to)
+	c.era, c.restored = to, true
+}
 
-// Replace learns all failures; those that are missing from the rows were removed.
+// Replace learns all failures; those that are missing from the rows were removed, or lost in a restore.
 func (c *Suspects) Replace(s *State, rows []bergamotstore.Row) {
+	if c.restored {
+		c.replaceRestored(s, rows)
+		return
+	}
 	missing := maps.Clone(c.stored)
 	for _, r := range rows {
 		delete(missing, r.Key())
@@ -231,6 +249,7 @@
 // ApplyChange learns or forgets one failure.
 func (c *Suspects) ApplyChange(s *State, change bergamotstore.Change) {
 	if change.Deleted() {
+		c.own.removed(change.Row().Key())
 		c.forget(change.Row().Key())
 		return
 	}
@@ -256,7 +275,7 @@
 	f, err := c.Decoder.Failure(r.Key(), r.Value())
 	c.stored[r.Key()] = s.Now().Add(c.MaxAge - f.Age())
 	c.storedCount.Store(int64(len(c.stored)))
-	if err == nil {
+	if err == nil && !c.ownRow(s, f) {
 		c.Ledger.Merge([]bergamotsuspect.Failure{f})
 	}
 	c.OnFailure(f, err)
--- a/core/bergamotsuspect/failure.go
+++ b/core/bergamotsuspect/failure.go
@@ -53,6 +53,15 @@
 // Age returns how long ago the instance failed.
 func (f Failure) Age() time.Duration { return f.age }
 
+// WithAge returns the failure as one that was d ago.
+func (f Failure) WithAge(d time.Duration) Failure {
+	f.age = d
+	return f
+}
+
+// IsNarrowerThan reports whether contents of an earlier state of the failure have been cleared in f.
+func (f Failure) IsNarrowerThan(earlier Failure) bool { return earlier.missing(f.contents) > 0 }
+
 // without returns the failure without contents that are not the cause.
 func (f Failure) without(cleared []Digest) Failure {
 	f.contents = slices.DeleteFunc(slices.Clone(f.contents), func(d Digest) bool { return slices.Contains(cleared, d) })
