Keep the layers of a runner that a restored table shows with older ones

The rows of a copy have the layers that runners held when it was made. After a restore of the store requests were sent along paths that no longer held, and the holder of the lease planned from them, until the runners wrote their rows again.

A row that is not newer than the last one of the same process, by the sequence number in it, changes nothing after a restore. The two specs of later layers fail on the code before.

--- a/core/bergamotcluster/removed.go
+++ b/core/bergamotcluster/removed.go
@@ -63,6 +63,12 @@
 func (s *State) restoreRunner(spec bergamotfleet.Spec, revision int64) (held bool) {
 	old, known := s.runners[spec.Name]
 	delete(s.missing, spec.Name)
+	if known && old.StartTime() == spec.StartTime && spec.Sequence <= old.Sequence() {
+		// The row is not newer than the last one, and the layers may also be known from a report.
+		leaving := spec.Leaving
+		spec = old.Spec()
+		spec.Leaving = spec.Leaving || leaving
+	}
 	removed, ok := s.removed.find(bergamotfleet.NewInstance(spec).Process(), s.now)
 	if !ok || known && old.StartTime() == spec.StartTime {
 		s.PutRunner(spec)
--- a/core/bergamotcluster/roster_test.go
+++ b/core/bergamotcluster/roster_test.go
@@ -27,6 +27,16 @@
 	}, nil
 }
 
+// sequenceDecoder decodes a row as a sequence number and the number of layers held.
+type sequenceDecoder struct{}
+
+func (sequenceDecoder) Runner(key string, value []byte) (bergamotfleet.Spec, error) {
+	return bergamotfleet.Spec{
+		Name: key, Address: key, StartTime: 1, Sequence: int64(value[0] - '0'),
+		Holdings: []bergamotfleet.Holding{bergamotfleet.NewHolding("m", "1", 0, int(value[1]-'0'))},
+	}, nil
+}
+
 // fakeProber is a prober of runners that are all healthy or not.
 type fakeProber struct{ healthy bool }
 
@@ -110,6 +120,12 @@
 	last     string // status 5 s after that
 }
 
+type restoredLayersCase struct {
+	known    string // last row before the restore: its sequence and its layers
+	restored string // row in the copy
+	want     int    // layers
+}
+
 var _ = ginkgo.Describe("a runner in a restored table", func() {
 	// Guards against work for runners that had left, against losing sound runners that registered after the copy was made, and
 	// against an earlier process in place of the present one.
@@ -148,6 +164,20 @@
 		gomega.Expect(f.status()).To(gomega.Equal(c.last))
 	})
 
+	// Guards against requests and orders for layers that a runner held when the copy was made.
+	bergamottest.Cases(map[string]restoredLayersCase{
+		"keeps the layers of a later row":       {known: "85", restored: "73", want: 5},
+		"keeps the layers of a row of no order": {known: "05", restored: "03", want: 5},
+		"takes the layers of a row that is new": {known: "73", restored: "85", want: 5},
+	}, func(c restoredLayersCase) {
+		f := newRosterFixture(true, 1)
+		f.roster.Decoder = sequenceDecoder{}
+		f.apply(c.known)
+		f.restore(c.restored, 2)
+		i, _ := f.state.Runner("x")
+		gomega.Expect(i.Holdings()[0].To()).To(gomega.Equal(c.want))
+	})
+
 	// Guards against a runner that is used for good since it answered a check while its row was missing.
 	ginkgo.It("is removed although it answers, if it does not register again", func() {
 		f := newRosterFixture(true, 1)
--- a/core/bergamotfleet/instance.go
+++ b/core/bergamotfleet/instance.go
@@ -21,6 +21,7 @@
 	MaxLayers       int       // number of layers that fit into the memory
 	Slots           int       // requests that a plain service runs at the same time, 0 if not known
 	StartTime       int64     // start of the process in Unix milliseconds; a different value means a different process
+	Sequence        int64     // rises with the rows that the process writes, 0 if not known
 	SupportsFencing bool      // the instance rejects commands with an old fencing token
 	ListedLeaving   bool      // the instance list marks the instance as leaving
 	Leaving         bool      // the instance is leaving and must get no new work
@@ -66,6 +67,9 @@
 // StartTime returns the start of the process in Unix milliseconds; a different value means a different process.
 func (i Instance) StartTime() int64 { return i.fields().StartTime }
 
+// Sequence returns a number that rises with the rows that the process writes, 0 if it is not known.
+func (i Instance) Sequence() int64 { return i.fields().Sequence }
+
 // Process returns a name that differs between the processes that had the instance's name one after another.
 func (i Instance) Process() string {
 	return i.fields().Name + "@" + strconv.FormatInt(i.fields().StartTime, 10)
