Tell operators of a lost configuration that the copies of entries keep

The copy of a table keeps the operator's newer row after a restore, so that the handler of the configuration took it for the one in the store, and neither the line 'config: lost from the store' nor the gauge showed the loss. A row that was kept names the era of its content. Entries that follow another one do not learn the era; those that read the store show the loss.

The spec of the kept row fails without the era of the row.

--- a/core/bergamotcluster/confighandler.go
+++ b/core/bergamotcluster/confighandler.go
@@ -18,7 +18,7 @@
 	Key      string // of the row with the newest configuration
 	Decoder  ConfigDecoder
 	OnConfig func(version int64, err error) // called for each configuration that takes effect or cannot be decoded
-	// OnLost is called when the version in the store, 0 for none, becomes older than the one in force, as after a restore from an
+	// OnLost is called when the version in the store, 0 for none, becomes older than the one in force or is not known, as after a restore from an
 	// older copy until the operator writes it again, and with lost false when it is no more; nil for none.
 	OnLost func(inForce, stored int64, lost bool)
 
@@ -84,7 +84,11 @@
 		}
 		c.at, c.value = at, r.Value()
 	}
-	c.recordStored(s, cfg.Version())
+	stored := cfg.Version()
+	if r.Era() != 0 && r.Era() < c.era {
+		stored = 0 // a content of an earlier era that only the copies of entries still have
+	}
+	c.recordStored(s, stored)
 }
 
 // recordStored compares the version in the store with the one in force.
--- a/core/bergamotcluster/confighandler_test.go
+++ b/core/bergamotcluster/confighandler_test.go
@@ -22,6 +22,7 @@
 
 type restoredConfigCase struct {
 	restored string   // row in the copy, empty for none
+	kept     bool     // the row is the lost one, which the copy of the table has kept
 	after    []string // writes after the restore
 	want     string   // version and service in force
 	taken    int      // configurations that took effect after the restore
@@ -35,6 +36,7 @@
 		"stays in force while the store has an older one":     {restored: "5old", want: "7own", lost: []bool{true}},
 		"stays in force while the store has none":             {want: "7own", lost: []bool{true}},
 		"is the same one when it is written again":            {restored: "5old", after: []string{"7own"}, want: "7own", lost: []bool{true, false}},
+		"is lost although the copy of the table has kept it":  {restored: "7own", kept: true, after: []string{"7own"}, want: "7own", lost: []bool{true, false}},
 		"is replaced by a newer one":                          {restored: "5old", after: []string{"8new"}, want: "8new", taken: 1, lost: []bool{true, false}},
 		"is replaced by another one of its number":            {restored: "5old", after: []string{"7new"}, want: "7new", taken: 1, lost: []bool{true, false}},
 		"is replaced by another one in the whole table":       {restored: "7new", want: "7new", taken: 1},
@@ -42,6 +44,7 @@
 		"stays in force while the operator writes older ones": {restored: "5old", after: []string{"6new", "7own"}, want: "7own", lost: []bool{true, false}},
 	}, func(c restoredConfigCase) {
 		var taken int
+		keptEra := map[bool]int64{true: 1}
 		var lost []bool
 		h := &bergamotcluster.ConfigHandler{
 			Key: "config", Decoder: serviceDecoder{}, OnConfig: func(int64, error) { taken++ },
@@ -54,7 +57,7 @@
 		var rows []bergamotstore.Row
 		revision := int64(20)
 		if c.restored != "" {
-			rows = append(rows, bergamotstore.NewRow("config", revision, []byte(c.restored)))
+			rows = append(rows, bergamotstore.NewRow("config", revision, []byte(c.restored)).In(keptEra[c.kept]))
 		}
 		h.Replace(s, rows)
 		for _, value := range c.after {
--- a/core/bergamotmirror/retain.go
+++ b/core/bergamotmirror/retain.go
@@ -1,6 +1,10 @@
 package bergamotmirror
 
-import "bergamotspur/core/bergamotstore"
+import (
+	"cmp"
+
+	"bergamotspur/core/bergamotstore"
+)
 
 // RowOrder reports whether the writer of a row numbered a over b. The numbers are part of the values, so that they outlive a
 // restore of the store, unlike revisions.
@@ -21,7 +25,9 @@
 		row := c.Row()
 		own, ok := m.rows[row.Key()]
 		if ok && !c.Deleted() && (laterEra || own.Revision() == row.Revision()) && m.newer(own, row) {
-			out[i] = bergamotstore.NewChange(bergamotstore.NewRow(row.Key(), row.Revision(), own.Value()), false)
+			// The era tells this entry that the store lacks the content.
+			retained := bergamotstore.NewRow(row.Key(), row.Revision(), own.Value()).In(cmp.Or(own.Era(), m.position.Era()))
+			out[i] = bergamotstore.NewChange(retained, false)
 		}
 	}
 	return out
--- a/core/bergamotmirror/retain_test.go
+++ b/core/bergamotmirror/retain_test.go
@@ -69,5 +69,7 @@
 		reading := f.read("late", at(2))
 		gomega.Expect(reading.Whole()).To(gomega.BeTrue())
 		gomega.Expect(string(reading.Rows()[0].Value())).To(gomega.Equal("7"))
+		// The operators are told that the store lacks the content.
+		gomega.Expect(reading.Rows()[0].Era()).To(gomega.Equal(reading.Position().Era() - 1))
 	})
 })
