--- a/core/bergamotlease/era.go
+++ b/core/bergamotlease/era.go
@@ -25,9 +25,9 @@
 // tokensPerEra is the number of fencing tokens of an era. Those of the eras before are lower, whatever the copy has lost.
 const tokensPerEra = 1 << 32
 
-// isLost reports whether the record in a row tells nothing about who holds the lease: the table service was restored, and the
-// record is from the copy, or was written by a delayed request for a row of an earlier era. The lost row may have named another
-// holder, whose grant ends within a term after the restore.
+// isLost reports whether the record in a row tells nothing about who holds the lease: it is of another era than the row, that is,
+// of the copy that was restored, or of a delayed request for a row of an earlier era. The lost row may have named another
+// holder, whose grant ends within a term after the restore. In the first era no row can be lost.
 func isLost(row bergamotstore.Row, r record) bool { return row.Era() > 1 && r.Era != row.Era() }
 
 // nextToken returns the fencing token of an acquisition. The first one of an era is higher than all of the eras before, and
