Lend retries by registrations, not by who has asked lately

Without the store each answer of a hub is out of date, so that entries try one hub after the other.

A hub now lends for the entries of its last registration, which changes only with the store.

--- a/core/bergamotcluster/hubs.go
+++ b/core/bergamotcluster/hubs.go
@@ -65,6 +65,9 @@
 	// that the entry writes it again; nil for none.
 	OnReclaim func(slot int)
 	OnCount   func(entries int) // called for the first number of entries and for each change
+	// OnRegister is called after each registration that counts the entries behind this hub, and with 0 when this entry is no hub
+	// any more. settled is set if no other hub counted them when this entry became a hub.
+	OnRegister func(entries int, settled bool)
 
 	own      HubSlot // slot of this entry, with an empty name for none
 	slots    []HubSlot
@@ -73,6 +76,7 @@
 	entries  int       // number of entries that OnCount was called with last
 	renewals int       // since this entry became a hub
 	counted  bool      // the rows count all entries, as those of before a restart do
+	settled  bool      // no other hub counted the entries behind this one when it became a hub
 	released bool      // the slot was given up for good
 	holdoff  time.Time // until then reports of a free slot are ignored
 	restored time.Time // last restore of the store after which this entry registered at once
@@ -143,9 +147,9 @@
 	self := c.Self()
 	slots, err := c.Table.Hubs(ctx)
 	var own HubSlot
-	rejoins := false
+	rejoins, settled := false, false
 	if free, ok := c.freeSlot(slots, self); ok && err == nil {
-		rejoins = free.hub.Entries() > 0
+		rejoins, settled = free.hub.Entries() > 0, isSettled(slots, self.Name())
 		var taken bool
 		stored, taken, putErr := c.Table.PutHub(ctx, free.hub, free.revision)
 		slots, err = c.withSlot(slots, stored), putErr
@@ -154,7 +158,8 @@
 		}
 	}
 	return EventFunc(func(s *State) {
-		c.counted = rejoins
+		// A hub whose registration was lost in a restore of the store may lend for some seconds more.
+		c.counted, c.settled = rejoins, settled && s.restoredAt.IsZero()
 		c.finish(s, slots, own, err)
 	})
 }
@@ -210,6 +215,9 @@
 	wasHub := c.isHub()
 	c.slots, c.own = slots, own
 	c.publish(s)
+	if wasHub && !c.isHub() {
+		c.OnRegister(0, false)
+	}
 	switch {
 	case !c.isHub():
 		c.renewals, c.nextStep, c.holdoff = 0, s.Now().Add(hubsRefresh), s.Now().Add(vacancyHoldoff)
@@ -248,6 +256,7 @@
 		if c.counted || c.renewals > 0 {
 			// The first two registrations of new hubs do not count all entries that will follow them.
 			c.Reader.CountEntries(entries)
+			c.OnRegister(c.own.hub.Entries(), c.settled)
 		}
 		c.Reader.SetVacant(local < hubsPerCentre)
 	}
--- a/core/bergamotcluster/hubs_test.go
+++ b/core/bergamotcluster/hubs_test.go
@@ -91,7 +91,7 @@
 			Centre: centre, Name: name, Random: func(int) int { return 0 }, Now: func() time.Duration { return t.now().Sub(start) },
 		},
 		Random: rand.New(rand.NewPCG(1, 2)).Float64, Stopping: func() bool { return false },
-		OnChange: func(bool, int, error) {}, OnCount: func(int) {},
+		OnChange: func(bool, int, error) {}, OnCount: func(int) {}, OnRegister: func(int, bool) {},
 	}
 }
 
@@ -256,4 +256,58 @@
 		f.run(100 * time.Millisecond)
 		gomega.Expect(f.entries["e0"].Reader.Entries()).To(gomega.Equal(1))
 	})
+
+	// Guards against hubs that lend for the same entries: without the store, these tried one hub after the other and counted
+	// at each of them, so that 543 retries were lent in ten seconds where 169 may be.
+	bergamottest.Cases(map[string]registerCase{
+		"report their entries, which no other hub can have counted, at first": {settled: true, entries: 1},
+		"do so again after a restart": {
+			settled: true, entries: 1, before: func(f *hubFleet, hub string) { f.startEntry(hub) },
+		},
+		"report that the one that they replace may have counted them": {entries: 1, before: func(f *hubFleet, hub string) {
+			delete(f.entries, hub)
+			f.run(15 * time.Second)
+		}},
+		"report nothing new without the store": {before: func(f *hubFleet, _ string) { f.table.err = errStoreDown }},
+		"report that they are none any more": {zero: true, before: func(f *hubFleet, _ string) {
+			f.table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("x", "x"), "a", 0, 1))
+			f.table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer("y", "y"), "a", 1, 1))
+		}},
+	}, func(c registerCase) {
+		f := newHubFleet(3)
+		if c.before != nil {
+			f.run(10 * time.Second)
+			hub := f.hubs()[0]
+			f.table.vacant = true
+			c.before(f, hub)
+		}
+		var calls []registerCall
+		for _, e := range f.entries {
+			e.OnRegister = func(entries int, settled bool) { calls = append(calls, registerCall{entries, settled}) }
+		}
+		f.run(8 * time.Second)
+		want := gomega.BeEmpty()
+		switch {
+		case c.zero:
+			want = gomega.ContainElements(registerCall{}, registerCall{})
+		case c.settled:
+			want = gomega.HaveEach(registerCall{c.entries, true})
+		case c.entries > 0:
+			want = gomega.ContainElement(registerCall{c.entries, false})
+		}
+		gomega.Expect(calls).To(want)
+	})
 })
+
+// registerCall is a call of OnRegister.
+type registerCall struct {
+	entries int
+	settled bool
+}
+
+type registerCase struct {
+	before  func(f *hubFleet, hub string)
+	entries int
+	settled bool
+	zero    bool // both hubs have lost their slots
+}
--- a/core/bergamotcluster/hubslot.go
+++ b/core/bergamotcluster/hubslot.go
@@ -79,3 +79,10 @@
 	})
 	return append(out, stored)
 }
+
+// isSettled reports whether no other hub counts the entries that will read through an entry that becomes a hub: its earlier
+// process is still registered, or no hub counts any.
+func isSettled(slots []HubSlot, name string) bool {
+	counting := slices.DeleteFunc(slices.Clone(slots), func(s HubSlot) bool { return !s.isLive() || s.hub.Entries() == 0 })
+	return len(counting) == 0 || slices.ContainsFunc(counting, func(s HubSlot) bool { return s.hub.Name() == name })
+}
--- a/core/bergamotcluster/simulation_test.go
+++ b/core/bergamotcluster/simulation_test.go
@@ -121,7 +121,7 @@
 	client.observe = e.reader.ObserveStore
 	e.hubs = &bergamotcluster.Hubs{
 		Centre: centre, Self: self, Table: client, Peers: e.reader.Peers, Reader: e.reader, Random: float, Stopping: func() bool { return false },
-		OnChange: func(bool, int, error) {}, OnCount: func(int) {},
+		OnChange: func(bool, int, error) {}, OnCount: func(int) {}, OnRegister: func(int, bool) {},
 	}
 	loop := &bergamotloop.Loop[*bergamotcluster.State]{
 		Clock: s.clock, Period: time.Second, NewState: bergamotcluster.NewState, Publish: e.publish,
--- a/core/bergamotretry/hub.go
+++ b/core/bergamotretry/hub.go
@@ -26,8 +26,7 @@
 type HubSource interface {
 	// Hub returns the hub through which this entry reads the store, which may be itself; ok is false if there is none.
 	Hub() (hub bergamotmirror.Peer, ok bool)
-	Downstream() int // entries that read through this one, including itself
-	Entries() int    // entries of all data centres, 0 if that is not known
+	Entries() int // entries of all data centres, 0 if that is not known
 }
 
 // Network borrows retries from hubs.
@@ -43,6 +42,7 @@
 	Hubs     HubSource
 	Network  Network
 	Lendable *Budget                                                    // retries that this entry lends as a hub
+	Share    *Share                                                     // part of the retries to lend that this entry lends as a hub
 	Reserve  float64                                                    // retries per window beyond a share of the first attempts, of all entries
 	OnRefuse func(service string, share float64, hub string, err error) // called for each retry that was not lent
 }
@@ -74,13 +74,17 @@
 	return lent
 }
 
-// Lend takes one retry of a service from the part of the budget of the entries that read through this hub.
+// Registered records that this entry is registered as a hub through which a number of entries read, 0 if it is no hub any
+// more. If settled is set, no other hub can have lent for these entries.
+func (l *HubLender) Registered(entries int, settled bool) {
+	l.Share.Observe(float64(entries)/float64(max(l.Hubs.Entries(), entries, minEntries)), settled)
+}
+
+// Lend takes one retry of a service from the part of the budget of the entries that are registered behind this hub.
 func (l *HubLender) Lend(service string, share float64) bool {
-	hub, ok := l.Hubs.Hub()
-	entries := l.Hubs.Entries()
-	if !ok || hub.Name() != l.Name || entries == 0 {
+	if hub, ok := l.Hubs.Hub(); !ok || hub.Name() != l.Name {
 		return false
 	}
-	l.Lendable.SetReserve((1 - ownFraction) * l.perEntry(entries) * float64(l.Hubs.Downstream()))
+	l.Lendable.SetReserve((1 - ownFraction) * l.Reserve * l.Share.Part())
 	return l.Lendable.TakeWithin(service, share)
 }
--- a/core/bergamotretry/hub_test.go
+++ b/core/bergamotretry/hub_test.go
@@ -24,8 +24,7 @@
 func (h hubs) Hub() (bergamotmirror.Peer, bool) {
 	return bergamotmirror.NewPeer(h.hub, h.hub), h.hub != ""
 }
-func (h hubs) Downstream() int { return h.downstream }
-func (h hubs) Entries() int    { return h.entries }
+func (h hubs) Entries() int { return h.entries }
 
 // lendingNetwork lends all retries, or fails.
 type lendingNetwork struct {
@@ -61,8 +60,12 @@
 		l := &bergamotretry.HubLender{
 			Name: "self", Hubs: c.hubs, Network: network, Reserve: 600,
 			Lendable: &bergamotretry.Budget{Clock: clock, Window: 10 * time.Second, MaxKeys: 10},
+			Share:    &bergamotretry.Share{Clock: clock, Window: 10 * time.Second},
 			OnRefuse: func(string, float64, string, error) { refused++ },
 		}
+		if c.hubs.entries > 0 {
+			l.Registered(c.hubs.downstream, true)
+		}
 		lent := 0
 		for range 1000 {
 			if l.Borrow("llm", 1) {
@@ -81,7 +84,8 @@
 	ginkgo.It("divides no more than the reserve among 840 entries", func() {
 		clock := bergamotclock.NewVirtual(time.Unix(1000, 0))
 		lendable := &bergamotretry.Budget{Clock: clock, Window: 10 * time.Second, MaxKeys: 10}
-		l := &bergamotretry.HubLender{Name: "self", Hubs: hubs{"self", 84, 840}, Reserve: 600, Lendable: lendable}
+		l := &bergamotretry.HubLender{Name: "self", Hubs: hubs{"self", 84, 840}, Reserve: 600, Lendable: lendable, Share: &bergamotretry.Share{Clock: clock, Window: 10 * time.Second}}
+		l.Registered(84, true)
 		lent := 0
 		for l.Lend("llm", 1) {
 			lent++
