Count data centres that lack layers together as free capacity

Callers saw 503s for want of room after a planned removal, while the router had paths for them: two runners of different data centres left, the third data centre was full, and the estimate counted complete data centres only. The two others hold all layers between them, over paths that cross.

Ruled out: paths over the leaving runners.

Test: 'the free capacity while runners leave'; its case of two data centres that lack different layers counted 0 free tokens before.

--- a/core/bergamotcapacity/estimator.go
+++ b/core/bergamotcapacity/estimator.go
@@ -25,6 +25,7 @@
 	counts  []entryCount
 	runners []Runner  // sorted by data centre, kept to reuse the allocation
 	bounds  []int     // layers at which those of a runner begin or end
+	rest    []Runner  // of data centres that lack layers
 	largest []float64 // see segments
 	begin   []float64 // memory of the runners whose layers begin at or after each boundary
 	end     []float64 // memory of the runners whose layers end at or before each boundary
@@ -61,19 +62,22 @@
 		}
 	}
 	slices.SortStableFunc(m.runners, func(a, b Runner) int { return cmp.Compare(a.Centre, b.Centre) })
-	covered := false
+	covered, rest := false, m.rest[:0]
 	for first := 0; first < len(m.runners); {
 		last := first + 1
 		for last < len(m.runners) && m.runners[last].Centre == m.runners[first].Centre {
 			last++
 		}
-		covered = m.addCentre(e, m.runners[first].Centre, m.runners[first:last], in.Layers) || covered
+		if m.addCentre(e, m.runners[first].Centre, m.runners[first:last], in.Layers) {
+			covered = true
+		} else {
+			rest = append(rest, m.runners[first:last]...)
+		}
 		first = last
 	}
-	if !covered {
-		// No data centre holds all layers, so that paths cross between them.
-		covered = m.addCentre(e, "", m.runners, in.Layers)
-	}
+	// Paths cross between data centres that lack layers.
+	covered = m.addCentre(e, "", rest, in.Layers) || covered
+	m.rest = rest
 	e.capacity = m.maxRequest(m.runners, in.Layers)
 	e.known = covered && e.entries > 0 && e.age >= 0
 	return e
