Look for another path each 40 ms only while the route allows a further attempt

A stalled attempt that is the last one of its request asked its runners for reports each 40 ms, though nothing could take over. It asks at the usual interval of 130 ms again.

--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -65,7 +65,7 @@
 	hasEvents    atomic.Bool  // at least one event has arrived
 	delivering   atomic.Bool  // the caller has not yet taken the last events
 	reported     atomic.Bool  // onStall has been called
-	stranded     atomic.Bool  // it is stalled, and no other path took over at the last check
+	stranded     atomic.Bool  // it is stalled, and there was no other path at the last check, but may be soon
 	stopped      atomic.Bool
 	longestPause time.Duration // longest pause between two events; used only by the goroutine of the attempt
 	timer        *time.Timer
@@ -225,7 +225,7 @@
 		share = 1
 	}
 	ended := w.moveTo(address, idleTime, share, cause)
-	w.stranded.Store(!ended)
+	w.stranded.Store(!ended && w.takeSuccessor != nil)
 	return ended
 }
 
