Assign the timer of an attempt before it can fire

The timer that watches an attempt was started by the call whose result is assigned. On a machine that stands still for 130 ms between the two, its function would find no timer and end the process.

--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -75,7 +75,9 @@
 func (d *StallDetector) watch(s watchSpec) *attemptWatch {
 	w := &attemptWatch{watchSpec: s, detector: d}
 	w.lastProgress.Store(d.Clock.Now().UnixNano())
-	w.timer = time.AfterFunc(checkPeriod, w.check)
+	// The timer starts after it has been assigned, since check uses it.
+	w.timer = time.AfterFunc(time.Hour, w.check)
+	w.timer.Reset(checkPeriod)
 	return w
 }
 
