Ask another hub for the operator's rows before the first read of the store

A key whose withdrawal was lost in a restore of the store was admitted again by an entry that started before the operator wrote again and became a hub: it followed nobody, read the older configuration from the store, and could not know that the other hub kept the newer one. A hub that has no copy now asks another hub for the table first. The read of the store replaces that copy, but for rows that the writer has numbered higher, as in any other restore.

Ruled out: taking the copy of the other hub alone, which would confirm keys by an older read than the entry's own.

Without the query 4 of the 6 cases of 'a hub that starts after a restore' in core/bergamotmirror fail.

--- a/core/bergamotmirror/mirror.go
+++ b/core/bergamotmirror/mirror.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// isKnown reports whether the whole table has been read.
+func (m *Mirror) isKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
 // Source returns the entry from which the latest store time came, empty for the store.
 func (m *Mirror) Source() string {
 	m.mu.Lock()
--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -126,11 +126,12 @@
 	timeout := time.Until(end)
 	if hasDeadline {
 		var cancel context.CancelFunc
-		ctx, cancel = withTimeoutInstead(ctx, timeout+maxHubWait+relayedListTimeout)
+		ctx, cancel = withTimeoutInstead(ctx, timeout+maxHubWait+relayedListTimeout+firstCopyTimeout)
 		defer cancel()
 	}
 	r.Peers.waitForHubs(ctx, r.Clock.After(maxHubWait))
 	return r.read(ctx, table, r.era.start(), 0, func(ctx context.Context, _ time.Duration) (Update, error) {
+		r.askForFirstCopy(ctx, table)
 		if hasDeadline {
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, timeout)
