Let callers keep connections as long as the configuration allows

An entry closed a connection of a caller after 15 s without a request, and a head after 3 s, whatever the configuration said. Under one that allows more, callers go on using a connection that the entry closes: a whole request sent at that moment gets neither an answer nor a refusal, and a slow head is cut off. The two times now follow the configuration from these values up, also for connections that are idle when it changes; lower ones change nothing, since callers may still count on the limits before.

Without the change the cases of 'may be idle' in io/bergamotlimit that set a longer time get the server's, and the spec 'times that callers get' in platform finds no line. What remains: a configuration with more than 16 KB for a head.

--- a/core/bergamotcluster/confighandler.go
+++ b/core/bergamotcluster/confighandler.go
@@ -18,6 +18,7 @@
 	Key      string // of the row with the newest configuration
 	Decoder  ConfigDecoder
 	OnConfig func(version int64, err error) // called for each configuration that takes effect or cannot be decoded
+	OnLimits func(bergamotconfig.Limits)    // called with the limits of each configuration that takes effect; nil for none
 	// OnLost is called when the version in the store, 0 for none, becomes older than the one in force or is not known, as after a restore from an
 	// older copy until the operator writes it again, and with lost false when it is no more; nil for none.
 	OnLost func(inForce, stored int64, lost bool)
@@ -63,6 +64,13 @@
 	}
 }
 
+func (c *ConfigHandler) tookEffect(cfg *bergamotconfig.Config) {
+	c.OnConfig(cfg.Version(), nil)
+	if c.OnLimits != nil {
+		c.OnLimits(cfg.Limits())
+	}
+}
+
 func (c *ConfigHandler) applyRow(s *State, r bergamotstore.Row) {
 	if r.Key() != c.Key {
 		return
@@ -76,11 +84,11 @@
 	switch {
 	case s.SetConfig(cfg):
 		c.at, c.value = at, r.Value()
-		c.OnConfig(cfg.Version(), nil)
+		c.tookEffect(cfg)
 	case cfg.Version() == s.Config().Version() && at.Compare(c.at) > 0:
 		if !bytes.Equal(r.Value(), c.value) {
 			s.replaceConfig(cfg)
-			c.OnConfig(cfg.Version(), nil)
+			c.tookEffect(cfg)
 		}
 		c.at, c.value = at, r.Value()
 	}
--- a/io/bergamotlimit/conn.go
+++ b/io/bergamotlimit/conn.go
@@ -57,6 +57,7 @@
 	carried   int                   // lines that may be in the buffer of net/http, at most
 	bodyBy    time.Time             // deadline for the body that the next read sets, zero for none
 	deadlines int                   // read deadlines since the connection became idle
+	idleBy    time.Time             // deadline of the idle time
 	cause     bergamotaccount.Cause // why it was evicted, empty if it was not
 	served    bool                  // the handler has been called for the current request
 	refused   bool                  // the connection has answered by itself; nothing else may be written
@@ -223,6 +224,9 @@
 	if c.cause != "" || c.phase >= phaseClosing {
 		return nil
 	}
+	if !t.IsZero() {
+		t = c.deadline(t)
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/io/bergamotlimit/listener.go
+++ b/io/bergamotlimit/listener.go
@@ -29,9 +29,12 @@
 	MaxHeaderBytes int
 	WriteTimeout   time.Duration // of a client that reads nothing, 0 for none; it may take twice as long
 
-	maxConns atomic.Int64
-	mu       sync.Mutex
-	conns    map[*Conn]struct{}
+	maxConns      atomic.Int64
+	headerTimeout atomic.Int64 // in nanoseconds, 0 for that of the server
+	idleTimeout   atomic.Int64 // the same
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
 }
 
 // Listen listens on an address with receive buffers of receiveBuffer bytes for its connections.
@@ -55,6 +58,21 @@
 // SetMaxConns sets how many connections may be open at the same time. It takes effect on the next one that is accepted.
 func (l *Listener) SetMaxConns(n int) { l.maxConns.Store(int64(n)) }
 
+// SetTimeouts sets the time for a head and the time for which a connection may be idle, in place of those of the server; 0 leaves
+// the server's. Connections that are idle now get the longer time too: their clients may count on it. It reports whether a time changed.
+func (l *Listener) SetTimeouts(header, idle time.Duration) (changed bool) {
+	changed = l.headerTimeout.Swap(int64(header)) != int64(header)
+	if l.idleTimeout.Swap(int64(idle)) == int64(idle) {
+		return changed
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.extendIdle(idle)
+	}
+	return true
+}
+
 // Conns returns the number of open connections.
 func (l *Listener) Conns() int {
 	l.mu.Lock()
