--- a/core/bergamotmirror/newcopy_test.go
+++ b/core/bergamotmirror/firstcopy_test.go
@@ -11,7 +11,7 @@
 	"bergamotspur/core/bergamottest"
 )
 
-type newHubCase struct {
+type firstCopyCase struct {
 	silent  []string // hubs that do not answer
 	rewrite string   // what the writer writes after the restore, empty for nothing
 	noOrder bool     // the writer does not number the row
@@ -23,14 +23,14 @@
 var _ = ginkgo.Describe("a hub that starts after a restore of the store", func() {
 	// Guards against a key that was withdrawn and is admitted again by a hub that starts between a restore and the operator's
 	// next write: it follows nobody, and the store has the older configuration.
-	bergamottest.Cases(map[string]newHubCase{
+	bergamottest.Cases(map[string]firstCopyCase{
 		"takes the newer row from a hub of its data centre": {want: "7", asked: 1},
 		"asks one hub only":                                {silent: []string{"a1"}, want: "6"},
 		"takes what the writer has written since":          {rewrite: "6", want: "6", asked: 1},
 		"takes a newer write":                              {rewrite: "8", want: "8", asked: 1},
 		"asks nobody about rows that are not numbered":     {noOrder: true, want: "6"},
 		"takes the row of the store where nothing is lost": {noEra: true, want: "6", asked: 1},
-	}, func(c newHubCase) {
+	}, func(c firstCopyCase) {
 		f := newFleet()
 		newer := map[string]bergamotmirror.RowOrder{"t": func(a, b bergamotstore.Row) bool { return string(a.Value()) > string(b.Value()) }}
 		if c.noOrder {
