--- a/core/bergamotmirror/reader.go
+++ b/core/bergamotmirror/reader.go
@@ -119,8 +119,8 @@
 	r.mirrors, r.asking = map[string]*Mirror{}, map[string]int{}
 }
 
-// List returns a whole table. The deadline of ctx is for the answer of the store; another entry may take up to
-// relayedListTimeout before.
+// List returns a whole table. The deadline of ctx is for the answer of the store; other entries may take up to
+// relayedListTimeout and firstCopyTimeout before.
 func (r *Reader) List(ctx context.Context, table string) (Reading, error) {
 	end, hasDeadline := ctx.Deadline()
 	timeout := time.Until(end)
