--- /dev/null
+++ b/io/bergamottunnel/client.go
@@ -0,0 +1,94 @@
+package bergamottunnel
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"bergamotspur/core/bergamotdetour"
+)
+
+// askTimeout is how long a helper may take to answer: it may need reachTimeout for the runner.
+const askTimeout = reachTimeout + 40*time.Millisecond
+
+// readBufferSize is the size in bytes of the buffer for what a helper sends.
+const readBufferSize = 2 << 10
+
+// Conn is a connection to a runner over a helper.
+type Conn struct {
+	net.Conn // to the helper
+	helper   bergamotdetour.Helper
+	frames   frameReader
+}
+
+// Helper returns the entry over which the connection goes.
+func (c *Conn) Helper() bergamotdetour.Helper { return c.helper }
+
+// Read reads what the runner sends. The error wraps ErrBroken if the helper failed, so that the runner is not at fault.
+func (c *Conn) Read(p []byte) (int, error) { return c.frames.Read(p) }
+
+// Write sends bytes to the runner. The error wraps ErrBroken, since only the way to the helper can fail.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	return n, c.frames.broken(err)
+}
+
+// ask asks a helper for a connection to the runner at an address. The connection is nil unless the answer is AnswerConnected.
+func ask(ctx context.Context, helper bergamotdetour.Helper, entry, address string) (c *Conn, a bergamotdetour.Answer) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
+	raw, err := d.DialContext(ctx, "tcp", helper.Address())
+	if err != nil {
+		return nil, bergamotdetour.AnswerSilent
+	}
+	if c, a = handshake(ctx, raw, helper, entry, address); c == nil {
+		_ = raw.Close() // it is not used
+	}
+	return c, a
+}
+
+// handshake requests a tunnel on a new connection to a helper.
+func handshake(ctx context.Context, raw net.Conn, helper bergamotdetour.Helper, entry, address string) (*Conn, bergamotdetour.Answer) {
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
+	req := &http.Request{
+		Method: http.MethodGet, Host: helper.Address(), URL: &url.URL{Path: path, RawQuery: "to=" + url.QueryEscape(address)}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, fieldEntry: {entry}, "User-Agent": {""}},
+	}
+	if err := req.Write(raw); err != nil {
+		return nil, bergamotdetour.AnswerSilent
+	}
+	in := bufio.NewReaderSize(raw, readBufferSize)
+	resp, err := http.ReadResponse(in, req)
+	if err != nil || !stop() {
+		return nil, bergamotdetour.AnswerSilent
+	}
+	defer func() { _ = resp.Body.Close() }() // it is empty
+	if resp.StatusCode != http.StatusSwitchingProtocols {
+		return nil, refusal(resp)
+	}
+	return &Conn{Conn: raw, helper: helper, frames: frameReader{in: in}}, bergamotdetour.AnswerConnected
+}
+
+// refusal returns why a helper opened no tunnel. An entry of an older build knows no tunnels.
+func refusal(resp *http.Response) bergamotdetour.Answer {
+	a := bergamotdetour.Answer(resp.Header.Get(fieldAnswer))
+	for _, known := range bergamotdetour.Answers() {
+		if a == known && a != bergamotdetour.AnswerConnected {
+			return a
+		}
+	}
+	return bergamotdetour.AnswerFull
+}
+
+var (
+	// ErrNoHelper is the error of a connection that was not opened because the links of this entry are lost and no other entry helps.
+	// Nothing is known about the runner.
+	ErrNoHelper = errors.New("this entry has lost its links to the runners, and no other entry helps")
+	// ErrUnreached is the error of a connection to a runner that helpers do not reach either.
+	ErrUnreached = errors.New("other entries do not reach the runner either")
+)
--- /dev/null
+++ b/io/bergamottunnel/dialer.go
@@ -0,0 +1,200 @@
+package bergamottunnel
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"bergamotspur/core/bergamotdetour"
+)
+
+const (
+	// fallbackDelay is the time after which a direct connection that has not been established is tried over a helper too. It takes
+	// about a millisecond within a region.
+	fallbackDelay = 20 * time.Millisecond
+	// maxAsked is the largest number of helpers that are asked for one connection. Those that know that they cannot help say so at
+	// once.
+	maxAsked = 6
+	// maxUnreached is the number of helpers that do not reach a runner after which it counts as dead.
+	maxUnreached = 2
+)
+
+// Helpers chooses the entries that are asked for connections.
+type Helpers interface {
+	// Next returns the entry to ask next, none of those that were asked before; ok is false if there is none.
+	Next(asked []string) (h bergamotdetour.Helper, ok bool)
+	// Record records the answer of an entry.
+	Record(h bergamotdetour.Helper, a bergamotdetour.Answer)
+}
+
+// Dialer opens connections to runners, directly or over a helper. Nothing is sent on a connection before it is chosen, so that a
+// request leaves over one of them only.
+type Dialer struct {
+	Entry   string // name of this entry
+	Direct  func(ctx context.Context, network, address string) (net.Conn, error)
+	Links   *bergamotdetour.Links
+	Helpers Helpers
+	// OnAnswer is called with each answer of a helper.
+	OnAnswer func(h bergamotdetour.Helper, address string, a bergamotdetour.Answer)
+}
+
+// Dial opens a connection to the runner at an address. The error is ErrNoHelper if nothing is known about the runner.
+func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.Links.UsesHelper(address) {
+		c, a := d.detour(ctx, address)
+		d.Links.Answered(address, a)
+		switch {
+		case c != nil:
+			return useHelper(ctx, c), nil
+		case ctx.Err() != nil:
+			return nil, ctx.Err()
+		case a == bergamotdetour.AnswerUnreached:
+			return nil, ErrUnreached
+		case d.Links.AreLost():
+			return nil, ErrNoHelper
+		}
+	}
+	return d.race(ctx, network, address)
+}
+
+// Probe tries a direct connection to the runner at an address and closes it.
+func (d *Dialer) Probe(ctx context.Context, address string) error {
+	c, err := d.Direct(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+// detourResult is the result of a detour beside a direct connection.
+type detourResult struct {
+	mu       sync.Mutex
+	conn     *Conn
+	answer   bergamotdetour.Answer
+	canceled bool // a connection that arrives now is not used
+	done     chan struct{}
+}
+
+// race opens a direct connection, and one over a helper if that fails or takes long. The first one is used.
+func (d *Dialer) race(ctx context.Context, network, address string) (net.Conn, error) {
+	direct, cancelDirect := context.WithCancel(ctx)
+	defer cancelDirect()
+	detour, cancelDetour := context.WithCancel(ctx)
+	defer cancelDetour()
+	r := &detourResult{done: make(chan struct{})}
+	timer := time.AfterFunc(fallbackDelay, func() {
+		defer close(r.done)
+		if d.Links.MayDetour(address, true) && d.finishDetour(detour, address, r) {
+			cancelDirect()
+		}
+	})
+	c, err := d.Direct(direct, network, address)
+	started := !timer.Stop()
+	if err == nil {
+		d.Links.Connected(address)
+		cancelDetour()
+		if started {
+			r.cancel()
+		}
+		return c, nil
+	}
+	switch {
+	case started:
+		<-r.done
+	case ctx.Err() == nil && d.Links.MayDetour(address, false):
+		d.finishDetour(detour, address, r)
+	}
+	if ctx.Err() == nil || r.conn != nil {
+		d.Links.Missed(address, r.conn != nil && started || IsSilence(err), r.answer)
+	}
+	if r.conn != nil {
+		return useHelper(ctx, r.conn), nil
+	}
+	return nil, err
+}
+
+// finishDetour opens a connection over a helper and reports whether it is used.
+func (d *Dialer) finishDetour(ctx context.Context, address string, r *detourResult) bool {
+	c, a := d.detour(ctx, address)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c != nil && r.canceled {
+		_ = c.Close() // nothing was sent
+		return false
+	}
+	r.conn, r.answer = c, a
+	return c != nil
+}
+
+// cancel closes the connection over a helper that may have been opened at the same time as the direct one.
+func (r *detourResult) cancel() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.canceled = true
+	if r.conn != nil {
+		_ = r.conn.Close() // nothing was sent
+	}
+}
+
+// detour opens a connection over one helper after the other. The answer is AnswerUnreached if helpers did not reach the runner, and
+// empty if no helper could say.
+func (d *Dialer) detour(ctx context.Context, address string) (c *Conn, a bergamotdetour.Answer) {
+	var asked []string
+	unreached := 0
+	for len(asked) < maxAsked && unreached < maxUnreached && ctx.Err() == nil {
+		h, ok := d.Helpers.Next(asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, h.Name())
+		c, a = ask(ctx, h, d.Entry, address)
+		if c == nil && ctx.Err() != nil {
+			break // the connection is not needed any more; the helper is not at fault
+		}
+		d.Helpers.Record(h, a)
+		d.OnAnswer(h, address, a)
+		if c != nil {
+			return c, a
+		}
+		if a == bergamotdetour.AnswerUnreached {
+			unreached++
+		}
+	}
+	if unreached > 0 {
+		return nil, bergamotdetour.AnswerUnreached
+	}
+	return nil, ""
+}
+
+// viaKey is the key of a Via in a context.
+type viaKey struct{}
+
+// Via records over which helper a connection was opened. It may be used concurrently.
+type Via struct {
+	mu     sync.Mutex
+	helper bergamotdetour.Helper
+}
+
+// WithVia returns a context in which Dial records the helper.
+func WithVia(ctx context.Context) (context.Context, *Via) {
+	v := &Via{}
+	return context.WithValue(ctx, viaKey{}, v), v
+}
+
+// Helper returns the helper over which the connection was opened; it has no name for a direct connection.
+func (v *Via) Helper() bergamotdetour.Helper {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.helper
+}
+
+// useHelper records the helper of a connection that is used.
+func useHelper(ctx context.Context, c *Conn) *Conn {
+	if v, ok := ctx.Value(viaKey{}).(*Via); ok {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.helper = c.helper
+	}
+	return c
+}
