--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -39,6 +39,7 @@
 	nextStep      time.Time
 	inFlight      bool
 	released      bool
+	yielding      bool      // the lease is being given up since the links to the runners are lost
 	handledResume time.Time // last return of the store after which an attempt was made at once
 }
 
@@ -52,7 +53,7 @@
 		return s.Now().Add(time.Minute)
 	case !c.mayHold(s):
 		return s.Now().Add(time.Minute)
-	case s.resumedAt().After(c.handledResume):
+	case s.resumedAt().After(c.handledResume) || s.linksLost:
 		return s.Now()
 	default:
 		return c.nextStep
@@ -69,8 +70,12 @@
 	return min(free+time.Duration(c.Random()*float64(maxCandidateJitter)), c.CandidateInterval)
 }
 
-// mayHold reports whether this entry holds the lease, is a candidate for it, or has to release it.
+// mayHold reports whether this entry holds the lease, is a candidate for it, or has to release it. Without links to the runners
+// it is no candidate: it would take sound runners for dead ones.
 func (c *Leadership) mayHold(s *State) bool {
+	if s.linksLost && !c.Stopping() {
+		return s.grant.Valid(s.Now()) && !c.yielding
+	}
 	return s.grant.Valid(s.Now()) || s.hubRank >= 0 && s.hubRank < candidateCount || c.Stopping() && !c.released
 }
 
@@ -84,12 +89,21 @@
 		// its row again, and the term for which the others wait begins when they read the row.
 		c.handledResume, c.nextStep = s.resumedAt(), s.Now()
 	}
+	if s.linksLost {
+		c.nextStep = s.Now()
+	} else {
+		c.yielding = false
+	}
 	if c.inFlight || s.Now().Before(c.nextStep) || !c.mayHold(s) {
 		return nil
 	}
 	if c.Stopping() {
 		return c.release()
 	}
+	if s.linksLost {
+		c.yielding, c.inFlight = true, true
+		return c.giveUp()
+	}
 	c.inFlight = true
 	held := s.grant.Valid(s.Now())
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
@@ -118,6 +132,11 @@
 		return nil
 	}
 	c.released, c.inFlight = true, true
+	return c.giveUp()
+}
+
+// giveUp is the task that makes the lease free for another entry.
+func (c *Leadership) giveUp() []Task {
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, ReplyTimeout)
 		defer cancel()
@@ -127,6 +146,7 @@
 				c.OnChange(false, s.grant.FencingToken(), err)
 			}
 			s.grant = bergamotlease.Grant{}
+			c.inFlight = c.released // a stopping entry takes no further step
 		})
 	})}
 }
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -52,6 +52,7 @@
 	grant         bergamotlease.Grant  // placement lease
 	entryCount    int                  // entries that share the runners, including this one
 	counted       bool                 // whether the entries have been counted
+	linksLost     bool                 // this entry reaches runners over other entries only
 	hubRank       int                  // position of this entry in the order of all hubs, from 0; -1 if it is none
 }
 
@@ -174,6 +175,19 @@
 	}
 }
 
+// setLinksLost records whether this entry has lost its own links to the runners. When they work again, the runners that did not
+// answer meanwhile get time for a check before they count as dead.
+func (s *State) setLinksLost(lost bool) {
+	s.linksLost = lost
+	if lost {
+		return
+	}
+	for name, f := range s.failed {
+		f.since, f.nextCheck = s.now, s.now
+		s.failed[name] = f
+	}
+}
+
 // checksInFlight returns how many failed runners are being checked.
 func (s *State) checksInFlight() (n int) {
 	for _, f := range s.failed {
@@ -195,7 +209,7 @@
 // isDead reports whether a runner has not answered for so long that other runners should take its layers.
 func (s *State) isDead(name string) bool {
 	f, ok := s.failed[name]
-	return ok && s.now.Sub(f.since) >= deadAfter
+	return ok && !s.linksLost && s.now.Sub(f.since) >= deadAfter
 }
 
 // setFailed updates the failed flag of a runner.
--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -15,6 +15,9 @@
 	// centres, so that the loss of one does not look like this.
 	minMissed     = 4
 	minMissedTime = 300 * time.Millisecond
+	// minDoubtful is the number of runners without any direct connection from which on it is open whether the runners or the links
+	// failed.
+	minDoubtful = 3
 	// minProbes is the number of successful probes in a row that end the loss of the links.
 	minProbes = 3
 	// apartHold is how long a runner that only helpers reach gets no direct connection. The next one is tried both ways.
@@ -224,6 +227,13 @@
 	return l.lost
 }
 
+// AreDoubtful reports whether the links are lost or may be: several runners were not reached, and none since.
+func (l *Links) AreDoubtful() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost || len(l.missed) >= minDoubtful
+}
+
 // SilentSince returns since when the links are lost in such a way that open connections are silent too.
 func (l *Links) SilentSince() (t time.Time, ok bool) {
 	l.mu.Lock()
--- a/core/bergamotfleet/fleet.go
+++ b/core/bergamotfleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 )
 
 // Fleet is a read-only set of instances, sorted by name.
@@ -10,6 +11,9 @@
 	instances []Instance
 	index     map[string]position
 	byRole    map[string][]Instance
+
+	indexAddresses sync.Once
+	byAddress      map[string]int // position in instances
 }
 
 // NewFleet returns a fleet of the given instances.
@@ -51,6 +55,23 @@
 // ByRole returns the instances of one role, sorted by name; the caller must not change the slice.
 func (f *Fleet) ByRole(role string) []Instance { return f.byRole[role] }
 
+// ByAddress returns the instance at an address, if there is one. While one replaces another there, it is the one that does not leave.
+func (f *Fleet) ByAddress(address string) (i Instance, ok bool) {
+	f.indexAddresses.Do(func() {
+		f.byAddress = make(map[string]int, len(f.instances))
+		for n, i := range f.instances {
+			if other, known := f.byAddress[i.Address()]; !known || f.instances[other].Leaving() {
+				f.byAddress[i.Address()] = n
+			}
+		}
+	})
+	n, ok := f.byAddress[address]
+	if !ok {
+		return Instance{}, false
+	}
+	return f.instances[n], true
+}
+
 // Instance returns the instance called name, if there is one.
 func (f *Fleet) Instance(name string) (i Instance, ok bool) {
 	pos, ok := f.index[name]
--- a/core/bergamotmirror/peers.go
+++ b/core/bergamotmirror/peers.go
@@ -270,3 +270,15 @@
 		p.upstream = usable[p.Random(len(usable))]
 	}
 }
+
+// Hubs returns the hubs of all data centres that are known, except this entry.
+func (p *Peers) Hubs() (hubs []Hub) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.hubs {
+		if h.name != p.Name {
+			hubs = append(hubs, h)
+		}
+	}
+	return hubs
+}
--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -22,6 +22,7 @@
 	errWaitsFor      = errors.New("the first runner of the path waits for it")
 	errOverdue       = errors.New("the first event is overdue")
 	errNoPatience    = errors.New("no event until callers have given up")
+	errLinkLost      = errors.New("this entry has lost its links to the runners, and the connection is silent")
 )
 
 // errQuarantined is the cause of the failure of an attempt that was cancelled because of its contents.
@@ -36,8 +37,9 @@
 	maxFirst    time.Duration // time in which the first event is on time, 0 for the default
 	isContinued bool          // the caller has events of an earlier attempt
 	isConfirmed func() bool   // reports whether the request is known to make runners crash, nil for no
-	// takeSuccessor takes a retry for another path without the runner at an address, while less than the given share of the budget is
-	// used, and reports whether there is such a path and the budget allows it. It is nil if the route allows no further attempt.
+	isLinkLost  func() bool   // reports whether the connection is silent because of the links of this entry, nil for no
+	// takeSuccessor takes a retry for another path without the runner at an address, or for any path if the address is empty, while less
+	// than the given share of the budget is used, and reports whether there is such a path and the budget allows it. It is nil if the route allows no further attempt.
 	takeSuccessor func(address string, share float64) bool
 	// onStall is called once with the address of a runner that stalls the attempt and with the cause, whether or not the attempt ends.
 	onStall func(address string, cause error)
@@ -131,6 +133,8 @@
 		// The request waits at the runner, or is about to crash it.
 		w.cancel(NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonSuspect, errQuarantined))
 		return
+	case w.isLinkLost != nil && w.idleTime() >= suspectedDelay && w.isLinkLost() && w.leaveLink():
+		return
 	case w.hasEvents.Load():
 		if left := w.detector.pauseStats.stallTimeout(w.maxPause) - w.idleTime(); left > 0 {
 			next = left
@@ -146,6 +150,19 @@
 	w.timer.Reset(next)
 }
 
+// leaveLink ends an attempt whose connection is silent because this entry has lost its links, so that the next one takes a detour, and
+// reports whether it has ended. The runners of the path may go on with it: they are not at fault.
+func (w *attemptWatch) leaveLink() bool {
+	idleTime := w.idleTime()
+	if w.takeSuccessor == nil || w.hasProgressed(idleTime) || !w.takeSuccessor("", 1) {
+		return w.stopped.Load()
+	}
+	f := NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonLink, errors.Join(errStalled, errLinkLost))
+	f.retryTaken = true
+	w.cancel(f)
+	return true
+}
+
 // failOverFirst cancels an attempt whose first event is overdue although all runners answer, so that another path still
 // gives it in time, and reports whether it did. Runners in trouble may accept requests and never answer them. The time of
 // such an attempt counts for what is usual, so that attempts stay when all paths are slow.
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -44,6 +44,7 @@
 // attemptResult is the response or the failure of one attempt.
 type attemptResult struct {
 	runner  string
+	helper  string // the entry over which the attempt went, empty for none
 	status  int
 	fields  Fields
 	body    []byte
@@ -181,6 +182,7 @@
 
 func (h *CallHandler) sendAttempt(ctx context.Context, a Attempt, open *answers) (result attemptResult) {
 	result.runner = a.runner
+	a.onDetour = func(helper string) { result.helper = helper }
 	response, err := h.Upstream.Send(ctx, a)
 	if err != nil {
 		result.failure = asFailure(failureCause(ctx, err))
@@ -199,6 +201,9 @@
 // recordResult records the result of an attempt and reports whether it is the response to return.
 func (c *callState) recordResult(result attemptResult) bool {
 	c.inFlight--
+	if result.helper != "" {
+		c.x.Trace().RecordDetour(result.helper)
+	}
 	if result.failure == nil {
 		c.trial.answered()
 		if result.status < http.StatusInternalServerError || !c.x.Route().IsRetryable() || c.fallback != nil {
@@ -216,7 +221,7 @@
 	if f.runState != bergamotrequest.RunNo {
 		c.possibleRuns++
 	}
-	if !f.isEnd() {
+	if !f.isEnd() && !f.isOfLink() {
 		c.handler.Avoid.Avoid(result.runner, avoidDuration)
 		if f.reason != bergamotrequest.ReasonFull {
 			c.handler.Observer.RunnerFailed(result.runner, f.Error())
@@ -230,8 +235,8 @@
 	switch {
 	case c.failure.runState != bergamotrequest.RunNo && (!c.x.Route().IsRetryable() || c.possibleRuns >= c.x.Route().MaxAttempts()):
 		return false
-	case c.inFlight > 0:
-		return false
+	case c.inFlight > 0 || c.failure.isOfLink() && c.failure.runState == bergamotrequest.RunNo:
+		return false // without links, another runner is not reached either
 	case c.handler.Quarantine.isConfirmed(c.x):
 		c.x.Trace().AddStep("not sent again, since runners crashed")
 		return false
--- a/core/bergamotrelay/crashcheck.go
+++ b/core/bergamotrelay/crashcheck.go
@@ -59,7 +59,7 @@
 			return r.StartTime() != i.StartTime()
 		}
 		if isSilent(err) {
-			return true
+			return !q.AreLinksDoubtful()
 		}
 		select {
 		case <-ctx.Done():
--- a/core/bergamotrelay/quarantine.go
+++ b/core/bergamotrelay/quarantine.go
@@ -48,6 +48,8 @@
 	Suspects  Suspects
 	Isolation Isolation
 	Reporter  bergamotcluster.Reporter
+	// AreLinksDoubtful reports whether this entry may have lost its links, so that a runner that does not answer need not have crashed.
+	AreLinksDoubtful func() bool
 
 	mu       sync.Mutex
 	checks   map[string]*crashCheck // in progress, by process
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -39,13 +39,12 @@
 	if f.isEnd() {
 		return
 	}
-	if f.reason == bergamotrequest.ReasonSuspect {
-		s.possibleRuns++ // the runner is not at fault
-		return
-	}
-	if f.runState != bergamotrequest.RunNo {
+	if f.reason == bergamotrequest.ReasonSuspect || f.runState != bergamotrequest.RunNo {
 		s.possibleRuns++
 	}
+	if f.reason == bergamotrequest.ReasonSuspect || f.isOfLink() {
+		return // the runner is not at fault
+	}
 	s.avoid[name] = true
 	if f.reason == bergamotrequest.ReasonFull && s.checkMemoryFull(p, name) {
 		return
@@ -92,8 +91,8 @@
 func (s *streamState) takeRetry() bool {
 	f := s.failure
 	switch {
-	case f.isEnd():
-		return false
+	case f.isEnd() || f.isOfLink() && f.runState == bergamotrequest.RunNo:
+		return false // without links, another path is not reached either
 	case f.runState != bergamotrequest.RunNo && !s.x.Route().IsRetryable():
 		return false
 	case !s.canAttempt(s.possibleRuns):
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -69,6 +69,13 @@
 	Observer      Observer
 	StallDetector *StallDetector
 	Quarantine    *Quarantine
+	Links         Links
+}
+
+// Links tells what is known of the links of this entry to the runners.
+type Links interface {
+	// SilentSince returns since when connections to runners that were open then are silent; ok is false if they are not.
+	SilentSince() (t time.Time, ok bool)
 }
 
 // streamState holds the progress of one exchange.
@@ -224,13 +231,13 @@
 	w := h.StallDetector.watch(watchSpec{
 		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
 		maxFirst: s.x.Route().TargetLatency(), isContinued: s.started, isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
-		takeSuccessor: s.successorFunc(p), onStall: s.reportStall(p), cancel: cancel,
+		isLinkLost: h.isLinkLost(h.Clock.Now()), takeSuccessor: s.successorFunc(p), onStall: s.reportStall(p), cancel: cancel,
 	})
 	defer w.stop()
 	response, err := h.Upstream.Send(ctx, Attempt{
 		request: s.x.Request(), runner: first.Instance(), process: processOf(runner, known), address: first.Address(), plan: p,
 		workspace: s.x.Workspace().Name(), timeout: s.x.Deadline().Sub(h.Clock.Now()), resumeAfter: s.lastEvent,
-		priority: s.priority(),
+		priority: s.priority(), onDetour: s.x.Trace().RecordDetour,
 	})
 	if err != nil {
 		if known && s.mayHaveCrashed(ctx, err) {
@@ -273,6 +280,15 @@
 	}
 }
 
+// isLinkLost returns a function that reports whether the connection of an attempt that begins now is silent because of the links of
+// this entry. One that is opened after the loss takes a detour.
+func (h *StreamHandler) isLinkLost(begin time.Time) func() bool {
+	return func() bool {
+		since, ok := h.Links.SilentSince()
+		return ok && begin.Before(since)
+	}
+}
+
 // processOf returns the process of a runner, empty for one that has been removed.
 func processOf(runner bergamotfleet.Instance, known bool) string {
 	if !known {
--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -6,8 +6,8 @@
 	"bergamotspur/core/bergamotroute"
 )
 
-// successorFunc returns a function that takes a retry for another path than p, without the runner at an address, while less than the
-// given share of the budget is used. It reports whether there is such a path and the budget allows it: a runner that is only slow or
+// successorFunc returns a function that takes a retry for another path than p, without the runner at an address, or for any path if
+// the address is empty, while less than the given share of the budget is used. It reports whether there is such a path and the budget allows it: a runner that is only slow or
 // pauses still serves the caller. The function is nil if the route allows no further attempt.
 func (s *streamState) successorFunc(p bergamotroute.Plan) func(address string, share float64) bool {
 	if !s.x.Route().IsRetryable() || !s.canAttempt(s.possibleRuns+1) {
@@ -22,7 +22,9 @@
 		}
 		current := query
 		current.Fleet, current.Avoid = h.Views.View().Fleet(), maps.Clone(failed)
-		current.Avoid[runnerAt(p, address)] = true
+		if address != "" {
+			current.Avoid[runnerAt(p, address)] = true
+		}
 		other, ok := h.Router.Route(current)
 		if ok {
 			h.Router.Release(other, query.Tokens)
--- a/core/bergamotrelay/trace.go
+++ b/core/bergamotrelay/trace.go
@@ -13,6 +13,7 @@
 	steps          []string
 	failureReasons []bergamotrequest.Reason
 	attempts       int
+	detours        int
 	firstChunkAt   time.Time
 	lastChunkAt    time.Time
 	longestGap     time.Duration
@@ -38,6 +39,15 @@
 	t.AddStep(step)
 }
 
+// RecordDetour records that the last attempt went over another entry.
+func (t *Trace) RecordDetour(helper string) {
+	t.detours++
+	t.AddStep("over " + helper)
+}
+
+// Detours returns how many attempts went over another entry.
+func (t *Trace) Detours() int { return t.detours }
+
 // RecordChunk records that a chunk of the response was sent to the caller; the status of the first chunk is kept.
 func (t *Trace) RecordChunk(now time.Time, status int) {
 	if t.firstChunkAt.IsZero() {
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -21,6 +21,7 @@
 	timeout     time.Duration
 	resumeAfter int
 	priority    int
+	onDetour    func(helper string) // nil for none
 }
 
 // Request returns the caller's request.
@@ -51,9 +52,17 @@
 // Priority returns the priority; 0 is the most urgent.
 func (a Attempt) Priority() int { return a.priority }
 
+// Detoured records that the attempt went over another entry, the helper.
+func (a Attempt) Detoured(helper string) {
+	if a.onDetour != nil {
+		a.onDetour(helper)
+	}
+}
+
 // Upstream sends attempts to runners, each at most once.
 type Upstream interface {
-	// Send sends an attempt and returns the response once its header has arrived, or a *Failure.
+	// Send sends an attempt and returns the response once its header has arrived, or a *Failure. If the attempt goes over another
+	// entry, Send says so with Detoured before it returns.
 	Send(ctx context.Context, a Attempt) (Response, error)
 }
 
@@ -114,6 +123,9 @@
 	return f.reason == bergamotrequest.ReasonCancel || f.reason == bergamotrequest.ReasonDeadline || f.reason == bergamotrequest.ReasonDrain
 }
 
+// isOfLink reports whether the way to the runner failed, so that no runner is at fault.
+func (f *Failure) isOfLink() bool { return f.reason == bergamotrequest.ReasonLink }
+
 // asFailure returns the failure in err's chain, or a new one that leaves open whether the request was run.
 func asFailure(err error) *Failure {
 	var f *Failure
--- a/core/bergamotrequest/reason.go
+++ b/core/bergamotrequest/reason.go
@@ -30,6 +30,7 @@
 	ReasonPath        Reason = "path"     // no path covers all layers of the model
 	ReasonTarget      Reason = "target"   // a target failed
 	ReasonStall       Reason = "stall"    // a target or connection stopped sending
+	ReasonLink        Reason = "link"     // the way to the targets failed, not a target
 	ReasonProof       Reason = "proof"    // a token lacks the proof that its layers ran once and in order
 	ReasonBudget      Reason = "budget"   // the retry budget is exhausted
 	ReasonMemory      Reason = "memory"   // the entry has no memory for the request
@@ -43,7 +44,7 @@
 	return []Reason{
 		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdempotency, ReasonBundle, ReasonStale,
 		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonRoom, ReasonSuspect, ReasonDigest,
-		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall,
+		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall, ReasonLink,
 		ReasonProof, ReasonBudget, ReasonMemory, ReasonUpload, ReasonCancel, ReasonInternal,
 	}
 }
--- a/io/bergamotmetric/metric.go
+++ b/io/bergamotmetric/metric.go
@@ -27,6 +27,11 @@
 // Count adds 1 to the counter of that name.
 func (r *Registry) Count(name string) { metrics.GetOrRegisterCounter(name, r.registry).Inc(1) }
 
+// Add adds n to a counter.
+func (r *Registry) Add(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, r.registry).Inc(n)
+}
+
 // Set sets the gauge of that name.
 func (r *Registry) Set(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, r.registry).Update(value)
--- a/io/bergamottunnel/client.go
+++ b/io/bergamottunnel/client.go
@@ -56,7 +56,7 @@
 func handshake(ctx context.Context, raw net.Conn, helper bergamotdetour.Helper, entry, address string) (*Conn, bergamotdetour.Answer) {
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	req := &http.Request{
-		Method: http.MethodGet, Host: helper.Address(), URL: &url.URL{Path: path, RawQuery: "to=" + url.QueryEscape(address)}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: http.MethodGet, Host: helper.Address(), URL: &url.URL{Path: Path, RawQuery: "to=" + url.QueryEscape(address)}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, fieldEntry: {entry}, "User-Agent": {""}},
 	}
 	if err := req.Write(raw); err != nil {
--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -12,8 +12,10 @@
 	"bergamotspur/core/bergamotdetour"
 )
 
+// Path is the path of requests for a tunnel.
+const Path = "/tunnel"
+
 const (
-	path        = "/tunnel"
 	protocol    = "bergamot-tunnel"
 	fieldAnswer = "Tunnel-Answer"
 	fieldEntry  = "Tunnel-Entry" // of a request: the entry that asks
