--- a/core/bergamotcluster/placement_test.go
+++ b/core/bergamotcluster/placement_test.go
@@ -32,10 +32,13 @@
 	placement  *bergamotcluster.Placement
 	runners    *fakeRunners
 	stopping   bool
+	links      ownLinks
+	linkCheck  *bergamotcluster.LinkCheck
 }
 
 func newPlacement(table bergamotlease.Table, holder string) *placementFixture {
 	p := &placementFixture{state: newState(0), clock: bergamotclock.NewVirtual(start), runners: &fakeRunners{held: map[string]bergamotlayout.Span{}, startTimes: map[string]int64{}}}
+	p.linkCheck = &bergamotcluster.LinkCheck{Links: &p.links, Prober: &p.links, Random: func(int) int { return 0 }}
 	n := 0
 	p.leadership = &bergamotcluster.Leadership{
 		Lease: &bergamotlease.Lease{
@@ -55,10 +58,11 @@
 	return p
 }
 
-// advance moves the clocks forward and runs both controllers.
+// advance moves the clocks forward and runs the controllers.
 func (p *placementFixture) advance(d time.Duration) {
 	p.clock.Advance(d)
 	p.state.SetTime(p.clock.Now())
+	runTasks(p.state, p.linkCheck.Reconcile(p.state))
 	runTasks(p.state, p.leadership.Reconcile(p.state))
 	runTasks(p.state, p.placement.Reconcile(p.state))
 }
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	replies  []reply
 	attempts []Attempt
+	helper   string // the entry over which the attempts go, empty for none
 }
 
 func (u *upstream) Send(ctx context.Context, a Attempt) (Response, error) {
@@ -42,6 +43,9 @@
 	r := u.replies[min(len(u.attempts), len(u.replies)-1)]
 	u.attempts = append(u.attempts, a)
 	u.mu.Unlock()
+	if u.helper != "" {
+		a.Detoured(u.helper)
+	}
 	if r.delay != nil {
 		select {
 		case <-r.delay:
@@ -231,8 +235,19 @@
 	views    fixedView
 	ledger   *bergamotsuspect.Ledger
 	reporter bergamotcluster.Reporter
+	links    fakeLinks
+}
+
+// fakeLinks is what is known of the links of the entry.
+type fakeLinks struct {
+	silentSince time.Time // zero if connections are not silent
+	doubtful    bool
 }
 
+func (l fakeLinks) SilentSince() (time.Time, bool) { return l.silentSince, !l.silentSince.IsZero() }
+
+func (l fakeLinks) AreDoubtful() bool { return l.doubtful }
+
 func newRig(r bergamotconfig.Route, service bergamotconfig.Service, replies ...reply) *rig {
 	clock := bergamotclock.NewVirtual(now)
 	fleet := bergamotfleet.NewFleet([]bergamotfleet.Instance{instance("x", service.Name()), instance("y", service.Name()), instance("z", service.Name())})
@@ -251,7 +266,7 @@
 func (g *rig) stream(ctx context.Context) error {
 	h := &StreamHandler{
 		Clock: instantClock{g.clock}, Upstream: g.upstream, Router: g.router, Views: g.views, Budget: g.budget, Observer: g.observer,
-		Quarantine:    g.quarantine(),
+		Quarantine: g.quarantine(), Links: g.links,
 		StallDetector: &StallDetector{Clock: g.clock, Reporter: silentReporter{}, IsSuspected: func(string) bool { return false }},
 	}
 	return h.Handle(ctx, g.x)
@@ -265,7 +280,7 @@
 }
 
 func (g *rig) quarantine() *Quarantine {
-	return &Quarantine{Clock: instantClock{g.clock}, Suspects: g.ledger, Isolation: bergamotsuspect.NewIsolation(), Reporter: g.reporter}
+	return &Quarantine{Clock: instantClock{g.clock}, Suspects: g.ledger, Isolation: bergamotsuspect.NewIsolation(), Reporter: g.reporter, AreLinksDoubtful: g.links.AreDoubtful}
 }
 
 // outcomeOf describes the error of a handler: "answered" for nil, otherwise the reason of the refusal and whether the
--- a/core/bergamotrelay/quarantine_test.go
+++ b/core/bergamotrelay/quarantine_test.go
@@ -290,7 +290,7 @@
 	// Guards against several runners that crash at the same time on requests with the same suspect parts.
 	ginkgo.It("lets suspects with the same parts run one after another", func(ctx context.Context) {
 		clock := bergamotclock.NewVirtual(now)
-		q := &Quarantine{Clock: clock, Suspects: bergamotsuspect.NewLedger(clock), Isolation: bergamotsuspect.NewIsolation(), Reporter: silentReporter{}}
+		q := &Quarantine{Clock: clock, Suspects: bergamotsuspect.NewLedger(clock), Isolation: bergamotsuspect.NewIsolation(), Reporter: silentReporter{}, AreLinksDoubtful: fakeLinks{}.AreDoubtful}
 		request := func(parts ...string) *Exchange {
 			g := newRig(route(resumable), model)
 			g.prompt(parts...)
--- /dev/null
+++ b/io/bergamottunnel/tunnel_test.go
@@ -0,0 +1,268 @@
+package bergamottunnel_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamotclock"
+	"bergamotspur/core/bergamotdetour"
+	"bergamotspur/core/bergamottest"
+	"bergamotspur/io/bergamottunnel"
+)
+
+// runner accepts connections and lets a spec act on each.
+type runner struct {
+	net.Listener
+	accepted chan *net.TCPConn
+}
+
+func newRunner() *runner {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	r := &runner{Listener: l, accepted: make(chan *net.TCPConn, 8)}
+	go func() {
+		defer close(r.accepted)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r.accepted <- c.(*net.TCPConn)
+		}
+	}()
+	ginkgo.DeferCleanup(func() {
+		_ = l.Close() // a spec may have closed it
+		for c := range r.accepted {
+			_ = c.Close()
+		}
+	})
+	return r
+}
+
+func (r *runner) address() string { return r.Addr().String() }
+
+// lender gives the same answer to all.
+type lender bergamotdetour.Answer
+
+func (l lender) Lend(string, string) bergamotdetour.Answer { return bergamotdetour.Answer(l) }
+
+// helpers are the entries of a spec, asked in their order.
+type helpers struct {
+	mu      sync.Mutex
+	list    []bergamotdetour.Helper
+	answers []bergamotdetour.Answer
+}
+
+func (h *helpers) Next(asked []string) (bergamotdetour.Helper, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := slices.IndexFunc(h.list, func(e bergamotdetour.Helper) bool { return !slices.Contains(asked, e.Name()) })
+	if n < 0 {
+		return bergamotdetour.Helper{}, false
+	}
+	return h.list[n], true
+}
+
+func (h *helpers) Record(_ bergamotdetour.Helper, a bergamotdetour.Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers = append(h.answers, a)
+}
+
+func newLinks() *bergamotdetour.Links { return &bergamotdetour.Links{Clock: bergamotclock.Real{}} }
+
+// lose makes links lost.
+func lose(l *bergamotdetour.Links) *bergamotdetour.Links {
+	l.Missed("x", false, bergamotdetour.AnswerConnected)
+	l.Missed("y", false, bergamotdetour.AnswerConnected)
+	return l
+}
+
+// add adds an entry that gives an answer; it knows that its own links are lost if that is AnswerCut.
+func (h *helpers) add(a bergamotdetour.Answer) *httptest.Server {
+	handler := &bergamottunnel.Handler{Dial: (&net.Dialer{}).DialContext, Lender: lender(a), Links: newLinks()}
+	switch a {
+	case bergamotdetour.AnswerCut:
+		lose(handler.Links)
+	case bergamotdetour.AnswerUnreached:
+		handler.Lender, handler.Dial = lender(bergamotdetour.AnswerConnected), refuse
+	default:
+	}
+	server := httptest.NewServer(&killable{Handler: handler})
+	address := strings.TrimPrefix(server.URL, "http://")
+	if a == bergamotdetour.AnswerSilent {
+		server.Close()
+	} else {
+		ginkgo.DeferCleanup(server.Close)
+	}
+	h.list = append(h.list, bergamotdetour.NewHelper(address, address, "a"))
+	return server
+}
+
+var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+
+func refuse(context.Context, string, string) (net.Conn, error) { return nil, errRefused }
+
+func hang(ctx context.Context, _, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+type dialCase struct {
+	direct  func(ctx context.Context, network, address string) (net.Conn, error) // nil for one that works
+	lost    bool
+	helpers []bergamotdetour.Answer
+	answers []bergamotdetour.Answer // that are expected
+	err     error                   // nil if a connection is expected
+}
+
+var _ = ginkgo.Describe("a connection to a runner", func() {
+	type list = []bergamotdetour.Answer
+	ok, cut, full := bergamotdetour.AnswerConnected, bergamotdetour.AnswerCut, bergamotdetour.AnswerFull
+	unreached, silent := bergamotdetour.AnswerUnreached, bergamotdetour.AnswerSilent
+	// Guards against a cut entry that gives up while another one reaches the runner, against two detours, and against a dead runner for
+	// which all entries are asked.
+	bergamottest.Cases(map[string]dialCase{
+		"is direct when that works":                           {helpers: list{ok}},
+		"goes over a helper when it is refused":               {direct: refuse, helpers: list{ok}, answers: list{ok}},
+		"goes over a helper when nothing answers":             {direct: hang, helpers: list{ok}, answers: list{ok}},
+		"goes over the first helper that can help":            {direct: refuse, helpers: list{cut, silent, full, unreached, ok}, answers: list{cut, silent, full, unreached, ok}},
+		"fails when two helpers do not reach the runner":      {direct: refuse, helpers: list{unreached, unreached, ok}, answers: list{unreached, unreached}, err: errRefused},
+		"fails when no helper can help":                       {direct: refuse, helpers: list{cut, full}, answers: list{cut, full}, err: errRefused},
+		"is not tried directly without links":                 {lost: true, helpers: list{ok}, answers: list{ok}},
+		"fails without links when the runner is dead":         {lost: true, helpers: list{unreached, unreached}, answers: list{unreached, unreached}, err: bergamottunnel.ErrUnreached},
+		"fails at once without links and without a helper":    {lost: true, helpers: list{cut}, answers: list{cut}, err: bergamottunnel.ErrNoHelper},
+		"fails at once without links and without other entry": {lost: true, err: bergamottunnel.ErrNoHelper},
+	}, func(c dialCase) {
+		r, h, links := newRunner(), &helpers{}, newLinks()
+		for _, a := range c.helpers {
+			h.add(a)
+		}
+		if c.lost {
+			lose(links)
+		}
+		d := &bergamottunnel.Dialer{Entry: "me", Direct: c.direct, Links: links, Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		if d.Direct == nil {
+			d.Direct = (&net.Dialer{}).DialContext
+		}
+		ctx, via := bergamottunnel.WithVia(context.Background())
+		conn, err := d.Dial(ctx, "tcp", r.address())
+		gomega.Expect(h.answers).To(gomega.Equal(c.answers))
+		if c.err != nil {
+			gomega.Expect(errors.Is(err, c.err)).To(gomega.BeTrue(), "%v", err)
+			return
+		}
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = conn.Close() }() // the runner answers with one byte
+		gomega.Expect(via.Helper().Name() != "").To(gomega.Equal(len(c.answers) > 0))
+		peer := <-r.accepted
+		ginkgo.DeferCleanup(peer.Close)
+		_, err = io.WriteString(conn, "?")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		got := make([]byte, 1)
+		_, err = io.ReadFull(peer, got)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = peer.Write([]byte("!"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.ReadFull(conn, got)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(got)).To(gomega.Equal("!"))
+	})
+})
+
+type endCase struct {
+	end  func(peer *net.TCPConn, server *httptest.Server)
+	want error // of a read after the bytes that were sent
+}
+
+var _ = ginkgo.Describe("a connection over a helper", func() {
+	const text = "the answer"
+	// Guards against a broken answer that looks complete, and against a runner that is blamed for its helper.
+	bergamottest.Cases(map[string]endCase{
+		"ends as the runner closes it": {func(peer *net.TCPConn, _ *httptest.Server) { _ = peer.Close() }, io.EOF},
+		"is reset as the runner resets it": {func(peer *net.TCPConn, _ *httptest.Server) {
+			gomega.Expect(peer.SetLinger(0)).To(gomega.Succeed())
+			_ = peer.Close()
+		}, syscall.ECONNRESET},
+		"breaks off with its helper": {func(_ *net.TCPConn, server *httptest.Server) { server.Config.Handler.(*killable).kill() }, bergamottunnel.ErrBroken},
+	}, func(c endCase) {
+		r, h := newRunner(), &helpers{}
+		server := h.add(bergamotdetour.AnswerConnected)
+		conn := dialOver(h, r)
+		defer func() { _ = conn.Close() }() // it has ended
+		peer := <-r.accepted
+		ginkgo.DeferCleanup(func() { _ = peer.Close() }) // a spec may have closed it
+		_, err := io.WriteString(peer, text)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		got := make([]byte, len(text))
+		_, err = io.ReadFull(conn, got)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(got)).To(gomega.Equal(text))
+		c.end(peer, server)
+		_, err = conn.Read(got)
+		gomega.Expect(errors.Is(err, c.want)).To(gomega.BeTrue(), "%v", err)
+	})
+
+	// Guards against a runner that goes on for a caller that has left.
+	ginkgo.It("is closed at the runner when the entry closes it", func() {
+		r, h := newRunner(), &helpers{}
+		h.add(bergamotdetour.AnswerConnected)
+		conn := dialOver(h, r)
+		peer := <-r.accepted
+		defer func() { _ = peer.Close() }() // it has ended
+		gomega.Expect(conn.Close()).To(gomega.Succeed())
+		_, err := peer.Read(make([]byte, 1))
+		gomega.Expect(err).To(gomega.MatchError(io.EOF))
+	})
+})
+
+// dialOver opens a connection to a runner over a helper.
+func dialOver(h *helpers, r *runner) net.Conn {
+	d := &bergamottunnel.Dialer{Entry: "me", Direct: refuse, Links: newLinks(), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+	conn, err := d.Dial(context.Background(), "tcp", r.address())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return conn
+}
+
+// killable closes the connection of its last request as the end of the process would.
+type killable struct {
+	http.Handler
+	mu   sync.Mutex
+	last net.Conn
+}
+
+func (k *killable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	k.Handler.ServeHTTP(&hijackRecorder{w, k}, r)
+}
+
+func (k *killable) kill() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_ = k.last.Close()
+}
+
+// hijackRecorder remembers the connection that a handler takes over.
+type hijackRecorder struct {
+	http.ResponseWriter
+	k *killable
+}
+
+func (w *hijackRecorder) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	c, b, err := w.ResponseWriter.(http.Hijacker).Hijack()
+	w.k.mu.Lock()
+	defer w.k.mu.Unlock()
+	w.k.last = c
+	return c, b, err
+}
