--- a/cmd/bergamotcommand/layout.go
+++ b/cmd/bergamotcommand/layout.go
@@ -37,8 +37,8 @@
 }
 
 func printLayout(w *tabwriter.Writer, m bergamotplatform.StatusMessage) {
-	_, _ = fmt.Fprintf(w, "entry %s\tcentre %s\tready %v\tversion %d\tconfirmed %d ms ago\t%d entries\t%s\tplaces layers %v\t%d active\n",
-		m.Entry, m.Centre, m.Ready, m.Version, m.ConfigAge, m.Entries, cmp.Or(m.Role, "role unknown"), m.HoldsLease, m.InFlight)
+	_, _ = fmt.Fprintf(w, "entry %s\tcentre %s\tready %v\tversion %d\tconfirmed %d ms ago\t%d entries\t%s\tplaces layers %v\t%d active\tlinks %s\t%d lent\n",
+		m.Entry, m.Centre, m.Ready, m.Version, m.ConfigAge, m.Entries, cmp.Or(m.Role, "role unknown"), m.HoldsLease, m.InFlight, cmp.Or(m.Links, "unknown"), m.Lent)
 	for _, a := range m.Admission {
 		printAdmission(w, a)
 	}
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -22,6 +22,7 @@
 	resumeAfter int
 	priority    int
 	onDetour    func(helper string) // nil for none
+	helper      string              // address of the entry over which it went, empty for none
 }
 
 // Request returns the caller's request.
@@ -59,6 +60,12 @@
 	}
 }
 
+// WithHelper returns a copy of an attempt that went over the entry at an address.
+func (a Attempt) WithHelper(address string) Attempt {
+	a.helper = address
+	return a
+}
+
 // Upstream sends attempts to runners, each at most once.
 type Upstream interface {
 	// Send sends an attempt and returns the response once its header has arrived, or a *Failure. If the attempt goes over another
