--- a/io/bergamottunnel/dialer.go
+++ b/io/bergamottunnel/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -105,7 +106,8 @@
 	case ctx.Err() == nil && d.Links.MayDetour(address, false):
 		d.finishDetour(detour, address, r)
 	}
-	if ctx.Err() == nil || r.conn != nil {
+	// A caller that leaves says nothing about the runner, nor does one that waits for a shorter time than fallbackDelay.
+	if ctx.Err() == nil || r.conn != nil || started && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		d.Links.Missed(address, r.conn != nil && started || IsSilence(err), r.answer)
 	}
 	if r.conn != nil {
