--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -236,6 +236,9 @@
 	if w.hasProgressed(idleTime) {
 		return w.stopped.Load()
 	}
+	if w.isLinkLost != nil && w.isLinkLost() {
+		return w.leaveLink() // it became known while the runners were asked
+	}
 	if !w.reported.Swap(true) {
 		w.onStall(address, cause)
 	}
