--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"bergamotspur/core/bergamotaccount"
 	"bergamotspur/core/bergamotdetour"
 )
 
@@ -21,6 +22,9 @@
 	fieldEntry  = "Tunnel-Entry" // of a request: the entry that asks
 )
 
+// tunnelBytes is the charge of the connection to a runner: its goroutine, both buffers, and what the kernel may hold for it.
+const tunnelBytes = 32 << 10
+
 // reachTimeout is how long a helper tries to reach a runner. A connection within a region is established in about a millisecond.
 const reachTimeout = 60 * time.Millisecond
 
@@ -35,6 +39,8 @@
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	Lender Lender
 	Links  *bergamotdetour.Links
+	// Account is charged for the connections to runners; those of the entries are charged by their listener.
+	Account *bergamotaccount.Account
 	// OnEnd is called when a tunnel ends, with the number of bytes from the runner; OnAnswer after each answer. nil for none.
 	OnEnd    func(entry, address string, bytes int64)
 	OnAnswer func(entry, address string, a bergamotdetour.Answer)
@@ -51,7 +57,7 @@
 	// The connection counts before the answer, so that as many are lent as allowed when many entries ask at once.
 	h.open.Add(1)
 	defer h.open.Add(-1)
-	runner, a := h.connect(r.Context(), entry, address)
+	runner, charge, a := h.connect(r.Context(), entry, address)
 	if h.OnAnswer != nil {
 		h.OnAnswer(entry, address, a)
 	}
@@ -60,6 +66,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer charge.Close()
 	defer func() { _ = runner.Close() }() // the tunnel has ended
 	n := carry(w, runner)
 	if h.OnEnd != nil {
@@ -67,23 +74,31 @@
 	}
 }
 
-// connect returns a direct connection to a runner, or an answer that says why there is none.
-func (h *Handler) connect(ctx context.Context, entry, address string) (runner net.Conn, a bergamotdetour.Answer) {
+// connect returns a direct connection to a runner and its charge, or an answer that says why there is none.
+func (h *Handler) connect(ctx context.Context, entry, address string) (runner net.Conn, charge *bergamotaccount.Charge, a bergamotdetour.Answer) {
 	if h.Links.AreLost() {
-		return nil, bergamotdetour.AnswerCut
+		return nil, nil, bergamotdetour.AnswerCut
 	}
 	if a = h.Lender.Lend(entry, address); a != bergamotdetour.AnswerConnected {
-		return nil, a
+		return nil, nil, a
 	}
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	runner, err := h.Dial(ctx, "tcp", address)
 	if err != nil {
 		h.Links.Missed(address, IsSilence(err), "")
-		return nil, bergamotdetour.AnswerUnreached
+		return nil, nil, bergamotdetour.AnswerUnreached
 	}
 	h.Links.Connected(address)
-	return runner, bergamotdetour.AnswerConnected
+	charge = h.Account.Open(bergamotaccount.NewHolder(bergamotaccount.KindPeer, entry, func(bergamotaccount.Cause) {
+		_ = runner.Close() // ends the tunnel
+	}))
+	if charge.Resize(tunnelBytes) != nil {
+		charge.Close()
+		_ = runner.Close() // nothing was sent
+		return nil, nil, bergamotdetour.AnswerFull
+	}
+	return runner, charge, bergamotdetour.AnswerConnected
 }
 
 // carry passes bytes between the entry that asked and a runner until one of them ends, and returns how many came from the runner.
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -16,6 +16,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotaccount"
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotdetour"
 	"bergamotspur/core/bergamottest"
@@ -63,6 +64,8 @@
 	mu      sync.Mutex
 	list    []bergamotdetour.Helper
 	answers []bergamotdetour.Answer
+
+	noMemory bool // the entries that are added have none
 }
 
 func (h *helpers) Next(asked []string) (bergamotdetour.Helper, bool) {
@@ -75,6 +78,11 @@
 	return h.list[n], true
 }
 
+// account has memory for some connections unless the spec wants none.
+func (h *helpers) account() *bergamotaccount.Account {
+	return &bergamotaccount.Account{Max: map[bool]int64{false: 1 << 20}[h.noMemory], Clock: bergamotclock.Real{}}
+}
+
 func (h *helpers) Record(_ bergamotdetour.Helper, a bergamotdetour.Answer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -92,7 +100,7 @@
 
 // add adds an entry that gives an answer; it knows that its own links are lost if that is AnswerCut.
 func (h *helpers) add(a bergamotdetour.Answer) *httptest.Server {
-	handler := &bergamottunnel.Handler{Dial: (&net.Dialer{}).DialContext, Lender: lender(a), Links: newLinks()}
+	handler := &bergamottunnel.Handler{Dial: (&net.Dialer{}).DialContext, Lender: lender(a), Links: newLinks(), Account: h.account()}
 	switch a {
 	case bergamotdetour.AnswerCut:
 		lose(handler.Links)
@@ -215,6 +223,16 @@
 		gomega.Expect(errors.Is(err, c.want)).To(gomega.BeTrue(), "%v", err)
 	})
 
+	// Guards against a helper that ends because it carries more than its memory allows.
+	ginkgo.It("is not opened by a helper without memory", func() {
+		r, h := newRunner(), &helpers{noMemory: true}
+		h.add(bergamotdetour.AnswerConnected)
+		d := &bergamottunnel.Dialer{Entry: "me", Direct: refuse, Links: newLinks(), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		_, err := d.Dial(context.Background(), "tcp", r.address())
+		gomega.Expect(errors.Is(err, errRefused)).To(gomega.BeTrue(), "%v", err)
+		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerFull}))
+	})
+
 	// Guards against a runner that goes on for a caller that has left.
 	ginkgo.It("is closed at the runner when the entry closes it", func() {
 		r, h := newRunner(), &helpers{}
