--- a/core/bergamotdetour/links_test.go
+++ b/core/bergamotdetour/links_test.go
@@ -148,3 +148,32 @@
 		gomega.Expect(asked).To(gomega.And(gomega.BeNumerically(">=", 10), gomega.BeNumerically("<=", 20)), "ten at once and five a second for two seconds")
 	})
 })
+
+type reachCase struct {
+	lost, helped     bool
+	isolated, silent bool
+}
+
+// available tells whether an entry helps.
+type available bool
+
+func (a available) Available() bool { return bool(a) }
+
+var _ = ginkgo.Describe("the reach of an entry", func() {
+	// Guards against requests that are refused although another entry helps, and against streams that leave a silent connection for
+	// nothing.
+	bergamottest.Cases(map[string]reachCase{
+		"is its own while its links work":           {},
+		"is that of a helper when they are lost":    {lost: true, helped: true, silent: true},
+		"is none when they are lost and none helps": {lost: true, isolated: true},
+	}, func(c reachCase) {
+		l := &bergamotdetour.Links{Clock: bergamotclock.NewVirtual(time.Unix(1000, 0))}
+		for n := 0; c.lost && n < 3; n++ {
+			l.Missed(fmt.Sprint(n), true, bergamotdetour.AnswerConnected)
+		}
+		r := &bergamotdetour.Reach{Links: l, Helpers: available(c.helped)}
+		gomega.Expect(r.IsIsolated()).To(gomega.Equal(c.isolated))
+		_, silent := r.SilentSince()
+		gomega.Expect(silent).To(gomega.Equal(c.silent))
+	})
+})
