--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -87,6 +87,9 @@
 	runner, err := h.Dial(ctx, "tcp", address)
 	if err != nil {
 		h.Links.Missed(address, IsSilence(err), "")
+		if h.Links.AreDoubtful() {
+			return nil, nil, bergamotdetour.AnswerCut // it may be cut as well, and says nothing about the runner
+		}
 		return nil, nil, bergamotdetour.AnswerUnreached
 	}
 	h.Links.Connected(address)
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -223,6 +223,18 @@
 		gomega.Expect(errors.Is(err, c.want)).To(gomega.BeTrue(), "%v", err)
 	})
 
+	// Guards against a sound runner that counts as dead because two entries that are cut too do not reach it.
+	ginkgo.It("is not judged by a helper that reaches no runner itself", func() {
+		h := &helpers{}
+		h.add(bergamotdetour.AnswerUnreached)
+		d := &bergamottunnel.Dialer{Entry: "me", Direct: refuse, Links: lose(newLinks()), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+			_, err := d.Dial(context.Background(), "tcp", address)
+			gomega.Expect(err).To(gomega.HaveOccurred())
+		}
+		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerUnreached, bergamotdetour.AnswerUnreached, bergamotdetour.AnswerCut}))
+	})
+
 	// Guards against a helper that ends because it carries more than its memory allows.
 	ginkgo.It("is not opened by a helper without memory", func() {
 		r, h := newRunner(), &helpers{noMemory: true}
