--- a/core/bergamotdetour/links_test.go
+++ b/core/bergamotdetour/links_test.go
@@ -177,3 +177,17 @@
 		gomega.Expect(silent).To(gomega.Equal(c.silent))
 	})
 })
+
+var _ = ginkgo.Describe("the record of help between entries", func() {
+	// Guards against a log with a line for each connection.
+	ginkgo.It("names each begin once", func() {
+		r, now := &bergamotdetour.Record{}, time.Unix(1000, 0)
+		gomega.Expect(r.Begins("a", now)).To(gomega.BeTrue())
+		gomega.Expect(r.Begins("b", now)).To(gomega.BeTrue())
+		for range 10 {
+			now = now.Add(4 * time.Second)
+			gomega.Expect(r.Begins("a", now)).To(gomega.BeFalse())
+		}
+		gomega.Expect(r.Begins("a", now.Add(5*time.Second))).To(gomega.BeTrue())
+	})
+})
