Tell a runner that pauses after it broke off from one that crashed

What callers saw: an answer that a sound runner broke off before its first event, and that was then silent for 0.25 s, was not taken over by another runner. A stream whose header had been sent ended with a closed connection, another request with 502, and the contents of the request became suspect, so that later requests with them were held back or refused.

Cause: the check of the process took silence for a crash. A report has three outcomes: the process answers, nothing listens at its address (or a process that started later does), or there is no answer. Only the second shows a crash; the kernel of a machine whose process has ended refuses connections within a millisecond. The check now keeps the three apart. Silence neither blames the contents nor keeps the request from another runner, and a resumed stream that ends without an event is taken for complete only if the process is known to live, as before.

Ruled out: waiting until the runner answers again, since a pause takes more than a second and callers give up after two.

The stand-in for a crashed runner in the specs was one that is silent; it is now one whose port is closed, and the same cases stand with it. Five cases with a silent runner are new.

A read of the paused stand-in that the server itself ends returns at once, since the stand-in could not close a connection in a pause.

--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -16,6 +16,10 @@
 // connection, for instance because it has as many as it allows, or sent another answer.
 var ErrReportRefused = errors.New("the runner gives no report")
 
+// ErrNotListening is wrapped by the error of a report for which nothing listens at the address of the runner: its process has ended,
+// while one that pauses or is cut off gives no answer at all.
+var ErrNotListening = errors.New("nothing listens at the address of the runner")
+
 // ReportSpec holds the fields of a report.
 type ReportSpec struct {
 	StartTime   int64 // start of the process in Unix milliseconds
--- a/core/bergamotrelay/crashcheck.go
+++ b/core/bergamotrelay/crashcheck.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"bergamotspur/core/bergamotcluster"
 	"bergamotspur/core/bergamotfleet"
 )
 
@@ -15,16 +17,29 @@
 	crashCheckInterval = 20 * time.Millisecond
 )
 
-// crashCheck is a check whether a process has crashed, shared by all requests that it broke off.
+// processState is what is known of a process that broke off an attempt.
+type processState int
+
+const (
+	processUnknown processState = iota // it gives no answer: it pauses, is cut off, or its machine has failed
+	processAlive
+	processCrashed // nothing listens at its address, or a process that started later does
+)
+
+// crashCheck is a check of a process, shared by all requests that it broke off.
 type crashCheck struct {
-	done    chan struct{}
-	crashed bool
+	done  chan struct{}
+	state processState
 }
 
-// hasCrashed reports whether the process of a runner that broke off an attempt has crashed: it gives no report, or one with
-// another start time. A report that is under way when the process crashes breaks off too, so that requests can share a check
-// that has already begun.
+// hasCrashed reports whether the process of a runner that broke off an attempt is known to have crashed.
 func (q *Quarantine) hasCrashed(ctx context.Context, i bergamotfleet.Instance) bool {
+	return q.checkProcess(ctx, i) == processCrashed
+}
+
+// checkProcess returns what the report of a runner that broke off an attempt shows of its process. A report that is under way when
+// the process crashes breaks off too, so that requests can share a check that has already begun.
+func (q *Quarantine) checkProcess(ctx context.Context, i bergamotfleet.Instance) processState {
 	q.mu.Lock()
 	c, running := q.checks[i.Process()]
 	if !running {
@@ -37,33 +52,35 @@
 	q.mu.Unlock()
 	if running {
 		<-c.done
-		return c.crashed
+		return c.state
 	}
 	// The request that started the check may end before the others.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashCheckTimeout)
 	defer cancel()
-	c.crashed = q.reportsCrash(ctx, i)
+	c.state = q.reportedState(ctx, i)
 	q.mu.Lock()
 	delete(q.checks, i.Process())
 	q.mu.Unlock()
 	close(c.done)
-	return c.crashed
+	return c.state
 }
 
-// reportsCrash asks a runner for its report, again while that is refused, and reports whether its process has crashed. One that
-// refuses reports until ctx ends is alive.
-func (q *Quarantine) reportsCrash(ctx context.Context, i bergamotfleet.Instance) bool {
+// reportedState asks a runner for its report, again while that is refused, and returns what it shows of its process. One that refuses
+// reports until ctx ends is alive.
+func (q *Quarantine) reportedState(ctx context.Context, i bergamotfleet.Instance) processState {
 	for {
 		r, err := q.Reporter.Report(ctx, i.Address())
-		if err == nil {
-			return r.StartTime() != i.StartTime()
-		}
-		if isSilent(err) {
-			return true
+		switch {
+		case err == nil && r.StartTime() == i.StartTime():
+			return processAlive
+		case err == nil || errors.Is(err, bergamotcluster.ErrNotListening):
+			return processCrashed
+		case isSilent(err):
+			return processUnknown
 		}
 		select {
 		case <-ctx.Done():
-			return false
+			return processAlive
 		case <-q.Clock.After(crashCheckInterval):
 		}
 	}
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -181,6 +181,13 @@
 	return bergamotcluster.Report{}, errors.New("silent")
 }
 
+// goneReporter answers every request for a report like the machine of a runner whose process has ended.
+type goneReporter struct{}
+
+func (goneReporter) Report(context.Context, string) (bergamotcluster.Report, error) {
+	return bergamotcluster.Report{}, bergamotcluster.ErrNotListening
+}
+
 // age is a fixed age of the configuration.
 type age time.Duration
 
@@ -240,7 +247,7 @@
 		caller: &caller{}, upstream: &upstream{replies: replies}, budget: &budget{left: 10}, observer: &observer{}, clock: clock,
 		router: &bergamotpath.Router{Clock: clock, Random: rand.New(rand.NewPCG(1, 2)), Centre: "a"},
 		views:  fixedView{bergamotcluster.NewView(nil, 0, fleet)},
-		ledger: bergamotsuspect.NewLedger(clock), reporter: silentReporter{},
+		ledger: bergamotsuspect.NewLedger(clock), reporter: goneReporter{},
 	}
 	g.x = NewExchange(NewRequest(RequestSpec{ID: "1", LastEvent: -1, PromptTokens: 10, AnswerTokens: 10, ArrivedAt: now}), g.views.view, g.caller)
 	g.x.SetRoute(r, service)
--- a/core/bergamotrelay/quarantine_test.go
+++ b/core/bergamotrelay/quarantine_test.go
@@ -88,7 +88,8 @@
 type endCase struct {
 	service   bergamotconfig.Service
 	replies   []reply
-	alive     bool // the runner answers after it broke off
+	lastEvent int                      // that the caller has, -1 for none
+	process   bergamotcluster.Reporter // of the runner after it broke off
 	want      string
 	wantSends int
 	suspect   bool // the request is suspect afterwards
@@ -96,25 +97,31 @@
 }
 
 var _ = ginkgo.Describe("a request whose runner breaks off", func() {
-	silent := reply{broken: true}
+	alive, gone, silent := aliveReporter{}, goneReporter{}, silentReporter{}
+	broken := reply{broken: true}
 	// Guards against sending a request on which a runner crashed to further runners, and against blaming requests that waited
-	// at the runner, that had events, or whose runner has only closed the connection.
+	// at the runner, that had events, or whose runner has only closed the connection, also where it then falls silent for a second
+	// like a sound one that pauses.
 	bergamottest.Cases(map[string]endCase{
-		"is suspect when the runner crashed before the first event":  {model, []reply{silent, {events: 2}}, false, "target yes", 1, true, false},
-		"is sent again when the runner is alive":                     {model, []reply{silent, {events: 2}}, true, "answered", 2, false, false},
-		"is resumed when the runner crashed after an event":          {model, []reply{{events: 1, broken: true}, {events: 2}}, false, "answered", 2, false, false},
-		"is sent again when the runner crashed before it answered":   {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
-		"is not suspect when another runner has answered it":         {model, []reply{{failure: reset()}, {events: 2}}, false, "answered", 2, false, false},
-		"is confirmed when two runners crashed before they answered": {model, []reply{{failure: reset()}, {failure: reset()}, {events: 2}}, false, "target unknown", 2, true, true},
-		"is not suspect when two alive runners broke off":            {model, []reply{{failure: reset()}, {failure: reset()}, {events: 2}}, true, "target unknown", 2, false, false},
-		"is confirmed as a call when a second runner crashes on it":  {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, false, "target unknown", 2, true, true},
-		"is not suspect as a call that another runner has answered":  {plain, []reply{{failure: reset()}, {status: 200}}, false, "answered", 2, false, false},
+		"is suspect when the runner crashed before the first event":  {model, []reply{broken, {events: 2}}, -1, gone, "target yes", 1, true, false},
+		"is sent again when the runner is alive":                     {model, []reply{broken, {events: 2}}, -1, alive, "answered", 2, false, false},
+		"is resumed when the runner crashed after an event":          {model, []reply{{events: 1, broken: true}, {events: 2}}, -1, gone, "answered", 2, false, false},
+		"is sent again when the runner crashed before it answered":   {model, []reply{{failure: reset()}, {events: 2}}, -1, gone, "answered", 2, false, false},
+		"is not suspect when another runner has answered it":         {model, []reply{{failure: reset()}, {events: 2}}, -1, gone, "answered", 2, false, false},
+		"is confirmed when two runners crashed before they answered": {model, []reply{{failure: reset()}, {failure: reset()}, {events: 2}}, -1, gone, "target unknown", 2, true, true},
+		"is not suspect when two alive runners broke off":            {model, []reply{{failure: reset()}, {failure: reset()}, {events: 2}}, -1, alive, "target unknown", 2, false, false},
+		"is confirmed as a call when a second runner crashes on it":  {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, -1, gone, "target unknown", 2, true, true},
+		"is not suspect as a call that another runner has answered":  {plain, []reply{{failure: reset()}, {status: 200}}, -1, gone, "answered", 2, false, false},
+		"is sent again when the runner only pauses":                  {model, []reply{broken, {events: 2}}, -1, silent, "answered", 2, false, false},
+		"is not suspect when two runners pause after it":             {model, []reply{broken, broken, {events: 2}}, -1, silent, "target yes", 2, false, false},
+		"is not suspect when two runners pause before they answer":   {model, []reply{{failure: reset()}, {failure: reset()}, {events: 2}}, -1, silent, "target unknown", 2, false, false},
+		"is not suspect as a call when two runners pause":            {plain, []reply{{failure: reset()}, {failure: reset()}, {status: 200}}, -1, silent, "target unknown", 2, false, false},
+		"is sent again when the rest may be missing in a pause":      {model, []reply{{}, {events: 2}}, 3, silent, "answered", 2, false, false},
 	}, func(c endCase) {
 		g := newRig(route(resumable), c.service, c.replies...)
 		g.prompt("first", "bad", "own")
-		if c.alive {
-			g.reporter = aliveReporter{}
-		}
+		g.x.Request().spec.LastEvent = c.lastEvent
+		g.reporter = c.process
 		err := error(nil)
 		if c.service.Engine() != nil {
 			err = g.stream(context.Background())
@@ -290,7 +297,7 @@
 	// Guards against several runners that crash at the same time on requests with the same suspect parts.
 	ginkgo.It("lets suspects with the same parts run one after another", func(ctx context.Context) {
 		clock := bergamotclock.NewVirtual(now)
-		q := &Quarantine{Clock: clock, Suspects: bergamotsuspect.NewLedger(clock), Isolation: bergamotsuspect.NewIsolation(), Reporter: silentReporter{}}
+		q := &Quarantine{Clock: clock, Suspects: bergamotsuspect.NewLedger(clock), Isolation: bergamotsuspect.NewIsolation(), Reporter: goneReporter{}}
 		request := func(parts ...string) *Exchange {
 			g := newRig(route(resumable), model)
 			g.prompt(parts...)
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -260,7 +260,7 @@
 			}
 		}
 		isEmpty := s.lastEvent == resumedAfter
-		if errors.Is(err, io.EOF) && isEmpty && (resumedAfter < 0 || known && h.Quarantine.hasCrashed(ctx, runner)) {
+		if errors.Is(err, io.EOF) && isEmpty && (resumedAfter < 0 || known && h.Quarantine.checkProcess(ctx, runner) != processAlive) {
 			return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, errNoEvent)
 		}
 		if errors.Is(err, io.EOF) {
--- a/io/bergamotfake/pause.go
+++ b/io/bergamotfake/pause.go
@@ -1,7 +1,9 @@
 package bergamotfake
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -76,9 +78,13 @@
 	once   sync.Once
 }
 
-// Read reads, and returns what has arrived once there is no pause.
+// Read reads, and returns what has arrived once there is no pause. A read that the server itself ends returns at once, since the
+// server waits for it before it closes the connection.
 func (c *pauseConn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
 	c.pauses.wait(c.closed)
 	return n, err
 }
