Leave a silent runner only once another path has accepted the request

Cause: an attempt was ended because of silence once a retry was taken for another path that looked free. All streams of a path moved at the same moment; the runners of the other path were full and refused them, the budget was used up, and the attempt that would have gone on after a pause was gone.

Change: the request is sent over the other path while the attempt goes on. The attempt ends when a runner has accepted the request, and not at all if it has had an event meanwhile. A path that refuses, fails or is silent too costs the retry, and the next one is looked for as before. A suspect still leaves its runner first. An attempt that breaks off waits for a send under way.

Ruled out: sending over the first path again after a refusal, which needs another retry where the budget is used up.

go test ./core/bergamotrelay -ginkgo.focus 'whose runners pause': six of eight cases failed before (goes on or begins when the other path refuses or is silent; goes on when it breaks off or fails), all pass now, also with the race detector. The case of successors in stream_test.go calls the function with its new arguments and an upstream that accepts; what it expects is unchanged.

--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -28,6 +28,8 @@
 	again   bool          // the events are numbered from 0 wherever the attempt resumes
 	hangs   bool          // no response until the attempt is cancelled
 	delay   chan struct{} // the response is held back until the channel is closed
+	pause   chan struct{} // the stream pauses after its events until the channel is closed, and goes on with rest more
+	rest    int
 }
 
 // upstream returns the scripted replies in the order of the attempts and repeats the last one.
@@ -60,7 +62,7 @@
 	if r.again {
 		next = 0
 	}
-	return &fakeResponse{reply: r, next: next, left: r.events}, nil
+	return &fakeResponse{ctx: ctx, reply: r, next: next, left: r.events}, nil
 }
 
 func (u *upstream) runners() (out []string) {
@@ -74,6 +76,7 @@
 
 // fakeResponse is the response that a reply describes.
 type fakeResponse struct {
+	ctx   context.Context // of the request
 	reply reply
 	next  int
 	left  int
@@ -95,6 +98,15 @@
 		f.next++
 		return fmt.Appendf(nil, "%d ", f.next-1), f.next - 1, nil
 	}
+	if f.reply.pause != nil {
+		select {
+		case <-f.reply.pause:
+		case <-f.ctx.Done():
+			return nil, -1, f.ctx.Err()
+		}
+		f.reply.pause, f.left = nil, f.reply.rest
+		return f.Next()
+	}
 	if f.reply.broken {
 		return nil, -1, NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, errors.New("broken off"))
 	}
@@ -131,6 +143,13 @@
 	return nil
 }
 
+// received returns the events that the caller has.
+func (c *caller) received() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text
+}
+
 // budget allows a fixed number of retries.
 type budget struct {
 	left int
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -47,11 +47,40 @@
 		s.possibleRuns++
 	}
 	s.avoid[name] = true
-	if f.reason == bergamotrequest.ReasonFull && s.checkMemoryFull(p, name) {
-		return
+	if used, ok := s.reportFailed(p, name, f); ok {
+		s.x.Trace().AddStep(fmt.Sprintf("%s holds %.0f token-layers", name, used))
+	}
+}
+
+// recordSends records the sends to other paths while an attempt waited.
+func (s *streamState) recordSends(ctx context.Context, move *handover) {
+	s.attempts += move.sends
+	s.possibleRuns += move.runs
+	for _, f := range move.failed {
+		name := runnerAt(f.plan, f.failure.faultAddress)
+		s.avoid[name] = true
+		s.x.Trace().RecordAttempt(formatPlan(f.plan))
+		s.x.Trace().RecordFailure(name, f.failure)
+		if f.known && s.mayHaveCrashed(ctx, f.failure) {
+			s.trial.checkUnstarted(ctx, f.runner)
+		}
+	}
+}
+
+// reportFailed reports a runner that failed an attempt to the router and the observer. One that rejected it because its memory is full is
+// not at fault: then ok is true, and used is the memory in use by all entries, in tokens times layers.
+func (s *streamState) reportFailed(p bergamotroute.Plan, name string, f *Failure) (used float64, ok bool) {
+	if f.isEnd() {
+		return 0, false
+	}
+	if f.reason == bergamotrequest.ReasonFull {
+		if used, ok = s.checkMemoryFull(p, name); ok {
+			return used, true
+		}
 	}
 	s.handler.Router.Avoid(name, avoidDuration)
 	s.handler.Observer.RunnerFailed(name, f.Error())
+	return 0, false
 }
 
 // runnerAt returns the name of the runner of a path at an address, or that of the first runner if none has it.
@@ -64,22 +93,21 @@
 	return p.Stages()[0].Instance()
 }
 
-// checkMemoryFull reports whether a runner rejected the request because its memory is full. If so, it passes the memory
-// in use by all entries to the router. Any other cause of a rejection calls for a health check of the runner.
-func (s *streamState) checkMemoryFull(p bergamotroute.Plan, name string) bool {
+// checkMemoryFull reports whether a runner rejected the request because its memory is full. If so, it returns the memory in use by all
+// entries and passes it to the router. Any other cause of a rejection calls for a health check of the runner.
+func (s *streamState) checkMemoryFull(p bergamotroute.Plan, name string) (used float64, ok bool) {
 	for _, stage := range p.Stages() {
 		if stage.Instance() != name {
 			continue
 		}
 		r, err := s.handler.StallDetector.fetchReport(stage.Address())
 		if err != nil || !coversStage(r.Holdings(), stage) || !r.Full() {
-			return false
+			return 0, false
 		}
 		s.handler.Router.RecordUsage(name, r.UsedMemory())
-		s.x.Trace().AddStep(fmt.Sprintf("%s holds %.0f token-layers", name, r.UsedMemory()))
-		return true
+		return r.UsedMemory(), true
 	}
-	return false
+	return 0, false
 }
 
 // coversStage reports whether the holdings include all layers of a stage.
@@ -114,7 +142,7 @@
 
 // budgetShare returns the share of the retry budget that the next attempt may use.
 func (s *streamState) budgetShare() float64 {
-	if s.started {
+	if s.started.Load() {
 		return 1
 	}
 	return newRequestBudgetShare
@@ -123,7 +151,12 @@
 // canAttempt reports whether the route allows another attempt after possibleRuns attempts that may have run the request
 // to completion.
 func (s *streamState) canAttempt(possibleRuns int) bool {
-	return possibleRuns < s.x.Route().MaxAttempts() && s.attempts < s.x.Route().MaxAttempts()+extraAttempts
+	return s.allowsAttempt(s.attempts, possibleRuns)
+}
+
+// allowsAttempt reports whether the route allows another attempt after a number of attempts and of possible runs.
+func (s *streamState) allowsAttempt(attempts, possibleRuns int) bool {
+	return possibleRuns < s.x.Route().MaxAttempts() && attempts < s.x.Route().MaxAttempts()+extraAttempts
 }
 
 // refuse returns a refusal that states why there is no response or no complete one.
@@ -146,7 +179,7 @@
 
 // runState returns whether any attempt has or may have run the request.
 func (s *streamState) runState() bergamotrequest.RunState {
-	if s.started {
+	if s.started.Load() {
 		return bergamotrequest.RunYes
 	}
 	if s.possibleRuns > 0 || s.failure != nil && s.failure.runState != bergamotrequest.RunNo {
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
@@ -75,7 +76,7 @@
 type streamState struct {
 	handler      *StreamHandler
 	x            *Exchange
-	started      bool            // the status and header fields have been sent to the caller
+	started      atomic.Bool     // the status and header fields have been sent to the caller
 	progressed   bool            // a runner has sent an event, so that the request does not make runners crash
 	lastEvent    int             // last event sent to the caller, -1 for none
 	possibleRuns int             // attempts that may have run the request to completion
@@ -97,44 +98,62 @@
 	}
 	s.trial = t
 	defer t.finish()
+	var next *opened
 	for {
-		plan, ok := s.plan(ctx)
-		if !ok {
-			return s.refuse(ctx)
+		o := next
+		if o == nil {
+			plan, ok := s.plan(ctx)
+			if !ok {
+				return s.refuse(ctx)
+			}
+			o = newOpened(ctx, plan)
 		}
 		if h.Quarantine.isConfirmed(x) {
-			h.Router.Release(plan, x.Request().Tokens())
+			s.discard(o)
 			return s.refuseConfirmed()
 		}
-		plan = s.isolate(plan)
-		start, chunksBefore := h.Clock.Now(), x.Trace().Chunks()
-		err := s.sendAttempt(ctx, plan)
-		h.Router.Release(plan, x.Request().Tokens())
-		s.recordEventTime(plan, x.Trace().Chunks()-chunksBefore, h.Clock.Now().Sub(start))
+		if next == nil {
+			o.plan = s.isolate(o.plan)
+			s.attempts++
+		}
+		x.Trace().RecordAttempt(formatPlan(o.plan))
+		start, chunksBefore, move := h.Clock.Now(), x.Trace().Chunks(), &handover{lastEvent: s.lastEvent}
+		err := s.runAttempt(ctx, o, move)
+		next = move.finish(err != nil)
+		s.discard(o)
+		s.recordEventTime(o.plan, x.Trace().Chunks()-chunksBefore, h.Clock.Now().Sub(start))
 		if err == nil {
+			s.discard(next)
 			return nil
 		}
 		s.failure = asFailure(err)
-		s.recordFailure(plan)
-		if ctx.Err() != nil || !s.takeRetry() {
+		s.recordFailure(o.plan)
+		s.recordSends(ctx, move)
+		if ctx.Err() != nil || s.crashed || next == nil && !s.takeRetry() {
+			s.discard(next)
 			return s.refuse(ctx)
 		}
 	}
 }
 
+// discard ends an attempt and releases what it holds; it does nothing for nil.
+func (s *streamState) discard(o *opened) {
+	if o == nil {
+		return
+	}
+	o.cancel(nil)
+	if o.response != nil {
+		o.response.Close()
+	}
+	s.handler.Router.Release(o.plan, s.x.Request().Tokens())
+}
+
 // plan returns a path, waiting up to maxPathWait for one; ok is false if there is none.
 func (s *streamState) plan(ctx context.Context) (p bergamotroute.Plan, ok bool) {
 	h := s.handler
 	deadline := h.Clock.Now().Add(maxPathWait)
 	for {
-		v := h.Views.View()
-		p, ok = h.Router.Route(s.pathQuery(v))
-		if ok && s.probeFullestRunner(p, v) {
-			// A runner of the path is at or near its memory limit, possibly because of other entries: search again with
-			// its current report.
-			h.Router.Release(p, s.x.Request().Tokens())
-			p, ok = h.Router.Route(s.pathQuery(v))
-		}
+		p, ok = s.route(s.pathQuery(h.Views.View()))
 		if ok || !h.Clock.Now().Before(deadline) {
 			return p, ok
 		}
@@ -148,6 +167,18 @@
 	}
 }
 
+// route returns a path, which it reserves.
+func (s *streamState) route(q bergamotpath.Query) (p bergamotroute.Plan, ok bool) {
+	r := s.handler.Router
+	p, ok = r.Route(q)
+	if ok && s.probeFullestRunner(p, q) {
+		// A runner of the path is at or near its memory limit, possibly because of other entries: search again with its current report.
+		r.Release(p, q.Tokens)
+		p, ok = r.Route(q)
+	}
+	return p, ok
+}
+
 // isolate returns a path whose first runner has no other suspect, if the request is one and there is such a path, and the
 // given path otherwise. Without that, a request that waits at two runners while another one makes them crash would look
 // like the cause.
@@ -199,8 +230,8 @@
 // probeFullestRunner fetches the report of the runner of a path whose memory may be full, unless a recent report is
 // known, and reports whether it did. A report costs a hundredth of a request, while a rejection costs a retry from the
 // budget.
-func (s *streamState) probeFullestRunner(p bergamotroute.Plan, v *bergamotcluster.View) bool {
-	name, address, ok := s.handler.Router.FullestRunner(p, s.pathQuery(v))
+func (s *streamState) probeFullestRunner(p bergamotroute.Plan, q bergamotpath.Query) bool {
+	name, address, ok := s.handler.Router.FullestRunner(p, q)
 	if !ok {
 		return false
 	}
@@ -212,50 +243,58 @@
 	return true
 }
 
-// sendAttempt sends the request over a path and forwards the response until the stream ends.
-func (s *streamState) sendAttempt(ctx context.Context, p bergamotroute.Plan) (err error) {
-	h := s.handler
+// attempt returns the attempt over a path for a caller that has the events up to lastEvent.
+func (s *streamState) attempt(p bergamotroute.Plan, lastEvent int) Attempt {
 	first := p.Stages()[0]
-	runner, known := h.Views.View().Fleet().Instance(first.Instance())
-	s.attempts++
-	s.x.Trace().RecordAttempt(formatPlan(p))
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	runner, known := s.handler.Views.View().Fleet().Instance(first.Instance())
+	return Attempt{
+		request: s.x.Request(), runner: first.Instance(), process: processOf(runner, known), address: first.Address(), plan: p,
+		workspace: s.x.Workspace().Name(), timeout: s.x.Deadline().Sub(s.handler.Clock.Now()), resumeAfter: lastEvent,
+		priority: s.priority(),
+	}
+}
+
+// runAttempt sends the request over a path, unless a response has begun there, and forwards the response until the stream ends or
+// another attempt takes over.
+func (s *streamState) runAttempt(requestCtx context.Context, o *opened, move *handover) (err error) {
+	h, p, ctx := s.handler, o.plan, o.ctx
+	runner, known := h.Views.View().Fleet().Instance(p.Stages()[0].Instance())
 	w := h.StallDetector.watch(watchSpec{
 		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
-		maxFirst: s.x.Route().TargetLatency(), isContinued: s.started, isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
-		takeSuccessor: s.successorFunc(p), onStall: s.reportStall(p), cancel: cancel,
+		maxFirst: s.x.Route().TargetLatency(), isContinued: s.started.Load(), isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
+		takeSuccessor: s.successorFunc(requestCtx, p, move), onStall: s.reportStall(p), cancel: o.cancel,
 	})
 	defer w.stop()
-	response, err := h.Upstream.Send(ctx, Attempt{
-		request: s.x.Request(), runner: first.Instance(), process: processOf(runner, known), address: first.Address(), plan: p,
-		workspace: s.x.Workspace().Name(), timeout: s.x.Deadline().Sub(h.Clock.Now()), resumeAfter: s.lastEvent,
-		priority: s.priority(),
-	})
-	if err != nil {
-		if known && s.mayHaveCrashed(ctx, err) {
-			s.trial.checkUnstarted(ctx, runner)
+	if o.response == nil {
+		if o.response, err = h.Upstream.Send(ctx, s.attempt(p, s.lastEvent)); err != nil {
+			o.response = nil
+			if known && s.mayHaveCrashed(ctx, err) {
+				s.trial.checkUnstarted(ctx, runner)
+			}
+			return failureCause(ctx, err)
 		}
-		return failureCause(ctx, err)
 	}
-	defer response.Close()
+	if move.isOver() {
+		return movedOn(ctx)
+	}
+	response := o.response
 	defer func() {
 		s.crashed = known && s.mayHaveCrashed(ctx, err) && s.trial.checkCrash(ctx, runner, s.trial.suspect.Load())
 	}()
 	if response.Status() != http.StatusOK {
 		return s.forwardResponse(response)
 	}
-	if !s.started {
+	if !s.started.Load() {
 		if err = s.x.Sink().StartStream(response.Status(), response.Fields()); err != nil {
 			return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonCancel, err)
 		}
-		s.started = true
+		s.started.Store(true)
 	}
 	resumedAfter := s.lastEvent
 	for {
 		events, lastEvent, err := response.Next()
 		if len(events) > 0 {
-			if err := s.forwardEvents(w, events, lastEvent, response.Status()); err != nil {
+			if err := s.forwardEvents(ctx, w, move, events, lastEvent, response.Status()); err != nil {
 				return err
 			}
 		}
@@ -293,12 +332,15 @@
 
 // forwardEvents sends events to the caller. Only those with a new number show that the request makes progress: a runner in
 // trouble may send comments without end, or events that the caller already has.
-func (s *streamState) forwardEvents(w *attemptWatch, events []byte, lastEvent, status int) error {
+func (s *streamState) forwardEvents(ctx context.Context, w *attemptWatch, move *handover, events []byte, lastEvent, status int) error {
 	isProgress := lastEvent > s.lastEvent
 	if lastEvent >= 0 && !isProgress {
 		return NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, fmt.Errorf("event %d after %d", lastEvent, s.lastEvent))
 	}
 	if isProgress {
+		if !move.advance(lastEvent) {
+			return movedOn(ctx)
+		}
 		w.eventsReceived()
 		if s.x.Trace().Chunks() == 0 {
 			s.trial.answered()
@@ -315,10 +357,16 @@
 	return nil
 }
 
+// movedOn returns the failure of an attempt that another one has taken over from, with which the stall detector cancels ctx.
+func movedOn(ctx context.Context) error {
+	<-ctx.Done()
+	return failureCause(ctx, ctx.Err())
+}
+
 // priority returns the priority of an attempt. A stream that the caller is already reading goes first: its pause must
 // be shorter than the wait for a new stream.
 func (s *streamState) priority() int {
-	if s.started {
+	if s.started.Load() {
 		return 0
 	}
 	return s.x.Priority()
@@ -330,7 +378,7 @@
 	if err != nil {
 		return err
 	}
-	if s.started {
+	if s.started.Load() {
 		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonTarget, fmt.Errorf("status %d on a continued stream", response.Status()))
 	}
 	s.trial.answered()
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -61,16 +61,19 @@
 
 	// Guards against cutting off a stream at a slow runner whose first event is overdue although no other runner has its layers.
 	ginkgo.It("leaves a path without an event only for another path", func() {
-		g := newRig(route(resumable), model)
-		s := &streamState{handler: &StreamHandler{Clock: g.clock, Router: g.router, Views: g.views, Budget: unlimitedBudget{}, Quarantine: g.quarantine()}, x: g.x, avoid: map[string]bool{}}
+		g := newRig(route(resumable), model, reply{events: 1})
+		s := &streamState{
+			handler: &StreamHandler{Clock: g.clock, Router: g.router, Views: g.views, Budget: unlimitedBudget{}, Quarantine: g.quarantine(), Upstream: g.upstream},
+			x:       g.x, avoid: map[string]bool{}, lastEvent: -1, trial: &trial{},
+		}
 		p, ok := g.router.Route(s.pathQuery(g.views.view))
 		gomega.Expect(ok).To(gomega.BeTrue())
 		first := p.Stages()[0]
-		gomega.Expect(s.successorFunc(p)(first.Address(), 1)).To(gomega.BeTrue())
+		gomega.Expect(s.successorFunc(context.Background(), p, &handover{lastEvent: -1})(first.Address(), 1)).To(gomega.BeTrue())
 		for _, name := range []string{"x", "y", "z"} {
 			s.avoid[name] = name != first.Instance()
 		}
-		gomega.Expect(s.successorFunc(p)(first.Address(), 1)).To(gomega.BeFalse())
+		gomega.Expect(s.successorFunc(context.Background(), p, &handover{lastEvent: -1})(first.Address(), 1)).To(gomega.BeFalse())
 	})
 
 	// Guards against resuming a stream at the runner that has just failed.
--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -1,21 +1,150 @@
 package bergamotrelay
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"maps"
+	"net/http"
+	"sync"
+	"time"
 
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 )
 
+// opened is an attempt over a path that is reserved for it.
+type opened struct {
+	plan     bergamotroute.Plan
+	response Response // nil until it has begun
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+}
+
+func newOpened(ctx context.Context, p bergamotroute.Plan) *opened {
+	o := &opened{plan: p}
+	o.ctx, o.cancel = context.WithCancelCause(ctx)
+	return o
+}
+
+// failedSend is an attempt that another path did not accept.
+type failedSend struct {
+	plan    bergamotroute.Plan
+	runner  bergamotfleet.Instance
+	known   bool
+	failure *Failure
+}
+
+// errGoesOn is the cause of the end of a send to another path when the attempt before goes on.
+var errGoesOn = errors.New("the stream goes on over the path before")
+
+// handover moves an exchange from an attempt that waits for a silent runner to another path. The attempt ends only when a runner of the
+// other path has accepted the request: one that pauses goes on and still serves the caller, also when the other path refuses.
+type handover struct {
+	mu        sync.Mutex
+	lastEvent int                     // last event that the caller has or gets
+	ended     bool                    // the attempt has ended
+	sending   chan struct{}           // closed at the end of the send under way, nil without one
+	cancel    context.CancelCauseFunc // of that send
+	next      *opened                 // the attempt that takes over
+	sends     int
+	runs      int // sends without a response that may have run the request
+	failed    []failedSend
+}
+
+// advance records progress of the attempt and reports whether it still serves the caller. A send under way is of no use any more.
+func (h *handover) advance(lastEvent int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.next != nil {
+		return false
+	}
+	h.lastEvent = lastEvent
+	if h.sending != nil {
+		h.cancel(nil)
+	}
+	return true
+}
+
+// isOver reports whether another attempt has taken over.
+func (h *handover) isOver() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next != nil
+}
+
+// begin records that a send to another path begins, and returns the last event that the caller has. ok is false once the attempt has
+// ended or allows no further one, by the numbers of sends and possible runs so far.
+func (h *handover) begin(cancel context.CancelCauseFunc, allowed func(sends, runs int) bool) (lastEvent int, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended || h.next != nil || !allowed(h.sends, h.runs) {
+		return 0, false
+	}
+	h.sends++
+	h.sending, h.cancel = make(chan struct{}), cancel
+	return h.lastEvent, true
+}
+
+// accept lets the response to a send take over and reports whether it does: not if the caller has had an event meanwhile.
+func (h *handover) accept(o *opened, lastEvent int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o.ctx.Err() != nil || h.lastEvent != lastEvent {
+		return false
+	}
+	h.next = o
+	h.sent()
+	return true
+}
+
+// reject records a send without a usable response.
+func (h *handover) reject(f failedSend) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	defer h.sent()
+	if f.failure.runState != bergamotrequest.RunNo {
+		h.runs++
+	}
+	h.failed = append(h.failed, f)
+}
+
+// sent ends the send under way. The caller holds the lock.
+func (h *handover) sent() {
+	close(h.sending)
+	h.sending = nil
+}
+
+// finish ends the attempt and returns the one that has taken over, nil for none. One that was broken off waits for the send under way.
+func (h *handover) finish(brokenOff bool) *opened {
+	h.mu.Lock()
+	h.ended = true
+	sending := h.sending
+	if sending != nil && !brokenOff {
+		h.cancel(nil)
+	}
+	h.mu.Unlock()
+	if sending != nil {
+		<-sending
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next
+}
+
 // successorFunc returns a function that takes a retry for another path than p, without the runner at an address, while less than the
-// given share of the budget is used. It reports whether there is such a path and the budget allows it: a runner that is only slow or
-// pauses still serves the caller. The function is nil if the route allows no further attempt.
-func (s *streamState) successorFunc(p bergamotroute.Plan) func(address string, share float64) bool {
+// given share of the budget is used, and sends the request over it. It reports whether that path has accepted the request: a runner
+// that is only slow or pauses still serves the caller. The function is nil if the route allows no further attempt.
+func (s *streamState) successorFunc(ctx context.Context, p bergamotroute.Plan, move *handover) func(address string, share float64) bool {
 	if !s.x.Route().IsRetryable() || !s.canAttempt(s.possibleRuns+1) {
 		return nil
 	}
 	h := s.handler
 	query := s.pathQuery(h.Views.View())
 	failed := maps.Clone(s.avoid) // s.avoid changes once the attempt has ended, when the function may still run
+	attempts, runs := s.attempts, s.possibleRuns+1
+	allowed := func(sends, more int) bool { return s.allowsAttempt(attempts+sends, runs+more) }
 	return func(address string, share float64) bool {
 		if h.Quarantine.isConfirmed(s.x) {
 			return false
@@ -23,12 +152,67 @@
 		current := query
 		current.Fleet, current.Avoid = h.Views.View().Fleet(), maps.Clone(failed)
 		current.Avoid[runnerAt(p, address)] = true
-		other, ok := h.Router.Route(current)
-		if ok {
+		other, ok := s.route(current)
+		if !ok {
+			return false
+		}
+		if s.trial.suspect.Load() {
+			// A suspect leaves its runner before it goes to another one.
 			h.Router.Release(other, query.Tokens)
+			return h.Budget.TakeWithin(query.Service, share)
+		}
+		o := newOpened(ctx, other)
+		lastEvent, ok := move.begin(o.cancel, allowed)
+		if !ok {
+			s.discard(o)
+			return false
+		}
+		if !h.Budget.TakeWithin(query.Service, share) {
+			move.withdraw()
+			s.discard(o)
+			return false
 		}
-		return ok && h.Budget.TakeWithin(query.Service, share)
+		runner, known := current.Fleet.Instance(other.Stages()[0].Instance())
+		f := s.open(o, lastEvent)
+		if f == nil && move.accept(o, lastEvent) {
+			return true
+		}
+		s.discard(o)
+		if f == nil {
+			f = NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonCancel, errGoesOn)
+		}
+		name := runnerAt(other, f.faultAddress)
+		failed[name] = true
+		s.reportFailed(other, name, f)
+		move.reject(failedSend{other, runner, known, f})
+		return false
+	}
+}
+
+// withdraw takes back a send that has not begun.
+func (h *handover) withdraw() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sends--
+	h.sent()
+}
+
+// open sends the request over a path and returns the failure if the response is no stream. Callers do not wait for longer than
+// maxSilence.
+func (s *streamState) open(o *opened, lastEvent int) *Failure {
+	address := o.plan.Stages()[0].Address()
+	timer := time.AfterFunc(maxSilence(s.x.Route()), func() { o.cancel(stallFailure(address, errNoPatience)) })
+	defer timer.Stop()
+	response, err := s.handler.Upstream.Send(o.ctx, s.attempt(o.plan, lastEvent))
+	if err != nil {
+		return asFailure(failureCause(o.ctx, err))
+	}
+	if response.Status() != http.StatusOK {
+		response.Close()
+		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonTarget, fmt.Errorf("status %d", response.Status()))
 	}
+	o.response = response
+	return nil
 }
 
 // reportStall returns a function that reports a runner of a path on which an attempt waits, also if the attempt goes on: other
--- /dev/null
+++ b/core/bergamotrelay/successor_test.go
@@ -0,0 +1,54 @@
+package bergamotrelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"bergamotspur/core/bergamottest"
+)
+
+type pathCase struct {
+	begun int    // events before the runners pause
+	other reply  // of the other path
+	moves bool   // the other path takes over before the pause ends
+	text  string // events that the caller received
+}
+
+var _ = ginkgo.Describe("a stream whose runners pause", func() {
+	never := make(chan struct{})
+	// Guards against streams that are cut off because the only other path refuses, fails or is silent too, although their own runners
+	// only pause, and against events that come twice or are missing when it takes over.
+	bergamottest.Cases(map[string]pathCase{
+		"goes on when the other path refuses":          {2, reply{failure: rejected()}, false, "0 1 2 3 "},
+		"goes on when the other path breaks off":       {2, reply{failure: reset()}, false, "0 1 2 3 "},
+		"goes on when the other path fails":            {2, reply{status: 500, body: "no"}, false, "0 1 2 3 "},
+		"goes on when the other path is silent":        {2, reply{delay: never}, false, "0 1 2 3 "},
+		"moves when the other path accepts":            {2, reply{events: 3}, true, "0 1 2 3 4 "},
+		"begins when the other path refuses":           {0, reply{failure: rejected()}, false, "0 1 "},
+		"begins when the other path is silent":         {0, reply{delay: never}, false, "0 1 "},
+		"begins over the other path when that accepts": {0, reply{events: 3}, true, "0 1 2 "},
+	}, func(c pathCase) {
+		pause := make(chan struct{})
+		first := reply{events: c.begun, pause: pause, rest: 2}
+		g := newRig(route(resumable), model, first, c.other)
+		g.budget.left = 1 // the other path is tried once
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- g.stream(ctx) }()
+		gomega.Eventually(g.caller.received).WithTimeout(20 * time.Second).Should(gomega.HaveLen(2 * c.begun))
+		gomega.Eventually(g.upstream.runners).WithTimeout(20 * time.Second).Should(gomega.HaveLen(1))
+		g.clock.Advance(400 * time.Millisecond)
+		gomega.Eventually(g.upstream.runners).WithTimeout(20 * time.Second).Should(gomega.HaveLen(2))
+		if !c.moves {
+			close(pause)
+		}
+		gomega.Eventually(done).WithTimeout(20 * time.Second).Should(gomega.Receive(gomega.BeNil()))
+		gomega.Expect(g.caller.received()).To(gomega.Equal(c.text))
+		gomega.Expect(g.upstream.runners()).To(gomega.HaveLen(2))
+		gomega.Expect(g.caller.starts).To(gomega.Equal(1))
+	})
+})
