Do not run a request whose connection was closed while it was read

What callers saw: none seen; found by reading the ends of requests. net/http closes the connections that it has seen idle when an entry stops (SetKeepAlivesEnabled, Shutdown). One whose next request has just been read, and is not yet marked as active, is closed too, and the request was then run by a runner although its caller could get no answer and sends it again.

Change: the handler is not called for a connection that was closed before. The caller sees a connection that closes with its request unread, as in any crossing.

Not covered: net/http may still close the connection in the instant after the handler was called, if it saw it idle just before.

The new spec failed before with 2 runs instead of 1 (go test ./io/bergamotlimit -ginkgo.focus 'kept connection that the server closes').

--- a/io/bergamotlimit/conn.go
+++ b/io/bergamotlimit/conn.go
@@ -261,12 +261,13 @@
 	}
 }
 
-// serve records that the handler has been called, and returns false if the connection was evicted before.
+// serve records that the handler has been called, and returns false if the connection was evicted or closed before: a server that
+// stops closes the connections that it has seen idle, also those whose next request it has just read.
 func (c *Conn) serve() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served = true
-	return c.cause == ""
+	return c.cause == "" && c.phase < phaseClosing
 }
 
 // moveHead removes the memory of the head from the charge.
--- a/io/bergamotlimit/evicted_test.go
+++ b/io/bergamotlimit/evicted_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -33,3 +34,28 @@
 		gomega.Expect(status).To(gomega.BeZero())
 	})
 })
+
+var _ = ginkgo.Describe("a kept connection that the server closes while it reads the next request", func() {
+	// Guards against a request that is run although its connection is closed, so that its caller gets no answer and sends it again.
+	ginkgo.It("does not run the request", func() {
+		var active, run atomic.Int32
+		conn := newRigWith(64<<20, 10, func(s *http.Server) {
+			s.Handler = handler{http.HandlerFunc(func(http.ResponseWriter, *http.Request) { run.Add(1) })}
+			follow := s.ConnState
+			s.ConnState = func(c net.Conn, state http.ConnState) {
+				// A server that stops closes the connections that it has seen idle.
+				if state == http.StateActive && active.Add(1) == 2 {
+					gomega.Expect(c.Close()).To(gomega.Succeed())
+				}
+				follow(c, state)
+			}
+		}).dial()
+		conn.send(post("/", "", ""))
+		status, _ := conn.receive()
+		gomega.Expect(status).To(gomega.Equal(http.StatusOK))
+		conn.send(post("/", "", ""))
+		status, _ = conn.receive()
+		gomega.Expect(status).To(gomega.BeZero())
+		gomega.Expect(run.Load()).To(gomega.BeEquivalentTo(1))
+	})
+})
--- a/io/bergamotlimit/server.go
+++ b/io/bergamotlimit/server.go
@@ -33,10 +33,10 @@
 	}
 }
 
-// handler calls the handler of a server for requests whose connection has not been evicted.
+// handler calls the handler of a server for requests whose connection has not been evicted or closed.
 type handler struct{ next http.Handler }
 
-// ServeHTTP passes on a request, or refuses it if its connection was evicted before.
+// ServeHTTP passes on a request, or refuses it if its connection was evicted before. One whose connection was closed is not run.
 func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c := connOf(r); c != nil && !c.serve() {
 		c.answer(refuseMemory)
