Let entries ask each other which entries they know

To draw from all entries without a list of all, it walks the trees in which entries follow the hubs.

Lists are bounded; an entry of an older build answers 404, which is an error. Downstreams.Followers leaves out hubs, which are branches of their own, and entries without an address.

--- a/core/bergamotmirror/answer.go
+++ b/core/bergamotmirror/answer.go
@@ -131,6 +131,9 @@
 // Downstream returns how many entries read through this one, including itself.
 func (r *Reader) Downstream() int { return r.downstreams.Count() }
 
+// Followers returns the entries that follow this one, without hubs.
+func (r *Reader) Followers() []Follower { return r.downstreams.Followers() }
+
 // setSource records which entry answered last, empty for the store, and the entries between the store and this one.
 func (r *Reader) setSource(name string, path []string) {
 	r.mu.Lock()
--- a/core/bergamotmirror/downstreams.go
+++ b/core/bergamotmirror/downstreams.go
@@ -1,6 +1,8 @@
 package bergamotmirror
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -84,6 +86,32 @@
 	return peers
 }
 
+// Follower is an entry that follows another one.
+type Follower struct {
+	Peer
+	entries int
+}
+
+// NewFollower returns the follower p through which a number of entries read, including itself.
+func NewFollower(p Peer, entries int) Follower { return Follower{Peer: p, entries: entries} }
+
+// Entries returns how many entries read through the follower, including itself.
+func (f Follower) Entries() int { return f.entries }
+
+// Followers returns the entries that follow this one and can be reached, in the order of their names, without hubs.
+func (d *Downstreams) Followers() (list []Follower) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire()
+	for _, e := range d.entries {
+		if e.entries > 0 && e.peer.address != "" {
+			list = append(list, NewFollower(e.peer, e.entries))
+		}
+	}
+	slices.SortFunc(list, func(a, b Follower) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
 // expire removes the entries that have stopped following.
 func (d *Downstreams) expire() {
 	for name, e := range d.entries {
--- a/io/bergamotreplication/replication_test.go
+++ b/io/bergamotreplication/replication_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotdetour"
 	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotmirror"
 	"bergamotspur/core/bergamotstore"
@@ -204,3 +206,41 @@
 		gomega.Expect(*l).To(gomega.Equal(lender{service: "llm", share: 0.7}))
 	})
 })
+
+// lister has the same listing for all.
+type lister bergamotdetour.Listing
+
+func (l lister) Listing() bergamotdetour.Listing { return bergamotdetour.Listing(l) }
+
+type listingCase struct {
+	handler http.Handler
+	err     string // part of the error, empty for none
+}
+
+var _ = ginkgo.Describe("a query for the entries that an entry knows", func() {
+	entry := func(name string) bergamotdetour.Helper { return bergamotdetour.NewHelper(name, name+":1", "a") }
+	branch := bergamotdetour.NewBranch(entry("f"), 7)
+	want := bergamotdetour.NewListing(bergamotdetour.AnswerFull, []bergamotdetour.Branch{branch}, []bergamotdetour.Branch{bergamotdetour.NewBranch(entry("h"), 9)}, []bergamotdetour.Helper{entry("e")})
+	long := bergamotdetour.NewListing(bergamotdetour.AnswerFull, slices.Repeat([]bergamotdetour.Branch{branch}, 65), nil, nil)
+	// Guards against fields that are lost on the way, and against the reply of an entry that has taken over the address, of one of an
+	// older build or without bounds.
+	bergamottest.Cases(map[string]listingCase{
+		"returns all fields":               {handler: bergamotreplication.NewEntriesHandler("hub", lister(want))},
+		"fails when another entry answers": {handler: bergamotreplication.NewEntriesHandler("other", lister(want)), err: "other answers"},
+		"fails when the list is too long":  {handler: bergamotreplication.NewEntriesHandler("hub", lister(long)), err: "list of 65"},
+		"fails when the entry is older":    {handler: bergamotreplication.NewHandler(nil, nil, nil), err: "404"},
+	}, func(c listingCase) {
+		mux := http.NewServeMux()
+		mux.Handle("POST "+bergamotreplication.EntriesPath, c.handler)
+		server := httptest.NewServer(mux)
+		defer server.Close()
+		hub := bergamotdetour.NewHelper("hub", strings.TrimPrefix(server.URL, "http://"), "a")
+		got, err := bergamotreplication.NewClient().List(context.Background(), hub)
+		if c.err != "" {
+			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(c.err)))
+			return
+		}
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(got).To(gomega.Equal(want))
+	})
+})
