--- a/core/bergamotdetour/helpers.go
+++ b/core/bergamotdetour/helpers.go
@@ -9,91 +9,173 @@
 // How long an entry is not asked again after an answer.
 const (
 	cutHold    = time.Second
-	fullHold   = 200 * time.Millisecond
 	stopHold   = 5 * time.Second
 	silentHold = time.Second
-	// doubtHold is the same after an answer that says more about the runner than about the helper.
-	doubtHold = 0
+	// minFullHold and maxFullHold apply to an entry that lends no more connections; the hold doubles with each such answer in a row.
+	minFullHold = 200 * time.Millisecond
+	maxFullHold = time.Second
+	// doubtHold is how long an entry is asked after all others that did not reach doubtfulAfter runners in a row: it may have lost its
+	// links without knowing it yet.
+	doubtHold     = 500 * time.Millisecond
+	doubtfulAfter = 2
 )
 
-// Directory names the entries that may help.
-type Directory interface {
-	// Hubs returns the hubs of all data centres, except this entry.
-	Hubs() []Helper
+// minOwn is the number of usable entries of the own data centre from which only these are asked. Fewer could not carry the connections
+// of all others there.
+const minOwn = 3
+
+// TimerClock provides the current time, and signals when a duration has passed.
+type TimerClock interface {
+	Clock
+	After(d time.Duration) <-chan time.Time
 }
 
-// Helpers chooses the entries through which this one reaches runners: those of its own data centre first. It may be used
-// concurrently.
+// Helpers chooses the entries through which this one reaches runners: those of its own data centre first. It draws a few entries from
+// all, and keeps those that open connections for others in a pool. It may be used concurrently.
 type Helpers struct {
-	Clock     Clock
+	Clock     TimerClock
+	Name      string // of this entry
 	Centre    string // data centre of this entry
 	Directory Directory
-	Random    func(n int) int // returns a number from 0 to n-1
+	Random    func(n int) int // returns a number from 0 to n-1; called by one thread at a time
+	OnDraw    func(Draw)      // called after each draw, nil for none
+
+	mu       sync.Mutex
+	marks    map[string]mark // what entries answered last, by name
+	pool     []Helper        // entries that opened connections for others when they were drawn
+	hubs     []Branch        // of all data centres, as a hub knew them at the last draw; used by Step only
+	tree     tree            // used by Step only
+	drawn    bool            // entries have been drawn since the pool is in use
+	active   bool            // the pool is in use
+	wanted   bool            // it is kept filled even if no helper is asked for
+	lastUse  time.Time
+	lastDraw time.Time
+	nextDraw time.Time
+	pause    time.Duration // between the last two draws while there are too few usable entries, otherwise 0
+	wake     chan struct{}
+}
 
-	mu    sync.Mutex
-	until map[string]time.Time // when an entry may be asked again, by name
+// mark is an answer because of which an entry is not asked for a while, or after all others.
+type mark struct {
+	answer Answer
+	until  time.Time
+	times  int // how often it gave this answer in a row
 }
 
 // Next returns the entry to ask next, none of those that were asked before; ok is false if there is none.
 func (h *Helpers) Next(asked []string) (next Helper, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var own, others []Helper
-	for _, e := range h.Directory.Hubs() {
-		if slices.Contains(asked, e.name) || h.isHeld(e.name) {
-			continue
-		}
-		if e.centre == h.Centre {
-			own = append(own, e)
-		} else {
-			others = append(others, e)
+	h.use()
+	now := h.Clock.Now()
+	var own, all, doubtful []Helper
+	for _, e := range h.candidates() {
+		switch {
+		case slices.Contains(asked, e.name) || h.isHeld(e.name, now):
+		case h.isDoubtful(e.name, now):
+			doubtful = append(doubtful, e)
+		default:
+			all = append(all, e)
+			if e.centre == h.Centre {
+				own = append(own, e)
+			}
 		}
 	}
-	if len(own) == 0 {
-		own = others
+	if len(own) >= minOwn || !h.drawn && len(own) > 0 {
+		all = own
 	}
-	if len(own) == 0 {
+	if len(all) == 0 {
+		all = doubtful
+	}
+	if len(all) == 0 {
 		return next, false
 	}
-	return own[h.Random(len(own))], true
+	return all[h.Random(len(all))], true
 }
 
 // Available reports whether there is an entry to ask.
 func (h *Helpers) Available() bool {
-	_, ok := h.Next(nil)
-	return ok
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.use()
+	return h.countUsable() > 0
 }
 
 // Record records the answer of an entry.
 func (h *Helpers) Record(e Helper, a Answer) {
-	hold := time.Duration(doubtHold)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Clock.Now()
+	h.record(e.name, a, now)
+	if !h.isHeld(e.name, now) || a == AnswerFull { // one that is full helps again soon
+		return
+	}
+	h.pool = slices.DeleteFunc(h.pool, func(p Helper) bool { return p.name == e.name })
+	if soon := h.lastDraw.Add(minPause); h.drawn && h.countUsable() < minUsable && soon.Before(h.nextDraw) {
+		h.nextDraw = soon
+		h.signal()
+	}
+}
+
+// record marks an entry after its answer. The caller holds the lock.
+func (h *Helpers) record(name string, a Answer, now time.Time) {
+	times := 1
+	if m := h.marks[name]; m.answer == a {
+		times += m.times
+	}
+	hold := time.Duration(0)
 	switch a {
+	case AnswerConnected:
+		delete(h.marks, name)
+		return
 	case AnswerCut, AnswerStale:
 		hold = cutHold
-	case AnswerFull:
-		hold = fullHold
 	case AnswerStopping:
 		hold = stopHold
 	case AnswerSilent:
 		hold = silentHold
+	case AnswerFull:
+		hold = h.jitter(min(minFullHold<<min(times-1, 3), maxFullHold))
+	case AnswerUnreached:
+		hold = doubtHold
 	default:
+		return // it says nothing about the entry
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.until == nil {
-		h.until = map[string]time.Time{}
+	h.marks[name] = mark{answer: a, until: now.Add(hold), times: times}
+}
+
+// candidates returns the entries of the pool, or the hubs before the first draw. The caller holds the lock.
+func (h *Helpers) candidates() (out []Helper) {
+	if h.drawn {
+		return h.pool
+	}
+	for _, b := range h.Directory.Hubs() {
+		if b.name != h.Name {
+			out = append(out, b.Helper)
+		}
 	}
-	if hold > 0 {
-		h.until[e.name] = h.Clock.Now().Add(hold)
+	return out
+}
+
+// countUsable returns how many entries may be asked now. The caller holds the lock.
+func (h *Helpers) countUsable() (n int) {
+	now := h.Clock.Now()
+	for _, e := range h.candidates() {
+		if !h.isHeld(e.name, now) {
+			n++
+		}
 	}
+	return n
 }
 
 // isHeld reports whether an entry is not to be asked yet. The caller holds the lock.
-func (h *Helpers) isHeld(name string) bool {
-	t, known := h.until[name]
-	if known && !h.Clock.Now().Before(t) {
-		delete(h.until, name)
-		return false
-	}
-	return known
+func (h *Helpers) isHeld(name string, now time.Time) bool {
+	m, marked := h.marks[name]
+	return marked && m.answer != AnswerUnreached && now.Before(m.until)
+}
+
+// isDoubtful reports whether an entry is to be asked after all others. The caller holds the lock.
+func (h *Helpers) isDoubtful(name string, now time.Time) bool {
+	m, marked := h.marks[name]
+	return marked && m.answer == AnswerUnreached && m.times >= doubtfulAfter && now.Before(m.until)
 }
