--- a/core/bergamotdetour/answer.go
+++ b/core/bergamotdetour/answer.go
@@ -29,6 +29,7 @@
 const (
 	AnswerConnected Answer = "connected"
 	AnswerUnreached Answer = "unreached" // the helper does not reach the runner either
+	AnswerRefused   Answer = "refused"   // nothing listens at the address of the runner
 	AnswerCut       Answer = "cut"       // the helper has lost its own links to the runners
 	AnswerFull      Answer = "full"      // it lends no more connections or has no memory for one
 	AnswerStopping  Answer = "stopping"  // it is shutting down
@@ -37,9 +38,12 @@
 	AnswerSilent    Answer = "silent"    // the helper itself was not reached, or did not answer in time
 )
 
+// IsNotReached reports whether the helper tried and did not reach the runner.
+func (a Answer) IsNotReached() bool { return a == AnswerUnreached || a == AnswerRefused }
+
 // Answers returns every answer in a fixed order.
 func Answers() []Answer {
 	return []Answer{
-		AnswerConnected, AnswerUnreached, AnswerCut, AnswerFull, AnswerStopping, AnswerStale, AnswerExcluded, AnswerSilent,
+		AnswerConnected, AnswerUnreached, AnswerRefused, AnswerCut, AnswerFull, AnswerStopping, AnswerStale, AnswerExcluded, AnswerSilent,
 	}
 }
--- a/core/bergamotdetour/helpers.go
+++ b/core/bergamotdetour/helpers.go
@@ -119,6 +119,9 @@
 
 // record marks an entry after its answer. The caller holds the lock.
 func (h *Helpers) record(name string, a Answer, now time.Time) {
+	if a.IsNotReached() {
+		a = AnswerUnreached
+	}
 	times := 1
 	if m := h.marks[name]; m.answer == a {
 		times += m.times
--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -163,7 +163,7 @@
 	case AnswerConnected:
 		l.apart[address] = now
 		delete(l.unreached, address)
-	case AnswerUnreached:
+	case AnswerUnreached, AnswerRefused:
 		l.unreached[address] = now
 		delete(l.apart, address)
 	default:
--- a/io/bergamottunnel/client.go
+++ b/io/bergamottunnel/client.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"bergamotspur/core/bergamotdetour"
@@ -91,4 +93,6 @@
 	ErrNoHelper = errors.New("this entry has lost its links to the runners, and no other entry helps")
 	// ErrUnreached is the error of a connection to a runner that helpers do not reach either.
 	ErrUnreached = errors.New("other entries do not reach the runner either")
+	// errRefused is that of a runner whose address refuses connections: its process has ended.
+	errRefused = fmt.Errorf("%w: %w", ErrUnreached, syscall.ECONNREFUSED)
 )
--- a/io/bergamottunnel/dialer.go
+++ b/io/bergamottunnel/dialer.go
@@ -50,6 +50,8 @@
 			return useHelper(ctx, c), nil
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
+		case a == bergamotdetour.AnswerRefused:
+			return nil, errRefused
 		case a == bergamotdetour.AnswerUnreached:
 			return nil, ErrUnreached
 		case d.Links.AreLost():
@@ -139,10 +141,11 @@
 	}
 }
 
-// detour opens a connection over one helper after the other. The answer is AnswerUnreached if helpers did not reach the runner, and
-// empty if no helper could say.
+// detour opens a connection over one helper after the other. The answer is that of the last helper that did not reach the runner, and
+// empty if none could say.
 func (d *Dialer) detour(ctx context.Context, address string) (c *Conn, a bergamotdetour.Answer) {
 	var asked []string
+	var verdict bergamotdetour.Answer
 	unreached := 0
 	for len(asked) < maxAsked && unreached < maxUnreached && ctx.Err() == nil {
 		h, ok := d.Helpers.Next(asked)
@@ -159,14 +162,12 @@
 		if c != nil {
 			return c, a
 		}
-		if a == bergamotdetour.AnswerUnreached {
+		if a.IsNotReached() {
 			unreached++
+			verdict = a
 		}
 	}
-	if unreached > 0 {
-		return nil, bergamotdetour.AnswerUnreached
-	}
-	return nil, ""
+	return nil, verdict
 }
 
 // viaKey is the key of a Via in a context.
--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bergamotspur/core/bergamotaccount"
@@ -90,6 +91,9 @@
 		if h.Links.AreDoubtful() {
 			return nil, nil, bergamotdetour.AnswerCut // it may be cut as well, and says nothing about the runner
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, nil, bergamotdetour.AnswerRefused
+		}
 		return nil, nil, bergamotdetour.AnswerUnreached
 	}
 	h.Links.Connected(address)
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -104,8 +104,10 @@
 	switch a {
 	case bergamotdetour.AnswerCut:
 		lose(handler.Links)
-	case bergamotdetour.AnswerUnreached:
+	case bergamotdetour.AnswerRefused:
 		handler.Lender, handler.Dial = lender(bergamotdetour.AnswerConnected), refuse
+	case bergamotdetour.AnswerUnreached:
+		handler.Lender, handler.Dial = lender(bergamotdetour.AnswerConnected), hang
 	default:
 	}
 	server := httptest.NewServer(&killable{Handler: handler})
@@ -139,7 +141,7 @@
 var _ = ginkgo.Describe("a connection to a runner", func() {
 	type list = []bergamotdetour.Answer
 	ok, cut, full := bergamotdetour.AnswerConnected, bergamotdetour.AnswerCut, bergamotdetour.AnswerFull
-	unreached, silent := bergamotdetour.AnswerUnreached, bergamotdetour.AnswerSilent
+	unreached, refused, silent := bergamotdetour.AnswerUnreached, bergamotdetour.AnswerRefused, bergamotdetour.AnswerSilent
 	// Guards against a cut entry that gives up while another one reaches the runner, against two detours, and against a dead runner for
 	// which all entries are asked.
 	bergamottest.Cases(map[string]dialCase{
@@ -151,6 +153,7 @@
 		"fails when no helper can help":                       {direct: refuse, helpers: list{cut, full}, answers: list{cut, full}, err: errRefused},
 		"is not tried directly without links":                 {lost: true, helpers: list{ok}, answers: list{ok}},
 		"fails without links when the runner is dead":         {lost: true, helpers: list{unreached, unreached}, answers: list{unreached, unreached}, err: bergamottunnel.ErrUnreached},
+		"is refused without links when the process has ended": {lost: true, helpers: list{refused, refused}, answers: list{refused, refused}, err: syscall.ECONNREFUSED},
 		"fails at once without links and without a helper":    {lost: true, helpers: list{cut}, answers: list{cut}, err: bergamottunnel.ErrNoHelper},
 		"fails at once without links and without other entry": {lost: true, err: bergamottunnel.ErrNoHelper},
 	}, func(c dialCase) {
@@ -226,13 +229,13 @@
 	// Guards against a sound runner that counts as dead because two entries that are cut too do not reach it.
 	ginkgo.It("is not judged by a helper that reaches no runner itself", func() {
 		h := &helpers{}
-		h.add(bergamotdetour.AnswerUnreached)
+		h.add(bergamotdetour.AnswerRefused)
 		d := &bergamottunnel.Dialer{Entry: "me", Direct: refuse, Links: lose(newLinks()), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
 		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
 			_, err := d.Dial(context.Background(), "tcp", address)
 			gomega.Expect(err).To(gomega.HaveOccurred())
 		}
-		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerUnreached, bergamotdetour.AnswerUnreached, bergamotdetour.AnswerCut}))
+		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerRefused, bergamotdetour.AnswerRefused, bergamotdetour.AnswerCut}))
 	})
 
 	// Guards against a helper that ends because it carries more than its memory allows.
