--- a/io/bergamottunnel/frame.go
+++ b/io/bergamottunnel/frame.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -97,11 +98,12 @@
 	return r.end
 }
 
-// broken returns the error of a tunnel that ended; deadlines of the connection pass unchanged.
+// broken returns the error of a tunnel that ended; deadlines of the connection pass unchanged. The error does not wrap its cause, since
+// a reader would take io.EOF for the end of the answer.
 func (r *frameReader) broken(err error) error {
 	var n net.Error
 	if err == nil || errors.Is(err, net.ErrClosed) || errors.As(err, &n) && n.Timeout() {
 		return err
 	}
-	return errors.Join(ErrBroken, err)
+	return fmt.Errorf("%w: %v", ErrBroken, err)
 }
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -221,6 +221,7 @@
 		c.end(peer, server)
 		_, err = conn.Read(got)
 		gomega.Expect(errors.Is(err, c.want)).To(gomega.BeTrue(), "%v", err)
+		gomega.Expect(errors.Is(err, io.EOF)).To(gomega.Equal(errors.Is(c.want, io.EOF)), "a reader would take %v for the end of the answer", err)
 	})
 
 	// Guards against a sound runner that counts as dead because two entries that are cut too do not reach it.
