Refuse a stream as not run when it was ended before it was sent

While all entries are cut off and connections hang, callers got 502, which leaves open whether the request ran, for streams of which not a byte had been sent: their first event was overdue while the connection to the runner was still being opened, and the stall detector ends an attempt as unknown.

s-14 status 502, ms 131: m0: stall (run: unknown): no event for too long, the first event is overdue; m2: link (run: no)

Calls whose deadline passes while their connection is being opened still end as unknown: CallHandler answers them before the attempt has reported.

--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -27,6 +27,7 @@
 	broken  bool          // the stream breaks off after its events
 	again   bool          // the events are numbered from 0 wherever the attempt resumes
 	hangs   bool          // no response until the attempt is cancelled
+	unsent  bool          // it hangs before anything is sent
 	delay   chan struct{} // the response is held back until the channel is closed
 }
 
@@ -53,8 +54,11 @@
 			return nil, ctx.Err()
 		}
 	}
-	if r.hangs {
+	if r.hangs || r.unsent {
 		<-ctx.Done()
+		if r.unsent {
+			return nil, NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonTarget, ctx.Err())
+		}
 		return nil, ctx.Err()
 	}
 	if r.failure != nil {
--- a/core/bergamotrelay/link_test.go
+++ b/core/bergamotrelay/link_test.go
@@ -21,6 +21,11 @@
 	wantSends int
 }
 
+type lateCase struct {
+	reply reply
+	want  string
+}
+
 var _ = ginkgo.Describe("a request of an entry without links to the runners", func() {
 	const once, many, stream = bergamotconfig.RouteNonIdempotent, bergamotconfig.RouteIdempotent, bergamotconfig.RouteStreaming
 	noHelper := reply{failure: NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonLink, errors.New("no helper"))}
@@ -53,6 +58,17 @@
 		}
 	})
 
+	// Guards against a stream whose outcome is left open although its connection was never opened.
+	bergamottest.Cases(map[string]lateCase{
+		"has not run when its time passes before it is sent":  {reply{unsent: true}, "deadline no"},
+		"may have run when its time passes after it was sent": {reply{hangs: true}, "deadline unknown"},
+	}, func(c lateCase) {
+		g := newRig(route(bergamotconfig.RouteSpec{Type: stream, MaxAttempts: 1}), model, c.reply)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		gomega.Expect(outcomeOf(g.stream(ctx))).To(gomega.Equal(c.want))
+	})
+
 	// Guards against requests that wait for a path until their deadline although no runner can be reached.
 	ginkgo.It("passes the filter of links only while a runner can be reached", func() {
 		g := newRig(route(bergamotconfig.RouteSpec{}), plain, ok)
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -91,7 +91,7 @@
 func (s *streamState) takeRetry() bool {
 	f := s.failure
 	switch {
-	case f.isEnd() || f.isOfLink() && f.runState == bergamotrequest.RunNo:
+	case f.isEnd() || f.isOfLink() && f.runState == bergamotrequest.RunNo && !f.retryTaken:
 		return false // without links, another path is not reached either
 	case f.runState != bergamotrequest.RunNo && !s.x.Route().IsRetryable():
 		return false
@@ -163,19 +163,27 @@
 }
 
 // failureCause returns the failure with which the stall detector cancelled ctx, a failure for a cancelled or expired
-// ctx, or else err.
+// ctx, or else err. An attempt that was ended before it was sent has not run.
 func failureCause(ctx context.Context, err error) error {
-	var f *Failure
-	if errors.As(context.Cause(ctx), &f) {
-		return f
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonDeadline, err)
+	var f, sent *Failure
+	runState := bergamotrequest.RunUnknown
+	isUnsent := errors.As(err, &sent) && sent.runState == bergamotrequest.RunNo
+	if isUnsent {
+		runState = bergamotrequest.RunNo
 	}
-	if ctx.Err() != nil {
-		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonCancel, err)
+	switch {
+	case errors.As(context.Cause(ctx), &f):
+		if isUnsent {
+			return f.withRun(runState)
+		}
+		return f
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return NewFailure(runState, bergamotrequest.ReasonDeadline, err)
+	case ctx.Err() != nil:
+		return NewFailure(runState, bergamotrequest.ReasonCancel, err)
+	default:
+		return err
 	}
-	return err
 }
 
 func formatPlan(p bergamotroute.Plan) string {
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -107,6 +107,12 @@
 	return &f
 }
 
+// withRun returns a copy with whether the request was run.
+func (f Failure) withRun(s bergamotrequest.RunState) *Failure {
+	f.runState = s
+	return &f
+}
+
 // Error returns the reason, whether the request was run, and the cause.
 func (f *Failure) Error() string {
 	return fmt.Sprintf("%s (run: %s): %v", f.reason, f.runState, f.cause)
