Cut entries off from the runners in the soak

The soak could cut a runner off from all entries, but no entry from all runners. Its entries are now three in two data centres, each opens its connections to runners through a gate of its own, and keeps its port for other entries when it is started again, as on a machine whose port range is its own. New faults: one entry, or several up to all, cut off by hanging, reset or refused connections, and one entry from one runner; they overlap with all others. The child runs bergamotplatform.Program, since the command line has no way to set DialRunner. A new fault changes the sequence of every seed, so the seeds from before do not show what they did.

After the other faults, and when all entries serve and know each other, three cuts of one or two of the three entries follow with nothing else at fault. New violation: a request sent to a cut off entry during such a cut, and ended during it, that is not served whole. It is exact, since the third entry is up, sound and not cut off: requests that were under way when the cut began or ended do not count. During the overlapping faults a refusal may have other reasons and counts as before.

BERGAMOTSPUR_SOAK_LOGS names a folder for the logs of seeds that fail.

--- a/io/bergamotsoak/caller_test.go
+++ b/io/bergamotsoak/caller_test.go
@@ -29,7 +29,9 @@
 	id       string
 	kind     string
 	key      string
+	entry    *entry
 	sent     time.Time
+	ended    time.Time
 	status   int // 0 for no answer
 	body     string
 	complete bool // the body was read to its end without an error
@@ -53,13 +55,14 @@
 	return append([]result(nil), r.list...)
 }
 
-// send sends a request of the kind name to the entry at front and reads the answer.
-func send(ctx context.Context, client *http.Client, front, id, name, key string) (v result) {
+// send sends a request of the kind name to an entry and reads the answer.
+func send(ctx context.Context, client *http.Client, e *entry, id, name, key string) (v result) {
 	k := kinds[name]
-	v = result{id: id, kind: name, key: key, sent: time.Now()}
+	v = result{id: id, kind: name, key: key, entry: e, sent: time.Now()}
+	defer func() { v.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, k.method, "http://"+front+k.path, nil)
+	r, err := http.NewRequestWithContext(ctx, k.method, "http://"+e.front+k.path, nil)
 	must(err)
 	if k.method == http.MethodPost {
 		// Without GetBody the transport does not retry the request, so each one is sent once.
--- a/io/bergamotsoak/entry_test.go
+++ b/io/bergamotsoak/entry_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -19,6 +20,7 @@
 	settings string
 	front    string
 	store    *bergamotfake.Proxy
+	gate     *bergamotfake.Gate // to the runners
 	log      *logBuffer
 
 	restarting sync.Mutex // held during a restart, since a process can be waited for only once
@@ -60,26 +62,31 @@
 	}
 }
 
-func newEntry(dir, name, store string) *entry {
+func newEntry(dir, name, centre, store string) *entry {
 	p, err := bergamotfake.NewProxy(store)
 	must(err)
-	e := &entry{name: name, settings: filepath.Join(dir, name+".yaml"), front: freeAddress(), store: p, log: &logBuffer{}}
+	g, err := bergamotfake.NewGate()
+	must(err)
+	e := &entry{name: name, settings: filepath.Join(dir, name+".yaml"), front: freeAddress(), store: p, gate: g, log: &logBuffer{}}
+	_, port, err := net.SplitHostPort(freeAddress())
+	must(err)
 	text := fmt.Sprintf(`
-nodeName: %q
-zone: "a"
+nodeName: %[1]q
+zone: %[2]q
 ip: "127.0.0.1"
-listen: {front: %q, ready: %q}
-bounds: {graceS: 4, strictRevoke: true, revokeMs: %d, budgetRatio: 0.2, budgetWindowS: 10, budgetExtra: 100000}
-platform: {address: %q}
-`, name, e.front, freeAddress(), maxRevocationTime.Milliseconds(), p.Address())
+portRange: [%[5]s, %[5]s] # a new process keeps the port
+listen: {front: %[3]q, ready: %[4]q}
+bounds: {graceS: 4, strictRevoke: true, revokeMs: %[6]d, budgetRatio: 0.2, budgetWindowS: 10, budgetExtra: 100000}
+platform: {address: %[7]q}
+`, name, centre, e.front, freeAddress(), port, maxRevocationTime.Milliseconds(), p.Address())
 	must(os.WriteFile(e.settings, []byte(text), 0o600))
 	return e
 }
 
 // run starts the process.
 func (e *entry) run() {
-	cmd := exec.Command(os.Args[0], "platform", "--settings", e.settings)
-	cmd.Env = append(os.Environ(), childEnv+"=1")
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childEnv+"="+e.settings, gateEnv+"="+e.gate.Address())
 	cmd.Stdout, cmd.Stderr = e.log, e.log
 	must(cmd.Start())
 	e.mu.Lock()
@@ -111,10 +118,18 @@
 	e.run()
 }
 
-// close ends the process, also a paused one, and the proxy in front of the store.
+// knowsOthers reports whether the process has read from the store which entries may help it: it has become a hub or follows one.
+func (e *entry) knowsOthers() bool {
+	text := e.log.String()
+	text = text[max(strings.LastIndex(text, "entry: started"), 0):]
+	return strings.Contains(text, `"err":"\u003cnil>","message":"hubs: step"`) || strings.Contains(text, `"upstream":"entry-`)
+}
+
+// close ends the process, also a paused one, and its ways to the store and the runners.
 func (e *entry) close() {
 	e.signal(syscall.SIGCONT)
 	e.signal(syscall.SIGKILL)
 	e.wait()
 	e.store.Close()
+	e.gate.Close()
 }
--- a/io/bergamotsoak/harness_test.go
+++ b/io/bergamotsoak/harness_test.go
@@ -25,6 +25,13 @@
 	service string
 }
 
+// cut is a time in which some entries, but not all, were cut off from the runners.
+type cut struct {
+	kind     bergamotfake.Cut
+	entries  []*entry
+	from, to time.Time
+}
+
 // harness runs the fake platform, the runners and the entries, and collects the results of the callers.
 type harness struct {
 	store   *bergamotfake.MetadataStore
@@ -34,7 +41,7 @@
 	results results
 	version atomic.Int64
 	revoked sync.Map // time at which the store confirmed the revocation, by key
-	steps   []string // names of the faults injected so far
+	cuts    []cut    // that no other fault overlapped
 }
 
 func newHarness(dir string) *harness {
@@ -49,8 +56,8 @@
 		h.addTarget(fmt.Sprint("app-", i), "app")
 	}
 	h.writeConfig("key-0")
-	for i := range 2 {
-		e := newEntry(dir, fmt.Sprint("entry-", i), h.server.Address())
+	for i, centre := range []string{"a", "a", "b"} {
+		e := newEntry(dir, fmt.Sprint("entry-", i), centre, h.server.Address())
 		e.run()
 		h.entries = append(h.entries, e)
 	}
@@ -117,7 +124,7 @@
 			client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		}
 		e := h.entries[r.IntN(len(h.entries))]
-		h.results.add(send(ctx, client, e.front, fmt.Sprintf("%d-%d-%d", n, i, r.Uint64()), names[r.IntN(3)], key()))
+		h.results.add(send(ctx, client, e, fmt.Sprintf("%d-%d-%d", n, i, r.Uint64()), names[r.IntN(3)], key()))
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(5+r.IntN(25)) * time.Millisecond):
@@ -174,11 +181,24 @@
 		if at, ok := h.revoked.Load(v.key); ok && n > 0 && v.sent.After(at.(time.Time).Add(maxRevocationTime)) {
 			add("ran %s after its key was revoked", v.sent.Sub(at.(time.Time)))
 		}
+		if c := h.cutDuring(v); c != nil && (v.status != 200 || !v.complete) {
+			add("was not served by %s, cut off by %s for %s, though another entry could help", v.entry.name, c.kind, v.sent.Sub(c.from))
+		}
 	}
 	slices.Sort(out)
 	return out
 }
 
+// cutDuring returns the cut in which a request came to an entry that was cut off, until it ended, nil for none.
+func (h *harness) cutDuring(v result) *cut {
+	for _, c := range h.cuts {
+		if slices.Contains(c.entries, v.entry) && v.sent.After(c.from) && v.ended.Before(c.to) {
+			return &c
+		}
+	}
+	return nil
+}
+
 func (h *harness) close() {
 	for _, e := range h.entries {
 		e.close()
--- a/io/bergamotsoak/soak_test.go
+++ b/io/bergamotsoak/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,7 +24,8 @@
 )
 
 // Guards against bookings that run twice, refusals marked as not run for requests that did run, answers that are truncated
-// or belong to another request, keys that work after their revocation, and entries that do not recover.
+// or belong to another request, keys that work after their revocation, entries that do not recover, and requests that an entry
+// which is cut off from the runners does not serve while another one could help.
 var _ = ginkgo.Describe("the guarantees under overlapping faults", func() {
 	bergamottest.Cases(seeds(), soak)
 })
@@ -32,6 +34,8 @@
 	faultTime       = 6 * time.Second  // how long faults are injected in one run
 	maxRecoveryTime = 15 * time.Second // limit for serving all kinds of requests after the faults
 	callers         = 4
+	cutsAlone       = 3                       // cuts after the other faults
+	cutTime         = 1200 * time.Millisecond // of each
 )
 
 // faultScript injects overlapping faults drawn from a seed.
@@ -66,6 +70,10 @@
 		state := []bergamotfake.LinkState{bergamotfake.LinkReset, bergamotfake.LinkSilent, bergamotfake.LinkNoReplies, bergamotfake.LinkSlow}[r.IntN(4)]
 		s.applyTemporarily(func() { p.SetLink(state) }, func() { p.SetLink(bergamotfake.LinkOpen) })
 	}
+	cutOff := func(n int, only ...string) {
+		kind, entries := cutKinds[r.IntN(len(cutKinds))], s.someEntries(n)
+		s.applyTemporarily(func() { setCut(entries, kind, only...) }, func() { setCut(entries, bergamotfake.CutNone) })
+	}
 	restartWith := func(signal syscall.Signal) func() {
 		return func() {
 			e := entry()
@@ -86,8 +94,11 @@
 			e := entry()
 			s.applyTemporarily(func() { e.signal(syscall.SIGSTOP) }, func() { e.signal(syscall.SIGCONT) })
 		},
-		"entry loses the store": func() { link(entry().store) },
-		"runner loses its link": func() { link(target().proxy) },
+		"entry loses the store":        func() { link(entry().store) },
+		"entry cut from the runners":   func() { cutOff(1) },
+		"entry cut from a runner":      func() { cutOff(1, target().proxy.Address()) },
+		"entries cut from the runners": func() { cutOff(2 + r.IntN(len(h.entries)-1)) },
+		"runner loses its link":        func() { link(target().proxy) },
 		"store down": func() {
 			s.applyTemporarily(func() { h.store.Faults.SetDown(true) }, func() { h.store.Faults.SetDown(false) })
 		},
@@ -138,6 +149,52 @@
 	}
 }
 
+var cutKinds = []bergamotfake.Cut{bergamotfake.CutHang, bergamotfake.CutReset, bergamotfake.CutRefuse}
+
+// setCut cuts entries off from the runners at some addresses, from all if there are none.
+func setCut(entries []*entry, kind bergamotfake.Cut, only ...string) {
+	for _, e := range entries {
+		e.gate.SetCut(kind, only...)
+	}
+}
+
+// someEntries returns n entries drawn from the seed.
+func (s *faultScript) someEntries(n int) (out []*entry) {
+	for _, i := range s.random.Perm(len(s.harness.entries))[:n] {
+		out = append(out, s.harness.entries[i])
+	}
+	return out
+}
+
+// runCuts ends what is left of the faults at the runners and the store, and cuts some entries off while nothing else fails.
+func (s *faultScript) runCuts() (steps []string) {
+	h := s.harness
+	h.store.Faults.LoseReplies("/rows-tx", 0)
+	s.callerKey.Store(fmt.Sprint("key-", s.latestKey))
+	for _, t := range h.targets {
+		t.runner.Reject(0)
+		t.runner.BreakAnswers(0, 0)
+	}
+	for _, e := range h.entries {
+		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).
+			Should(gomega.BeTrue(), "%s does not serve before the cuts\n%s", e.name, tail(e.log.String()))
+		gomega.Eventually(e.knowsOthers).WithTimeout(maxRecoveryTime).
+			Should(gomega.BeTrue(), "%s does not learn of the other entries\n%s", e.name, tail(e.log.String()))
+	}
+	for range cutsAlone {
+		c := cut{kind: cutKinds[s.random.IntN(len(cutKinds))], entries: s.someEntries(1 + s.random.IntN(len(h.entries)-1))}
+		setCut(c.entries, c.kind)
+		c.from = time.Now()
+		<-time.After(cutTime)
+		c.to = time.Now()
+		setCut(c.entries, bergamotfake.CutNone)
+		h.cuts = append(h.cuts, c)
+		steps = append(steps, fmt.Sprint(len(c.entries), " entries cut off by ", c.kind))
+		<-time.After(cutTime)
+	}
+	return steps
+}
+
 // run injects faults for faultTime, waits until all have ended and returns their names in order.
 func (s *faultScript) run() (steps []string) {
 	faults := s.faults()
@@ -157,7 +214,7 @@
 	for name := range kinds {
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		id := fmt.Sprint("after-", name, "-", time.Now().UnixNano())
-		v := send(context.Background(), client, e.front, id, name, fmt.Sprint("key-", s.latestKey))
+		v := send(context.Background(), client, e, id, name, fmt.Sprint("key-", s.latestKey))
 		s.harness.results.add(v)
 		if v.status != http.StatusOK || !v.complete {
 			return false
@@ -171,6 +228,7 @@
 	dir := ginkgo.GinkgoT().TempDir()
 	h := newHarness(dir)
 	defer h.close()
+	ginkgo.DeferCleanup(h.keepLogs, seed)
 	s := &faultScript{harness: h, random: rand.New(rand.NewPCG(seed, 7))}
 	s.callerKey.Store("key-0")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -193,7 +251,7 @@
 			h.sendRequests(calling, n, func() string { return s.callerKey.Load().(string) })
 		}()
 	}
-	steps := strings.Join(s.run(), ", ")
+	steps := strings.Join(append(s.run(), s.runCuts()...), ", ")
 	stop()
 	for _, e := range h.entries {
 		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).
@@ -211,6 +269,17 @@
 	gomega.Expect(h.violations()).To(gomega.BeEmpty(), "seed %d: %s", seed, steps)
 }
 
+// keepLogs writes the logs of the entries into the folder BERGAMOTSPUR_SOAK_LOGS, if there is one, after a seed that failed.
+func (h *harness) keepLogs(seed uint64) {
+	folder := os.Getenv("BERGAMOTSPUR_SOAK_LOGS")
+	if folder == "" || !ginkgo.CurrentSpecReport().Failed() {
+		return
+	}
+	for _, e := range h.entries {
+		must(os.WriteFile(filepath.Join(folder, fmt.Sprintf("%d-%s.log", seed, e.name)), []byte(e.log.String()), 0o600))
+	}
+}
+
 // tail returns the last 4000 bytes of a log.
 func tail(s string) string { return s[max(len(s)-4000, 0):] }
 
