--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -29,6 +29,8 @@
 	hangs   bool          // no response until the attempt is cancelled
 	unsent  bool          // it hangs before anything is sent
 	delay   chan struct{} // the response is held back until the channel is closed
+	pause   chan struct{} // the stream pauses after its events until the channel is closed, and goes on with rest more
+	rest    int
 }
 
 // upstream returns the scripted replies in the order of the attempts and repeats the last one.
@@ -68,7 +70,7 @@
 	if r.again {
 		next = 0
 	}
-	return &fakeResponse{reply: r, next: next, left: r.events}, nil
+	return &fakeResponse{ctx: ctx, reply: r, next: next, left: r.events}, nil
 }
 
 func (u *upstream) runners() (out []string) {
@@ -82,6 +84,7 @@
 
 // fakeResponse is the response that a reply describes.
 type fakeResponse struct {
+	ctx   context.Context // of the request
 	reply reply
 	next  int
 	left  int
@@ -103,6 +106,15 @@
 		f.next++
 		return fmt.Appendf(nil, "%d ", f.next-1), f.next - 1, nil
 	}
+	if f.reply.pause != nil {
+		select {
+		case <-f.reply.pause:
+		case <-f.ctx.Done():
+			return nil, -1, f.ctx.Err()
+		}
+		f.reply.pause, f.left = nil, f.reply.rest
+		return f.Next()
+	}
 	if f.reply.broken {
 		return nil, -1, NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, errors.New("broken off"))
 	}
@@ -139,6 +151,13 @@
 	return nil
 }
 
+// received returns the events that the caller has.
+func (c *caller) received() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text
+}
+
 // budget allows a fixed number of retries.
 type budget struct {
 	left int
@@ -189,6 +208,13 @@
 	return bergamotcluster.Report{}, errors.New("silent")
 }
 
+// goneReporter answers every request for a report like the machine of a runner whose process has ended.
+type goneReporter struct{}
+
+func (goneReporter) Report(context.Context, string) (bergamotcluster.Report, error) {
+	return bergamotcluster.Report{}, bergamotcluster.ErrNotListening
+}
+
 // age is a fixed age of the configuration.
 type age time.Duration
 
@@ -259,7 +285,7 @@
 		caller: &caller{}, upstream: &upstream{replies: replies}, budget: &budget{left: 10}, observer: &observer{}, clock: clock,
 		router: &bergamotpath.Router{Clock: clock, Random: rand.New(rand.NewPCG(1, 2)), Centre: "a"},
 		views:  fixedView{bergamotcluster.NewView(nil, 0, fleet)},
-		ledger: bergamotsuspect.NewLedger(clock), reporter: silentReporter{},
+		ledger: bergamotsuspect.NewLedger(clock), reporter: goneReporter{},
 	}
 	g.x = NewExchange(NewRequest(RequestSpec{ID: "1", LastEvent: -1, PromptTokens: 10, AnswerTokens: 10, ArrivedAt: now}), g.views.view, g.caller)
 	g.x.SetRoute(r, service)
