--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -10,8 +10,8 @@
 	// meanwhile, from which the own links count as lost. A connection that is only slow looks like a silent one, a refusal is certain.
 	minApartSilent  = 3
 	minApartRefused = 2
-	// minMissed and minMissedTime are the number of runners, and the time, without any direct connection after which the links count as
-	// lost although no helper has reached a runner: so it looks if all entries are cut. Entries connect to runners of several data
+	// minMissed and minMissedTime are the number of runners that helpers do not know to be dead, and the time, without any direct connection after
+	// which the links count as lost although no helper has reached a runner: so it looks if all entries are cut. Entries connect to runners of several data
 	// centres, so that the loss of one does not look like this.
 	minMissed     = 4
 	minMissedTime = 300 * time.Millisecond
@@ -175,27 +175,41 @@
 	if l.lost {
 		return c, false
 	}
-	apart, first := 0, now
-	for address, since := range l.missed {
+	apart := 0
+	for address := range l.missed {
 		if l.isRecent(l.apart, address, apartHold) {
 			apart++
 		}
-		if since.Before(first) {
-			first = since
-		}
 	}
+	unexplained, first := l.unexplained(now)
 	isSilent := 2*l.silent > len(l.missed)
 	needed := minApartRefused
 	if isSilent {
 		needed = minApartSilent
 	}
-	if apart < needed && (len(l.missed) < minMissed || now.Sub(first) < minMissedTime) {
+	if apart < needed && (unexplained < minMissed || now.Sub(first) < minMissedTime) {
 		return c, false
 	}
 	l.lost, l.lostAt, l.lostSilent, l.probes = true, now, isSilent, 0
 	return Change{lost: true, apart: apart, missed: len(l.missed), silent: isSilent}, true
 }
 
+// unexplained returns how many runners were not reached, without those that helpers do not reach either, and since when. The caller
+// holds the lock.
+func (l *Links) unexplained(now time.Time) (n int, first time.Time) {
+	first = now
+	for address, since := range l.missed {
+		if l.isRecent(l.unreached, address, unreachedHold) {
+			continue
+		}
+		n++
+		if since.Before(first) {
+			first = since
+		}
+	}
+	return n, first
+}
+
 // Probed records a direct connection that was tried while the links are lost, to find out whether they work again.
 func (l *Links) Probed(connected bool) {
 	l.mu.Lock()
@@ -231,7 +245,8 @@
 func (l *Links) AreDoubtful() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lost || len(l.missed) >= minDoubtful
+	unexplained, _ := l.unexplained(l.Clock.Now())
+	return l.lost || unexplained >= minDoubtful
 }
 
 // SilentSince returns since when the links are lost in such a way that open connections are silent too.
