Ask a hub again whose followers were not counted yet

Hubs now count by their followers where these are known, and are asked for them when the known ones are old, whatever their registration says.

--- a/core/bergamotdetour/draw.go
+++ b/core/bergamotdetour/draw.go
@@ -63,7 +63,7 @@
 
 // draw finds those of n entries, drawn evenly from all that read through the roots, that can help.
 func (d *drawing) draw(ctx context.Context, roots []Branch, n int) {
-	level, _ := d.share(roots, 0, n)
+	level, _ := d.share(d.weigh(roots), 0, n)
 	var drawn []Helper
 	for range maxLevels {
 		d.expand(ctx, level)
@@ -80,6 +80,22 @@
 	d.check(ctx, drawn)
 }
 
+// weigh returns hubs with the numbers of entries that were counted last: by the hub itself, or by its registration. At least two, so
+// that a hub whose followers had not begun to follow it is asked again.
+func (d *drawing) weigh(hubs []Branch) (out []Branch) {
+	for _, b := range hubs {
+		if k, known := d.tree[b.name]; known {
+			b.entries = 1
+			for _, f := range k.list {
+				b.entries += f.entries
+			}
+		}
+		b.entries = max(b.entries, 2)
+		out = append(out, b)
+	}
+	return out
+}
+
 // expand asks those entries for their followers that have some which are not known.
 func (d *drawing) expand(ctx context.Context, level []visit) {
 	var asked []Helper
