--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -15,9 +15,10 @@
 	// centres, so that the loss of one does not look like this.
 	minMissed     = 4
 	minMissedTime = 300 * time.Millisecond
-	// minDoubtful is the number of runners without any direct connection from which on it is open whether the runners or the links
-	// failed.
-	minDoubtful = 3
+	// minDoubtful and minDoubtfulTime are the number of runners, and the time, without any direct connection from which on it is open whether
+	// the runners or the links failed. Entries with links open several connections in that time.
+	minDoubtful     = 3
+	minDoubtfulTime = 150 * time.Millisecond
 	// minProbes is the number of successful probes in a row that end the loss of the links.
 	minProbes = 3
 	// apartHold is how long a runner that only helpers reach gets no direct connection. The next one is tried both ways.
@@ -245,8 +246,9 @@
 func (l *Links) AreDoubtful() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	unexplained, _ := l.unexplained(l.Clock.Now())
-	return l.lost || unexplained >= minDoubtful
+	now := l.Clock.Now()
+	unexplained, first := l.unexplained(now)
+	return l.lost || unexplained >= minDoubtful && now.Sub(first) >= minDoubtfulTime
 }
 
 // SilentSince returns since when the links are lost in such a way that open connections are silent too.
--- a/core/bergamotdetour/links_test.go
+++ b/core/bergamotdetour/links_test.go
@@ -194,3 +194,19 @@
 		gomega.Expect(r.Begins("a", now.Add(5*time.Second))).To(gomega.BeTrue())
 	})
 })
+
+var _ = ginkgo.Describe("the links of an entry that misses three runners", func() {
+	// Guards against helpers that call themselves cut because several runners have crashed.
+	ginkgo.It("are doubtful when it has reached none for a while", func() {
+		clock := bergamotclock.NewVirtual(time.Unix(1000, 0))
+		l := &bergamotdetour.Links{Clock: clock}
+		for n := range 3 {
+			l.Missed(fmt.Sprint(n), false, "")
+		}
+		gomega.Expect(l.AreDoubtful()).To(gomega.BeFalse())
+		clock.Advance(150 * time.Millisecond)
+		gomega.Expect(l.AreDoubtful()).To(gomega.BeTrue())
+		l.Connected("9")
+		gomega.Expect(l.AreDoubtful()).To(gomega.BeFalse())
+	})
+})
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -65,7 +66,8 @@
 	list    []bergamotdetour.Helper
 	answers []bergamotdetour.Answer
 
-	noMemory bool // the entries that are added have none
+	clock    *bergamotclock.Virtual // of the links of the entries that are added, nil for the real one
+	noMemory bool                   // the entries that are added have none
 }
 
 func (h *helpers) Next(asked []string) (bergamotdetour.Helper, bool) {
@@ -101,6 +103,9 @@
 // add adds an entry that gives an answer; it knows that its own links are lost if that is AnswerCut.
 func (h *helpers) add(a bergamotdetour.Answer) *httptest.Server {
 	handler := &bergamottunnel.Handler{Dial: (&net.Dialer{}).DialContext, Lender: lender(a), Links: newLinks(), Account: h.account()}
+	if h.clock != nil {
+		handler.Links.Clock = h.clock
+	}
 	switch a {
 	case bergamotdetour.AnswerCut:
 		lose(handler.Links)
@@ -229,10 +234,12 @@
 
 	// Guards against a sound runner that counts as dead because two entries that are cut too do not reach it.
 	ginkgo.It("is not judged by a helper that reaches no runner itself", func() {
-		h := &helpers{}
+		clock := bergamotclock.NewVirtual(time.Unix(1000, 0))
+		h := &helpers{clock: clock}
 		h.add(bergamotdetour.AnswerRefused)
 		d := &bergamottunnel.Dialer{Entry: "me", Direct: refuse, Links: lose(newLinks()), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
 		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+			clock.Advance(100 * time.Millisecond)
 			_, err := d.Dial(context.Background(), "tcp", address)
 			gomega.Expect(err).To(gomega.HaveOccurred())
 		}
