--- a/io/bergamottunnel/dialer.go
+++ b/io/bergamottunnel/dialer.go
@@ -47,7 +47,8 @@
 		d.Links.Answered(address, a)
 		switch {
 		case c != nil:
-			return useHelper(ctx, c), nil
+			record(ctx, c.helper)
+			return c, nil
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
 		case a == bergamotdetour.AnswerRefused:
@@ -100,6 +101,7 @@
 		if started {
 			r.cancel()
 		}
+		record(ctx, bergamotdetour.Helper{})
 		return c, nil
 	}
 	switch {
@@ -113,7 +115,8 @@
 		d.Links.Missed(address, r.conn != nil && started || IsSilence(err), r.answer)
 	}
 	if r.conn != nil {
-		return useHelper(ctx, r.conn), nil
+		record(ctx, r.conn.helper)
+		return r.conn, nil
 	}
 	return nil, err
 }
@@ -173,18 +176,26 @@
 // viaKey is the key of a Via in a context.
 type viaKey struct{}
 
-// Via records over which helper a connection was opened. It may be used concurrently.
+// Via records how a connection was opened. It may be used concurrently.
 type Via struct {
 	mu     sync.Mutex
+	opened bool
 	helper bergamotdetour.Helper
 }
 
-// WithVia returns a context in which Dial records the helper.
+// WithVia returns a context in which Dial records how it opened a connection.
 func WithVia(ctx context.Context) (context.Context, *Via) {
 	v := &Via{}
 	return context.WithValue(ctx, viaKey{}, v), v
 }
 
+// IsOpen reports whether there has been a connection. Until then nothing can have been sent.
+func (v *Via) IsOpen() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.opened
+}
+
 // Helper returns the helper over which the connection was opened; it has no name for a direct connection.
 func (v *Via) Helper() bergamotdetour.Helper {
 	v.mu.Lock()
@@ -192,12 +203,11 @@
 	return v.helper
 }
 
-// useHelper records the helper of a connection that is used.
-func useHelper(ctx context.Context, c *Conn) *Conn {
+// record records a connection over a helper, which has no name for a direct one.
+func record(ctx context.Context, h bergamotdetour.Helper) {
 	if v, ok := ctx.Value(viaKey{}).(*Via); ok {
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.helper = c.helper
+		v.opened, v.helper = true, h
 	}
-	return c
 }
