Probe other runners while it is in doubt whether the links are lost

Entries without requests took four dead runners for the loss of their own links: both of two entries gave up on direct connections 0.5 s after four of six runners were killed, refused requests while neither helped, and gave up the placement lease. Dead runners are checked again each half second, and the reports of sound ones come over connections that stay open, so that no new connection cleared the runners that were missed.

While several runners are missed, the controller of the links tries one that is not among them; a connection ends the doubt. If all are cut off, the probes fail and the links count as lost as before.

--- a/core/bergamotcluster/linkcheck.go
+++ b/core/bergamotcluster/linkcheck.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// probeInterval is the time between two probes while the links of this entry are lost.
+	// probeInterval is the time between two probes while the links of this entry are lost, or may be.
 	probeInterval = 150 * time.Millisecond
 	// probeTimeout is how long a probe may take; a connection within a region is established in about a millisecond.
 	probeTimeout = 100 * time.Millisecond
@@ -16,6 +16,10 @@
 type OwnLinks interface {
 	AreLost() bool
 	Probed(connected bool)
+	// AreDoubtful reports whether the links are lost or may be: several runners were not reached, and none since.
+	AreDoubtful() bool
+	IsMissed(address string) bool // the runner is one of those
+	Connected(address string)
 }
 
 // LinkProber tries direct connections to runners, on which nothing is sent.
@@ -23,8 +27,9 @@
 	Probe(ctx context.Context, address string) error
 }
 
-// LinkCheck is the controller that finds out when lost links to the runners work again. An entry without them neither holds the
-// placement lease nor judges runners.
+// LinkCheck is the controller that finds out when lost links to the runners work again, and whether they are lost when several runners
+// are not reached: an entry without requests connects to no others meanwhile. An entry without links neither holds the placement
+// lease nor judges runners.
 type LinkCheck struct {
 	Links  OwnLinks
 	Prober LinkProber
@@ -39,8 +44,8 @@
 
 // Next returns when the next probe is due.
 func (c *LinkCheck) Next(s *State) time.Time {
-	if c.inFlight || !c.Links.AreLost() {
-		return s.Now().Add(time.Minute) // the end of a probe and the loss of the links wake the loop
+	if c.inFlight || !c.Links.AreDoubtful() {
+		return s.Now().Add(time.Minute) // the end of a probe, and a runner that fails, wake the loop
 	}
 	return c.nextProbe
 }
@@ -50,20 +55,32 @@
 	if lost := c.Links.AreLost(); lost != s.linksLost {
 		s.setLinksLost(lost)
 	}
-	if !s.linksLost || c.inFlight || s.Now().Before(c.nextProbe) {
+	lost := s.linksLost
+	if !lost && !c.Links.AreDoubtful() || c.inFlight || s.Now().Before(c.nextProbe) {
 		return nil
 	}
 	c.nextProbe = s.Now().Add(probeInterval)
-	instances := s.Fleet().Instances()
-	if len(instances) == 0 {
+	var addresses []string
+	for _, i := range s.Fleet().Instances() {
+		if lost || !c.Links.IsMissed(i.Address()) {
+			addresses = append(addresses, i.Address())
+		}
+	}
+	if len(addresses) == 0 {
 		return nil
 	}
 	c.inFlight = true
-	address := instances[c.Random(len(instances))].Address()
+	address := addresses[c.Random(len(addresses))]
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		c.Links.Probed(c.Prober.Probe(ctx, address) == nil) // the error says no more than that the runner was not reached
+		connected := c.Prober.Probe(ctx, address) == nil // the error says no more than that the runner was not reached
+		switch {
+		case lost:
+			c.Links.Probed(connected)
+		case connected:
+			c.Links.Connected(address)
+		}
 		return EventFunc(func(*State) { c.inFlight = false })
 	})}
 }
--- a/core/bergamotcluster/linkcheck_test.go
+++ b/core/bergamotcluster/linkcheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -14,13 +15,20 @@
 // ownLinks are links that are lost until some probes have succeeded.
 type ownLinks struct {
 	lost    bool
-	err     error // of probes
+	missed  []string // addresses of runners that were not reached, which leave the links in doubt
+	err     error    // of probes
 	probed  []string
 	results []bool
 }
 
 func (l *ownLinks) AreLost() bool { return l.lost }
 
+func (l *ownLinks) AreDoubtful() bool { return l.lost || len(l.missed) > 0 }
+
+func (l *ownLinks) IsMissed(address string) bool { return slices.Contains(l.missed, address) }
+
+func (l *ownLinks) Connected(string) { l.missed = nil }
+
 func (l *ownLinks) Probed(connected bool) { l.results = append(l.results, connected) }
 
 func (l *ownLinks) Probe(_ context.Context, address string) error {
@@ -76,4 +84,23 @@
 		p.advance(200 * time.Millisecond)
 		gomega.Expect(p.links.results[10]).To(gomega.BeTrue())
 	})
+
+	// Guards against dead runners that look like lost links to an entry without requests, which connects to no other runner meanwhile.
+	ginkgo.It("probes a runner that it has not missed while the links are in doubt", func() {
+		p := newPlacement(bergamotmemory.NewStore(), "one")
+		p.advance(time.Second)
+		var rest string
+		for n, i := range p.state.Fleet().Instances() {
+			if n == 0 {
+				rest = i.Address()
+				continue
+			}
+			p.links.missed = append(p.links.missed, i.Address())
+		}
+		p.advance(10 * time.Millisecond)
+		gomega.Expect(p.links.probed).To(gomega.Equal([]string{rest}))
+		gomega.Expect(p.links.results).To(gomega.BeEmpty())
+		p.advance(time.Second)
+		gomega.Expect(p.links.probed).To(gomega.HaveLen(1), "the doubt has ended")
+	})
 })
--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -234,6 +234,14 @@
 	return l.lost || len(l.missed) >= minDoubtful
 }
 
+// IsMissed reports whether the runner at an address was not reached since the last direct connection to any.
+func (l *Links) IsMissed(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, missed := l.missed[address]
+	return missed
+}
+
 // SilentSince returns since when the links are lost in such a way that open connections are silent too.
 func (l *Links) SilentSince() (t time.Time, ok bool) {
 	l.mu.Lock()
