Do not count a runner as missed when the entry that asked has left

go test ./io/bergamottunnel -ginkgo.focus 'entry leaves before': failed before (answer "unreached", links in doubt), passes now.

--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -83,9 +83,12 @@
 	if a = h.Lender.Lend(entry, address); a != bergamotdetour.AnswerConnected {
 		return nil, nil, a
 	}
-	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	runner, err := h.Dial(ctx, "tcp", address)
+	runner, err := h.Dial(dialCtx, "tcp", address)
+	if err != nil && ctx.Err() != nil {
+		return nil, nil, bergamotdetour.AnswerSilent // nobody waits for the answer
+	}
 	if err != nil {
 		h.Links.Missed(address, IsSilence(err), "")
 		if h.Links.AreDoubtful() {
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -249,6 +249,26 @@
 		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerFull}))
 	})
 
+	// Guards against a helper that takes a runner for cut off because the entry that asked has found another way.
+	ginkgo.It("says nothing about the runner when the entry leaves before it is open", func() {
+		links, begun, ended := newLinks(), make(chan struct{}, 1), make(chan bergamotdetour.Answer, 1)
+		wait := func(ctx context.Context, network, address string) (net.Conn, error) {
+			begun <- struct{}{}
+			return hang(ctx, network, address)
+		}
+		handler := &bergamottunnel.Handler{Dial: wait, Lender: lender(bergamotdetour.AnswerConnected), Links: links, Account: (&helpers{}).account()}
+		handler.OnAnswer = func(_, _ string, a bergamotdetour.Answer) { ended <- a }
+		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+			ctx, leave := context.WithCancel(context.Background())
+			r := httptest.NewRequestWithContext(ctx, http.MethodGet, bergamottunnel.Path+"?to="+address, nil)
+			go handler.ServeHTTP(httptest.NewRecorder(), r)
+			gomega.Eventually(begun).Should(gomega.Receive())
+			leave()
+			gomega.Eventually(ended).Should(gomega.Receive(gomega.Equal(bergamotdetour.AnswerSilent)))
+		}
+		gomega.Expect(links.AreDoubtful()).To(gomega.BeFalse())
+	})
+
 	// Guards against a runner that goes on for a caller that has left.
 	ginkgo.It("is closed at the runner when the entry closes it", func() {
 		r, h := newRunner(), &helpers{}
