End a tunnel whose runner reads no more of the request

go test ./io/bergamottunnel -ginkgo.focus 'does not read the rest': failed before (still open after 5 s), passes now.

--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -132,6 +132,7 @@
 	}()
 	n, _ = writeFrames(entry, runner) // the entry sees the last frame, or that there is none
 	_ = entry.Close()
+	_ = runner.Close() // a runner that reads nothing more holds up the other direction
 	<-sent
 	return n
 }
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -269,6 +270,21 @@
 		gomega.Expect(links.AreDoubtful()).To(gomega.BeFalse())
 	})
 
+	// Guards against tunnels that stay for a runner which has ended its answer and reads no more of the request.
+	ginkgo.It("ends with the answer although the runner does not read the rest of the request", func() {
+		h := &helpers{}
+		handler := h.add(bergamotdetour.AnswerConnected).Config.Handler.(*killable).Handler.(*bergamottunnel.Handler)
+		runner := &deafConn{begun: make(chan struct{}), closed: make(chan struct{})}
+		handler.Dial = func(context.Context, string, string) (net.Conn, error) { return runner, nil }
+		conn := dialOver(h, newRunner())
+		defer func() { _ = conn.Close() }() // it has ended
+		_, err := io.WriteString(conn, "?")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = conn.Read(make([]byte, 1))
+		gomega.Expect(err).To(gomega.MatchError(io.EOF))
+		gomega.Eventually(handler.Open).WithTimeout(5 * time.Second).Should(gomega.BeZero())
+	})
+
 	// Guards against a runner that goes on for a caller that has left.
 	ginkgo.It("is closed at the runner when the entry closes it", func() {
 		r, h := newRunner(), &helpers{}
@@ -290,6 +306,29 @@
 	return conn
 }
 
+// deafConn is a connection to a runner that closes its direction once something waits to be sent to it, and reads nothing.
+type deafConn struct {
+	net.Conn
+	begun, closed chan struct{}
+	once          sync.Once
+}
+
+func (c *deafConn) Read([]byte) (int, error) {
+	<-c.begun
+	return 0, io.EOF
+}
+
+func (c *deafConn) Write([]byte) (int, error) {
+	close(c.begun)
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c *deafConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
 // killable closes the connection of its last request as the end of the process would.
 type killable struct {
 	http.Handler
