Do not avoid a runner whose answer was not needed

When a stream paused, another path was asked, and the pause ended first, the runner of that path counted as failed for the rest of the request. If the first runner then broke off, the stream had no path among two runners: it waited for one poll interval and then chose among all, the broken one included. Only failures of which a runner is the cause exclude it now, as for attempts that are not handed over.

go test ./core/bergamotrelay -ginkgo.focus 'was asked while it paused': failed before (40 ms of waiting for a path), passes now.

--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -57,7 +57,7 @@
 	s.possibleRuns += move.runs
 	for _, f := range move.failed {
 		name := runnerAt(f.plan, f.failure.faultAddress)
-		s.avoid[name] = s.avoid[name] || !f.failure.isOfLink()
+		s.avoid[name] = s.avoid[name] || f.failure.isOfRunner()
 		s.x.Trace().RecordAttempt(formatPlan(f.plan))
 		if f.helper != "" {
 			s.x.Trace().RecordDetour(f.helper)
@@ -72,7 +72,7 @@
 // reportFailed reports a runner that failed an attempt to the router and the observer. One that rejected it because its memory is full is
 // not at fault: then ok is true, and used is the memory in use by all entries, in tokens times layers.
 func (s *streamState) reportFailed(p bergamotroute.Plan, name string, f *Failure) (used float64, ok bool) {
-	if f.isEnd() || f.isOfLink() {
+	if !f.isOfRunner() {
 		return 0, false
 	}
 	if f.reason == bergamotrequest.ReasonFull {
--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -187,7 +187,7 @@
 			f = NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonCancel, errGoesOn)
 		}
 		name := runnerAt(other, f.faultAddress)
-		failed[name] = failed[name] || !f.isOfLink()
+		failed[name] = failed[name] || f.isOfRunner()
 		s.reportFailed(other, name, f)
 		move.reject(failedSend{plan: other, helper: o.helper, runner: runner, known: known, failure: f})
 		return false
--- a/core/bergamotrelay/successor_test.go
+++ b/core/bergamotrelay/successor_test.go
@@ -7,6 +7,9 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotcluster"
+	"bergamotspur/core/bergamotconfig"
+	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamottest"
 )
 
@@ -51,4 +54,21 @@
 		gomega.Expect(g.upstream.runners()).To(gomega.HaveLen(2))
 		gomega.Expect(g.caller.starts).To(gomega.Equal(1))
 	})
+
+	// Guards against a stream that waits for a path because a runner whose answer was not needed counts as failed.
+	ginkgo.It("may resume at a runner that was asked while it paused", func() {
+		pause := make(chan struct{})
+		g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: true, MaxAttempts: 3}), model,
+			reply{events: 2, pause: pause, rest: 2, broken: true}, reply{delay: never}, reply{events: 1})
+		g.views = fixedView{bergamotcluster.NewView(nil, 0, bergamotfleet.NewFleet([]bergamotfleet.Instance{instance("x", "llm"), instance("y", "llm")}))}
+		done := make(chan error, 1)
+		go func() { done <- g.stream(context.Background()) }()
+		gomega.Eventually(g.caller.received).WithTimeout(20 * time.Second).Should(gomega.HaveLen(4))
+		g.clock.Advance(400 * time.Millisecond)
+		gomega.Eventually(g.upstream.runners).WithTimeout(20 * time.Second).Should(gomega.HaveLen(2))
+		close(pause)
+		gomega.Eventually(done).WithTimeout(20 * time.Second).Should(gomega.Receive(gomega.BeNil()))
+		gomega.Expect(g.caller.received()).To(gomega.Equal("0 1 2 3 4 "))
+		gomega.Expect(g.clock.Now()).To(gomega.Equal(now.Add(400*time.Millisecond)), "it waited for a path")
+	})
 })
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -139,6 +139,9 @@
 // isOfLink reports whether the way to the runner failed, so that no runner is at fault.
 func (f *Failure) isOfLink() bool { return f.reason == bergamotrequest.ReasonLink }
 
+// isOfRunner reports whether a runner is at fault.
+func (f *Failure) isOfRunner() bool { return !f.isEnd() && !f.isOfLink() }
+
 // asFailure returns the failure in err's chain, or a new one that leaves open whether the request was run.
 func asFailure(err error) *Failure {
 	var f *Failure
