Do not hold an answer for a report of a runner that refused it

While a stream paused, another path refused it for want of memory, and the runner of that path was asked for its report before the send counted as ended. An answer that was complete meanwhile was held until the report came, 250 ms at most.

go test ./core/bergamotrelay -ginkgo.focus 'is asked why': failed before (not ended after 5 s with a report that is held back), passes now, also with -race.

--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -188,8 +188,9 @@
 		}
 		name := runnerAt(other, f.faultAddress)
 		failed[name] = failed[name] || f.isOfRunner()
-		s.reportFailed(other, name, f)
+		// The attempt may end meanwhile; its caller does not wait for a report of the other runner.
 		move.reject(failedSend{plan: other, helper: o.helper, runner: runner, known: known, failure: f})
+		s.reportFailed(other, name, f)
 		return false
 	}
 }
--- a/core/bergamotrelay/successor_test.go
+++ b/core/bergamotrelay/successor_test.go
@@ -71,4 +71,40 @@
 		gomega.Expect(g.caller.received()).To(gomega.Equal("0 1 2 3 4 "))
 		gomega.Expect(g.clock.Now()).To(gomega.Equal(now.Add(400*time.Millisecond)), "it waited for a path")
 	})
+
+	// Guards against an answer that is complete but held until a runner which was asked meanwhile has given its report.
+	ginkgo.It("ends while the runner that refused it is asked why", func() {
+		pause, release := make(chan struct{}), make(chan struct{})
+		defer close(release)
+		g := newRig(route(resumable), model, reply{events: 2, pause: pause, rest: 2}, reply{failure: rejected()})
+		asked := &slowReporter{upstream: g.upstream, asked: make(chan struct{}, 8), release: release}
+		h := &StreamHandler{
+			Clock: instantClock{g.clock}, Upstream: g.upstream, Router: g.router, Views: g.views, Budget: g.budget, Observer: g.observer,
+			Quarantine: g.quarantine(), Links: g.links,
+			StallDetector: &StallDetector{Clock: g.clock, Reporter: asked, IsSuspected: func(string) bool { return false }},
+		}
+		done := make(chan error, 1)
+		go func() { done <- h.Handle(context.Background(), g.x) }()
+		gomega.Eventually(g.caller.received).WithTimeout(20 * time.Second).Should(gomega.HaveLen(4))
+		g.clock.Advance(400 * time.Millisecond)
+		gomega.Eventually(asked.asked).WithTimeout(20 * time.Second).Should(gomega.Receive())
+		close(pause)
+		gomega.Eventually(done).WithTimeout(5 * time.Second).Should(gomega.Receive(gomega.BeNil()))
+		gomega.Expect(g.caller.received()).To(gomega.Equal("0 1 2 3 "))
+	})
 })
+
+// slowReporter holds back reports from the second attempt on.
+type slowReporter struct {
+	upstream *upstream
+	asked    chan struct{}
+	release  chan struct{}
+}
+
+func (r *slowReporter) Report(ctx context.Context, address string) (bergamotcluster.Report, error) {
+	if len(r.upstream.runners()) > 1 {
+		r.asked <- struct{}{}
+		<-r.release
+	}
+	return silentReporter{}.Report(ctx, address)
+}
