--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -187,9 +187,10 @@
 			f = NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonCancel, errGoesOn)
 		}
 		name := runnerAt(other, f.faultAddress)
-		failed[name] = failed[name] || !f.isOfLink()
-		s.reportFailed(other, name, f)
+		failed[name] = failed[name] || f.isOfRunner()
+		// The attempt may end meanwhile; its caller does not wait for a report of the other runner.
 		move.reject(failedSend{plan: other, helper: o.helper, runner: runner, known: known, failure: f})
+		s.reportFailed(other, name, f)
 		return false
 	}
 }
--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -83,9 +83,12 @@
 	if a = h.Lender.Lend(entry, address); a != bergamotdetour.AnswerConnected {
 		return nil, nil, a
 	}
-	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	runner, err := h.Dial(ctx, "tcp", address)
+	runner, err := h.Dial(dialCtx, "tcp", address)
+	if err != nil && ctx.Err() != nil {
+		return nil, nil, bergamotdetour.AnswerSilent // nobody waits for the answer
+	}
 	if err != nil {
 		h.Links.Missed(address, IsSilence(err), "")
 		if h.Links.AreDoubtful() {
@@ -129,6 +132,7 @@
 	}()
 	n, _ = writeFrames(entry, runner) // the entry sees the last frame, or that there is none
 	_ = entry.Close()
+	_ = runner.Close() // a runner that reads nothing more holds up the other direction
 	<-sent
 	return n
 }
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -256,6 +256,41 @@
 		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerFull}))
 	})
 
+	// Guards against a helper that takes a runner for cut off because the entry that asked has found another way.
+	ginkgo.It("says nothing about the runner when the entry leaves before it is open", func() {
+		links, begun, ended := newLinks(), make(chan struct{}, 1), make(chan bergamotdetour.Answer, 1)
+		wait := func(ctx context.Context, network, address string) (net.Conn, error) {
+			begun <- struct{}{}
+			return hang(ctx, network, address)
+		}
+		handler := &bergamottunnel.Handler{Dial: wait, Lender: lender(bergamotdetour.AnswerConnected), Links: links, Account: (&helpers{}).account()}
+		handler.OnAnswer = func(_, _ string, a bergamotdetour.Answer) { ended <- a }
+		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+			ctx, leave := context.WithCancel(context.Background())
+			r := httptest.NewRequestWithContext(ctx, http.MethodGet, bergamottunnel.Path+"?to="+address, nil)
+			go handler.ServeHTTP(httptest.NewRecorder(), r)
+			gomega.Eventually(begun).Should(gomega.Receive())
+			leave()
+			gomega.Eventually(ended).Should(gomega.Receive(gomega.Equal(bergamotdetour.AnswerSilent)))
+		}
+		gomega.Expect(links.AreDoubtful()).To(gomega.BeFalse())
+	})
+
+	// Guards against tunnels that stay for a runner which has ended its answer and reads no more of the request.
+	ginkgo.It("ends with the answer although the runner does not read the rest of the request", func() {
+		h := &helpers{}
+		handler := h.add(bergamotdetour.AnswerConnected).Config.Handler.(*killable).Handler.(*bergamottunnel.Handler)
+		runner := &deafConn{begun: make(chan struct{}), closed: make(chan struct{})}
+		handler.Dial = func(context.Context, string, string) (net.Conn, error) { return runner, nil }
+		conn := dialOver(h, newRunner())
+		defer func() { _ = conn.Close() }() // it has ended
+		_, err := io.WriteString(conn, "?")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = conn.Read(make([]byte, 1))
+		gomega.Expect(err).To(gomega.MatchError(io.EOF))
+		gomega.Eventually(handler.Open).WithTimeout(5 * time.Second).Should(gomega.BeZero())
+	})
+
 	// Guards against a runner that goes on for a caller that has left.
 	ginkgo.It("is closed at the runner when the entry closes it", func() {
 		r, h := newRunner(), &helpers{}
@@ -277,6 +312,29 @@
 	return conn
 }
 
+// deafConn is a connection to a runner that closes its direction once something waits to be sent to it, and reads nothing.
+type deafConn struct {
+	net.Conn
+	begun, closed chan struct{}
+	once          sync.Once
+}
+
+func (c *deafConn) Read([]byte) (int, error) {
+	<-c.begun
+	return 0, io.EOF
+}
+
+func (c *deafConn) Write([]byte) (int, error) {
+	close(c.begun)
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c *deafConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
 // killable closes the connection of its last request as the end of the process would.
 type killable struct {
 	http.Handler
