--- a/core/bergamotcluster/linkcheck.go
+++ b/core/bergamotcluster/linkcheck.go
@@ -16,8 +16,8 @@
 type OwnLinks interface {
 	AreLost() bool
 	Probed(connected bool)
-	// AreDoubtful reports whether the links are lost or may be: several runners were not reached, and none since.
-	AreDoubtful() bool
+	// DoubtfulAt returns from when on the links are lost or may be: several runners were not reached, and none since.
+	DoubtfulAt() (at time.Time, ok bool)
 	IsMissed(address string) bool // the runner is one of those
 	Connected(address string)
 }
@@ -44,8 +44,12 @@
 
 // Next returns when the next probe is due.
 func (c *LinkCheck) Next(s *State) time.Time {
-	if c.inFlight || !c.Links.AreDoubtful() {
-		return s.Now().Add(time.Minute) // the end of a probe, and a runner that fails, wake the loop
+	at, doubtful := c.Links.DoubtfulAt()
+	if c.inFlight || !doubtful {
+		return s.Now().Add(time.Minute) // the end of a probe, and the begin of a doubt, wake the loop
+	}
+	if at.After(c.nextProbe) {
+		return at
 	}
 	return c.nextProbe
 }
@@ -56,7 +60,7 @@
 		s.setLinksLost(lost)
 	}
 	lost := s.linksLost
-	if !lost && !c.Links.AreDoubtful() || c.inFlight || s.Now().Before(c.nextProbe) {
+	if at, doubtful := c.Links.DoubtfulAt(); !doubtful || s.Now().Before(at) || c.inFlight || s.Now().Before(c.nextProbe) {
 		return nil
 	}
 	c.nextProbe = s.Now().Add(probeInterval)
--- a/core/bergamotcluster/linkcheck_test.go
+++ b/core/bergamotcluster/linkcheck_test.go
@@ -23,7 +23,7 @@
 
 func (l *ownLinks) AreLost() bool { return l.lost }
 
-func (l *ownLinks) AreDoubtful() bool { return l.lost || len(l.missed) > 0 }
+func (l *ownLinks) DoubtfulAt() (time.Time, bool) { return time.Time{}, l.lost || len(l.missed) > 0 }
 
 func (l *ownLinks) IsMissed(address string) bool { return slices.Contains(l.missed, address) }
 
--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -66,6 +66,7 @@
 type Links struct {
 	Clock    Clock
 	OnChange func(Change) // called after each change, nil for none
+	OnDoubt  func()       // called when it becomes open whether runners or the links failed, nil for none
 
 	mu         sync.Mutex
 	missed     map[string]time.Time // runners not reached since the last direct connection to any, by address
@@ -136,7 +137,8 @@
 	if l.missed == nil {
 		l.missed = map[string]time.Time{}
 	}
-	if _, known := l.missed[address]; !known {
+	_, known := l.missed[address]
+	if !known {
 		l.missed[address] = now
 		if silent {
 			l.silent++
@@ -144,8 +146,12 @@
 	}
 	l.answered(address, a, now)
 	c, changed := l.checkLoss(now)
+	unexplained, _ := l.unexplained(now)
 	l.mu.Unlock()
 	l.notify(c, changed)
+	if !known && unexplained >= minDoubtful && l.OnDoubt != nil {
+		l.OnDoubt()
+	}
 }
 
 // Answered records what the helpers answered about the runner at an address to which no direct connection was tried.
@@ -244,11 +250,19 @@
 
 // AreDoubtful reports whether the links are lost or may be: several runners were not reached, and none since.
 func (l *Links) AreDoubtful() bool {
+	at, ok := l.DoubtfulAt()
+	return ok && !l.Clock.Now().Before(at)
+}
+
+// DoubtfulAt returns from when on the links are lost or may be, unless a runner is reached before; ok is false if nothing speaks for it.
+func (l *Links) DoubtfulAt() (at time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.Clock.Now()
-	unexplained, first := l.unexplained(now)
-	return l.lost || unexplained >= minDoubtful && now.Sub(first) >= minDoubtfulTime
+	if l.lost {
+		return l.lostAt, true
+	}
+	unexplained, first := l.unexplained(l.Clock.Now())
+	return first.Add(minDoubtfulTime), unexplained >= minDoubtful
 }
 
 // IsMissed reports whether the runner at an address was not reached since the last direct connection to any.
