--- a/io/bergamotsoak/soak_test.go
+++ b/io/bergamotsoak/soak_test.go
@@ -182,7 +182,7 @@
 		h.sendHeartbeats(ctx, func(t *target) bool { _, ok := s.leaving.Load(t); return ok })
 	}()
 	for _, e := range h.entries {
-		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).Should(gomega.BeTrue(), e.log.String())
+		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).Should(gomega.BeTrue(), e.log.String)
 	}
 	calling, stop := context.WithCancel(ctx)
 	defer stop()
@@ -197,7 +197,9 @@
 	stop()
 	for _, e := range h.entries {
 		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).
-			Should(gomega.BeTrue(), "seed %d: %s does not serve again after %s\n%s", seed, e.name, steps, tail(e.log.String()))
+			Should(gomega.BeTrue(), func() string {
+				return fmt.Sprintf("seed %d: %s does not serve again after %s\n%s", seed, e.name, steps, e.log)
+			})
 	}
 	cancel()
 	active.Wait()
@@ -211,9 +213,6 @@
 	gomega.Expect(h.violations()).To(gomega.BeEmpty(), "seed %d: %s", seed, steps)
 }
 
-// tail returns the last 4000 bytes of a log.
-func tail(s string) string { return s[max(len(s)-4000, 0):] }
-
 // seeds returns the seeds from 1 to BERGAMOTSPUR_SOAK_SEEDS (2 by default) and BERGAMOTSPUR_SOAK_FRESH random ones (none
 // by default).
 func seeds() map[string]uint64 {
