Send orders to runners with a fencing token and the expected number of orders

A runner may carry out an order up to 12 s late, also after another entry has taken the lease or after its own sender has planned anew. Orders carried neither a fencing token nor a precondition, so that the delayed one replaced the later one, and the runner dropped layers that the plan counted on.

Each order now carries the token of the lease and, as precondition, the number of orders that the process has accepted (seq of its report). The fake runner checks both fields.

--- a/core/bergamotcluster/fakes_test.go
+++ b/core/bergamotcluster/fakes_test.go
@@ -94,10 +94,10 @@
 	orders     []string
 }
 
-func (f *fakeRunners) Place(_ context.Context, address string, s bergamotlayout.Span, _ bool) error {
+func (f *fakeRunners) Place(_ context.Context, address string, o bergamotcluster.Order) error {
 	f.orders = append(f.orders, address)
 	if f.err == nil {
-		f.held[address] = s
+		f.held[address] = o.Span()
 	}
 	return f.err
 }
--- a/core/bergamotcluster/placement.go
+++ b/core/bergamotcluster/placement.go
@@ -38,6 +38,9 @@
 	minLiveShare = 0.5
 )
 
+// unknownCount is the number of accepted orders of a runner that gave no report.
+const unknownCount = -1
+
 // Placement is the controller that plans the layers of all runners and orders them to load these while this entry holds
 // the lease.
 type Placement struct {
@@ -47,7 +50,9 @@
 	// OnOrder is called when an order was sent, and when it is confirmed or abandoned.
 	OnOrder func(runner string, s bergamotlayout.Span, event string, err error)
 
-	pending map[string]*pendingOrder // by runner
+	pending  map[string]*pendingOrder // by runner
+	accepted orderCounts              // by the runners under the current fencing token
+	token    int64                    // fencing token under which accepted was learned
 }
 
 // pendingOrder is an order that the runner has not confirmed yet.
@@ -57,6 +62,8 @@
 	lastActive time.Time // when the order was created or the runner last reported that it is busy
 	nextPoll   time.Time // when to request the runner's report
 	sent       bool      // whether the request with the order has ended
+	refused    bool      // whether the runner will not carry it out
+	count      int64     // orders that the runner should have accepted before it
 }
 
 // Name returns "placement".
@@ -98,8 +105,9 @@
 		c.pending = nil
 		return nil
 	}
-	if c.pending == nil {
-		c.pending = map[string]*pendingOrder{}
+	if token := s.grant.FencingToken(); c.pending == nil || c.token != token {
+		// Another holder may have sent orders meanwhile.
+		c.pending, c.accepted, c.token = map[string]*pendingOrder{}, orderCounts{}, token
 	}
 	c.resolvePending(s)
 	for _, v := range s.Config().Services() {
@@ -187,26 +195,70 @@
 	c.pending[i.Name()] = p
 	grant := s.grant
 	began := s.Now()
+	count, known := c.accepted.of(i.Name(), i.StartTime())
+	if heldSpan(i).Len() == 0 {
+		// A process that holds nothing has rarely accepted an order; if it has, it refuses this one.
+		known = true
+	}
 	return NewTask("order "+i.Name(), func(ctx context.Context) Event {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if !known {
+			r, err := c.Reports.Report(ctx, i.Address())
+			switch {
+			case err == nil && r.StartTime() != i.StartTime():
+				err = errors.New("another process reports")
+			case err == nil && r.Busy():
+				err = errors.New("the runner carries out another order")
+			}
+			if err != nil {
+				return c.refusedEvent(i, p, unknownCount, "not sent", err)
+			}
+			count = r.OrderCount()
+		}
 		if !grant.Valid(c.Clock.Now()) {
 			return EventFunc(func(*State) { delete(c.pending, i.Name()) })
 		}
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		err := c.Orders.Place(ctx, i.Address(), span, o.InterruptRequests)
+		err := c.Orders.Place(ctx, i.Address(), NewOrder(OrderSpec{
+			Span: span, InterruptRequests: o.InterruptRequests, FencingToken: grant.FencingToken(), OrderCount: count,
+		}))
+		if errors.Is(err, ErrOrderRefused) {
+			return c.refusedEvent(i, p, count, "refused", err)
+		}
 		return EventFunc(func(s *State) {
 			c.OnOrder(i.Name(), span, "ordered after "+s.Now().Sub(began).Round(time.Millisecond).String(), err)
 			if c.pending[i.Name()] != p {
 				return
 			}
 			p.sent, p.nextPoll = true, s.Now().Add(min(loadTime, time.Second)+loadMargin)
-			if errors.Is(err, bergamotstore.ErrRejected) {
+			switch {
+			case errors.Is(err, ErrOrderFenced):
+				// Another entry holds the lease, or the runner is left to the next holder.
+				p.nextPoll = s.Now().Add(maxOrderAge)
+			case errors.Is(err, bergamotstore.ErrRejected):
 				p.nextPoll = s.Now()
 			}
+			if err == nil {
+				c.accepted.learn(i.Name(), i.StartTime(), count+1)
+			} else {
+				delete(c.accepted, i.Name())
+			}
 		})
 	})
 }
 
+// refusedEvent returns the event of an order that its runner will not carry out. The runner is planned anew from the first
+// report that shows another state than the order expected; reports lag, so that one is requested after a pause.
+func (c *Placement) refusedEvent(i bergamotfleet.Instance, p *pendingOrder, count int64, event string, err error) Event {
+	return EventFunc(func(s *State) {
+		c.OnOrder(i.Name(), p.span, event, err)
+		if c.pending[i.Name()] == p {
+			p.sent, p.refused, p.count, p.nextPoll = true, true, count, s.Now().Add(pollInterval)
+			delete(c.accepted, i.Name())
+		}
+	})
+}
+
 // pollTasks returns tasks that request reports from the runners that should have finished loading.
 func (c *Placement) pollTasks(s *State) (tasks []Task) {
 	for name, p := range c.pending {
@@ -240,11 +292,19 @@
 				s.PutRunner(spec)
 			}
 			p := c.pending[name]
-			if p != nil && r.Busy() {
+			if p == nil {
+				return
+			}
+			c.accepted.learn(name, r.StartTime(), r.OrderCount())
+			if p.refused && !r.Busy() && r.OrderCount() != p.count {
+				delete(c.pending, name)
+				return
+			}
+			if r.Busy() {
 				// The runner keeps the layers that it is to unload until the streams that use them have finished.
 				p.lastActive = s.Now()
 			}
-			if p != nil && !r.Busy() && spanOf(r.Holdings()) != p.span && s.Now().Sub(p.lastActive) > time.Second {
+			if !r.Busy() && spanOf(r.Holdings()) != p.span && s.Now().Sub(p.lastActive) > time.Second {
 				// The runner is idle but does not hold the ordered layers, so the order was lost or rejected.
 				c.OnOrder(name, p.span, "not carried out", nil)
 				delete(c.pending, name)
--- a/core/bergamotcluster/placement_test.go
+++ b/core/bergamotcluster/placement_test.go
@@ -40,7 +40,7 @@
 	p.leadership = &bergamotcluster.Leadership{
 		Lease: &bergamotlease.Lease{
 			Table: table, Clock: p.clock, Key: "placement", Holder: holder, Term: 2 * time.Second, Margin: 300 * time.Millisecond,
-			NewWriteID: func() string { n++; return fmt.Sprint(holder, n) },
+			NewWriteID: func() string { n++; return fmt.Sprint(holder, n) }, OnRestore: func(bergamotlease.RestoreOutcome) {},
 		},
 		RenewInterval: 700 * time.Millisecond, CandidateInterval: time.Second, Random: func() float64 { return 0 }, OnChange: func(bool, int64, error) {}, Stopping: func() bool { return p.stopping },
 	}
--- a/core/bergamotcluster/report.go
+++ b/core/bergamotcluster/report.go
@@ -5,7 +5,6 @@
 	"errors"
 
 	"bergamotspur/core/bergamotfleet"
-	"bergamotspur/core/bergamotlayout"
 )
 
 // fullMemoryShare is the share of a runner's memory above which a rejection is attributed to lack of memory. It is well
@@ -21,6 +20,7 @@
 	StartTime   int64 // start of the process in Unix milliseconds
 	Holdings    []bergamotfleet.Holding
 	Busy        bool              // the runner is carrying out an order
+	OrderCount  int64             // orders that the process has accepted
 	UsedMemory  float64           // memory that requests occupy, in tokens times layers
 	TotalMemory float64           // memory available for requests, in tokens times layers
 	StalledOn   map[string]string // request ID to the address of the runner that it waits for in vain
@@ -41,6 +41,9 @@
 // Busy reports whether the runner is carrying out an order.
 func (r Report) Busy() bool { return r.spec.Busy }
 
+// OrderCount returns how many orders the process has accepted, as of some hundred milliseconds ago.
+func (r Report) OrderCount() int64 { return r.spec.OrderCount }
+
 // UsedMemory returns the memory that requests occupy, in tokens times layers.
 func (r Report) UsedMemory() float64 { return r.spec.UsedMemory }
 
@@ -63,8 +66,7 @@
 
 // Orderer orders runners to load layers.
 type Orderer interface {
-	// Place orders the runner at address to hold the range s of layers. If interruptRequests is set, the runner aborts
-	// requests that no longer fit into its memory or that use layers that it unloads, instead of waiting until they
-	// finish. After an error other than bergamotstore.ErrRejected the runner may still carry out the order, even later.
-	Place(ctx context.Context, address string, s bergamotlayout.Span, interruptRequests bool) error
+	// Place sends an order to the runner at address. After an error other than ErrOrderRefused, ErrOrderFenced and
+	// bergamotstore.ErrRejected the runner may still carry out the order, even later.
+	Place(ctx context.Context, address string, o Order) error
 }
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -17,13 +17,15 @@
 	ID            string
 	EventInterval time.Duration // time between two events of a stream
 	Prefill       time.Duration // time from the header of a stream to its first event
+	RequireFence  bool          // orders with a lower fencing token than an earlier one are refused
 
 	mu          sync.Mutex
 	startTime   int64 // Unix milliseconds
 	from        int
 	to          int
 	runs        []RelayRun
-	orders      int    // accepted orders
+	orders      int64  // orders that the process has accepted
+	fence       int64  // highest fencing token that it has seen
 	rejectsLeft int    // requests still to be rejected
 	rejected    int    // requests that were rejected
 	retryAfter  string // Retry-After of rejections, empty for none
@@ -134,7 +136,7 @@
 func (f *RelayRunner) Restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.startTime, f.from, f.to = f.startTime+1, 0, 0
+	f.startTime, f.from, f.to, f.orders, f.fence = f.startTime+1, 0, 0, 0, 0
 }
 
 // SetWrongID makes the runner answer with the attempt id of another request.
@@ -206,11 +208,14 @@
 	_ = json.NewEncoder(w).Encode(m)
 }
 
+// order carries out an order unless the runner has accepted other orders than it expects or has seen a higher fencing token.
 func (f *RelayRunner) order(w http.ResponseWriter, r *http.Request) {
 	var in struct {
-		Operation string `json:"operation"`
-		From      int    `json:"from"`
-		To        int    `json:"target"`
+		Operation    string `json:"operation"`
+		From         int    `json:"from"`
+		To           int    `json:"target"`
+		FencingToken int64  `json:"fencingToken"`
+		Orders       *int64 `json:"precondition"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.Operation != "place" {
 		w.WriteHeader(http.StatusBadRequest)
@@ -218,7 +223,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.from, f.to, f.orders = in.From, in.To, f.orders+1
+	if f.RequireFence && in.FencingToken < f.fence {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	if in.Orders != nil && *in.Orders != f.orders {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	f.from, f.to, f.orders, f.fence = in.From, in.To, f.orders+1, max(f.fence, in.FencingToken)
 	w.WriteHeader(http.StatusAccepted)
 }
 
