Let a follower that is ahead of its hub go on with its own copy

An entry that has read the store itself, because it found no other entry, has a later version of a table than the entry that it follows next, until that one reads the table; the table of failures is read every 5 s only. It took the answers of the hub for useless and called the store with each read, once a second.

While its own copy counts as current, such a follower now goes on with it and asks the hub again. The age at which a copy is too old is the same as before, so that a change is in force as early. A second hub and entries of builds without eras behave as before.

Spec in virtual time, before: an entry that follows another one does not call the store while its hub is behind it and its own copy is current [FAILED] Expected <time.Duration>: to equal <time.Duration>: that is, each reading is one of the store at that moment. Now it passes: no call within 1.5 s, one after 1.7 s.

--- a/core/bergamotmirror/ask.go
+++ b/core/bergamotmirror/ask.go
@@ -111,11 +111,13 @@
 	case !ok && lost: // the entry has a copy of an era that a restore of the store has ended, or cannot tell
 		r.Peers.AvoidOutdated(peer.name)
 		return Reading{}, outcomeStale
-	case !ok:
-		if chained {
-			r.Peers.Avoid(peer.name)
-		}
-		return Reading{}, outcomeUseless // the entry is behind this one
+	case !ok && chained:
+		r.Peers.Avoid(peer.name)
+		return Reading{}, outcomeUseless
+	case !ok && reply.update.position.Era() == 0: // its number may be lower since a restore
+		return Reading{}, outcomeUseless
+	case !ok: // the entry is behind this one
+		return r.ownCopy(table, after)
 	}
 	r.setSource(peer.name, reply.path)
 	if !chained { // a hub counts the entries and the hubs itself
@@ -135,6 +137,18 @@
 	return NewReading(u, asOf, true), outcomeCurrent
 }
 
+// ownCopy returns what this entry's copy of a table has after a position while that copy counts as current. An entry that has
+// read the store itself is ahead of the one that it follows until that one reads the table.
+func (r *Reader) ownCopy(table string, after bergamotstore.Position) (Reading, outcome) {
+	left := r.copyLeft(table, false)
+	u, _, ok := r.Mirror(table).Since(after)
+	asOf, known := r.offset.localTime(u.storeTime)
+	if !ok || !known || left <= 0 || u.position.IsBefore(after) {
+		return Reading{}, outcomeUseless
+	}
+	return NewReading(u, asOf, true), outcomeCurrent
+}
+
 // countForQuery returns how many entries read through this one, 0 if it is a hub, whose slot has that number.
 func (r *Reader) countForQuery() int {
 	if r.Peers.IsHub() {
--- a/core/bergamotmirror/reader_test.go
+++ b/core/bergamotmirror/reader_test.go
@@ -163,6 +163,32 @@
 		gomega.Expect(reply.Path()).To(gomega.BeEmpty())
 	})
 
+	// Guards against an entry that calls the store with each read while its hub, which reads some tables rarely, is behind it: it
+	// has read the store itself while it found no other entry to follow.
+	ginkgo.It("does not call the store while its hub is behind it and its own copy is current", func() {
+		f := newSmallFleet()
+		leaf := f.readers["leaf"]
+		f.store.put("x", "2")
+		leaf.Network = nil
+		_, err := f.changes("leaf", 1)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		leaf.Network = f
+		clear(f.store.calls)
+		readAt := f.clock.now
+		for range 3 {
+			f.clock.now += 500 * time.Millisecond
+			reading, err := f.changes("leaf", 2)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(reading.Position()).To(gomega.Equal(at(2)))
+			gomega.Expect(reading.AsOf()).To(gomega.Equal(readAt))
+		}
+		gomega.Expect(f.store.calls["leaf"]).To(gomega.BeZero())
+		f.clock.now += 200 * time.Millisecond
+		_, err = f.changes("leaf", 2)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(f.store.calls["leaf"]).To(gomega.Equal(1))
+	})
+
 	// Guards against a change that takes effect only three seconds after its acknowledgement because the entry in between is
 	// cut off just after it has answered: the next answer must not wait past the time at which the copy counts as old.
 	ginkgo.It("does not wait for longer than its copy counts as current", func() {
