--- a/cmd/bergamotcommand/entries_test.go
+++ b/cmd/bergamotcommand/entries_test.go
@@ -116,7 +116,13 @@
 
 // fetchCounters returns the counters of an entry that are not zero, on one line.
 func fetchCounters(operators string) string {
-	resp, err := statusClient.Get("http://" + operators + "/metrics")
+	lines := slices.DeleteFunc(strings.Split(fetchText("http://"+operators+"/metrics"), "\n"), func(line string) bool { return strings.HasSuffix(line, " 0") })
+	return strings.Join(lines, ", ")
+}
+
+// fetchText returns the body at a URL, or the error.
+func fetchText(url string) string {
+	resp, err := statusClient.Get(url)
 	if err != nil {
 		return err.Error()
 	}
@@ -125,8 +131,7 @@
 	if err != nil {
 		return err.Error()
 	}
-	lines := slices.DeleteFunc(strings.Split(string(text), "\n"), func(line string) bool { return strings.HasSuffix(line, " 0") })
-	return strings.Join(lines, ", ")
+	return string(text)
 }
 
 // book sends a call with the idempotency key "k" to an entry. It returns the HTTP status, followed by "replay" for a
--- a/cmd/bergamotcommand/failure_test.go
+++ b/cmd/bergamotcommand/failure_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -121,12 +122,22 @@
 		text, done := readStream(resp, 30, func() { c.fail(s, s.enginesOnPath(path)) })
 		replies := watch.stop()
 		gomega.Expect(done).To(gomega.BeTrue(), func() string {
-			return fmt.Sprintf("%s\npath %s, longest times without a reply: %s\n%s", text, path, replies, fetchCounters(s.operators))
+			return fmt.Sprintf("%s\npath %s, longest times without a reply: %s\n%s\n%s", text, path, replies, fetchCounters(s.operators), s.fetchLoads())
 		})
 		gomega.Expect(text).To(gomega.Equal(bergamotfake.Reference("quote for six boards", 0, 12, 150)))
 	})
 })
 
+// fetchLoads returns what the engines report of their spans and queues, an error for one that does not answer.
+func (s *processFixture) fetchLoads() string {
+	var lines []string
+	for name := range s.engines {
+		lines = append(lines, name+": "+fetchText(s.urls[name]))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
 // nextPath returns the path that the entry will choose for the next request: an idle entry chooses the same path as for
 // the short request that is sent here.
 func (s *processFixture) nextPath() string {
