--- a/io/bergamotlimit/evicted_test.go
+++ b/io/bergamotlimit/evicted_test.go
@@ -18,9 +18,9 @@
 		"refuses a request without a body": post("/", "", ""),
 		"refuses a request with its body":  post("/", "Content-Length: 2\r\n", "ab"),
 	}, func(text string) {
-		conn := newRigWith(64<<20, 10, func(s *http.Server) {
-			follow := s.ConnState
-			s.ConnState = func(c net.Conn, state http.ConnState) {
+		conn := newRigWith(64<<20, 10, func(g *rig) {
+			follow := g.server.ConnState
+			g.server.ConnState = func(c net.Conn, state http.ConnState) {
 				follow(c, state)
 				if state == http.StateActive {
 					c.(*Conn).evict(bergamotaccount.CauseStalled)
@@ -39,10 +39,10 @@
 	// Guards against a request that is run although its connection is closed, so that its caller gets no answer and sends it again.
 	ginkgo.It("does not run the request", func() {
 		var active, run atomic.Int32
-		conn := newRigWith(64<<20, 10, func(s *http.Server) {
-			s.Handler = handler{http.HandlerFunc(func(http.ResponseWriter, *http.Request) { run.Add(1) })}
-			follow := s.ConnState
-			s.ConnState = func(c net.Conn, state http.ConnState) {
+		conn := newRigWith(64<<20, 10, func(g *rig) {
+			g.server.Handler = handler{http.HandlerFunc(func(http.ResponseWriter, *http.Request) { run.Add(1) })}
+			follow := g.server.ConnState
+			g.server.ConnState = func(c net.Conn, state http.ConnState) {
 				// A server that stops closes the connections that it has seen idle.
 				if state == http.StateActive && active.Add(1) == 2 {
 					gomega.Expect(c.Close()).To(gomega.Succeed())
--- a/io/bergamotsoak/soak_test.go
+++ b/io/bergamotsoak/soak_test.go
@@ -177,9 +177,9 @@
 	}
 	for _, e := range h.entries {
 		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).
-			Should(gomega.BeTrue(), "%s does not serve before the cuts\n%s", e.name, tail(e.log.String()))
+			Should(gomega.BeTrue(), func() string { return fmt.Sprintf("%s does not serve before the cuts\n%s", e.name, e.log) })
 		gomega.Eventually(e.knowsOthers).WithTimeout(maxRecoveryTime).
-			Should(gomega.BeTrue(), "%s does not learn of the other entries\n%s", e.name, tail(e.log.String()))
+			Should(gomega.BeTrue(), func() string { return fmt.Sprintf("%s does not learn of the other entries\n%s", e.name, e.log) })
 	}
 	for range cutsAlone {
 		c := cut{kind: cutKinds[s.random.IntN(len(cutKinds))], entries: s.someEntries(1 + s.random.IntN(len(h.entries)-1))}
@@ -240,7 +240,7 @@
 		h.sendHeartbeats(ctx, func(t *target) bool { _, ok := s.leaving.Load(t); return ok })
 	}()
 	for _, e := range h.entries {
-		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).Should(gomega.BeTrue(), e.log.String())
+		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).Should(gomega.BeTrue(), e.log.String)
 	}
 	calling, stop := context.WithCancel(ctx)
 	defer stop()
@@ -255,7 +255,9 @@
 	stop()
 	for _, e := range h.entries {
 		gomega.Eventually(func() bool { return s.isServing(e) }).WithTimeout(maxRecoveryTime).
-			Should(gomega.BeTrue(), "seed %d: %s does not serve again after %s\n%s", seed, e.name, steps, tail(e.log.String()))
+			Should(gomega.BeTrue(), func() string {
+				return fmt.Sprintf("seed %d: %s does not serve again after %s\n%s", seed, e.name, steps, e.log)
+			})
 	}
 	cancel()
 	active.Wait()
@@ -280,9 +282,6 @@
 	}
 }
 
-// tail returns the last 4000 bytes of a log.
-func tail(s string) string { return s[max(len(s)-4000, 0):] }
-
 // seeds returns the seeds from 1 to BERGAMOTSPUR_SOAK_SEEDS (2 by default) and BERGAMOTSPUR_SOAK_FRESH random ones (none
 // by default).
 func seeds() map[string]uint64 {
