--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -209,6 +209,9 @@
 		if l.isRecent(l.unreached, address, unreachedHold) {
 			continue
 		}
+		if at, known := l.unreached[address]; known && at.Add(unreachedHold).After(since) {
+			since = at.Add(unreachedHold) // until then helpers explained it
+		}
 		n++
 		if since.Before(first) {
 			first = since
--- a/core/bergamotdetour/links_test.go
+++ b/core/bergamotdetour/links_test.go
@@ -58,6 +58,9 @@
 		"are not lost when helpers find several runners dead, also after a while": {
 			events: []event{missed(0, 1, false, unreached), missed(100*ms, 2, false, unreached), missed(100*ms, 3, false, unreached), missed(200*ms, 4, false, unreached)},
 		},
+		"are not lost when what helpers said of dead runners is a second old": {
+			events: []event{missed(0, 1, false, unreached), missed(ms, 2, false, unreached), missed(ms, 3, false, unreached), missed(ms, 4, false, unreached), missed(1100*ms, 5, false, "")},
+		},
 		"are lost when no runner is reached for long, since all entries may be cut": {
 			events: []event{missed(0, 1, false, ""), missed(ms, 2, false, unreached), missed(ms, 3, false, ""), missed(ms, 4, false, ""), missed(300*ms, 5, false, "")}, lost: true,
 		},
