--- a/core/bergamotcluster/hubs.go
+++ b/core/bergamotcluster/hubs.go
@@ -30,6 +30,10 @@
 	// orphanDelay is the shortest time after which an entry that finds no hub of its data centre to follow reads the hubs
 	// again; the longest is twice that. By then a killed hub has started again.
 	orphanDelay = 1500 * time.Millisecond
+	// lackDelay is the shortest time after which an entry that looks in vain for another one reads the hubs again, and lackInterval the time
+	// between two such reads; the longest are twice that.
+	lackDelay    = 100 * time.Millisecond
+	lackInterval = 3 * time.Second
 )
 
 // HubPeers learns which entries are hubs and selects the one to follow.
@@ -68,10 +72,13 @@
 	// OnRegister is called after each registration that counts the entries behind this hub, and with 0 when this entry is no hub
 	// any more. settled is set if no other hub counted them when this entry became a hub.
 	OnRegister func(entries int, settled bool)
+	// Lacking reports whether this entry looks in vain for others, so that it has to learn which have registered lately; nil for no.
+	Lacking func() bool
 
 	own      HubSlot // slot of this entry, with an empty name for none
 	slots    []HubSlot
 	nextStep time.Time
+	readAt   time.Time // when the hubs were last read
 	inFlight bool
 	entries  int       // number of entries that OnCount was called with last
 	renewals int       // since this entry became a hub
@@ -112,6 +119,10 @@
 			c.nextStep = early
 		}
 	}
+	lacking := c.Lacking != nil && c.Lacking() && s.Now().Sub(c.readAt) >= lackInterval
+	if early := s.Now().Add(c.jitter(lackDelay)); lacking && c.nextStep.After(early) {
+		c.nextStep = early
+	}
 	restored := s.restoredAt.After(c.restored)
 	c.restored = s.restoredAt
 	if c.isHub() && restored {
@@ -123,9 +134,13 @@
 	c.inFlight = true
 	if c.isHub() {
 		// Right after a restore, the rows of the other hubs may be missing too until they register again.
-		readOthers := c.renewals%2 == 1 && !restored
+		readOthers := (c.renewals%2 == 1 || lacking) && !restored
+		if readOthers {
+			c.readAt = s.Now()
+		}
 		return []Task{NewTask(c.Name(), func(ctx context.Context) Event { return c.renew(ctx, readOthers) })}
 	}
+	c.readAt = s.Now()
 	return []Task{NewTask(c.Name(), c.join)}
 }
 
--- a/core/bergamotcluster/hubs_test.go
+++ b/core/bergamotcluster/hubs_test.go
@@ -22,6 +22,7 @@
 	written  map[string]time.Time
 	revision map[string]int64
 	calls    int
+	reads    int  // of all hubs
 	vacant   bool // the other hub says that one is missing
 	err      error
 	era      int64
@@ -56,6 +57,7 @@
 
 func (t *hubTable) Hubs(context.Context) (slots []bergamotcluster.HubSlot, err error) {
 	t.calls++
+	t.reads++
 	for key := range t.rows {
 		slots = append(slots, t.slot(key))
 	}
@@ -311,3 +313,38 @@
 	settled bool
 	zero    bool // both hubs have lost their slots
 }
+
+type lackCase struct {
+	follows bool // the entry follows a hub, and reads the others every four minutes
+	lacking bool
+	min     int // reads of the hubs in 9 s
+	max     int
+}
+
+var _ = ginkgo.Describe("an entry that looks in vain for other entries", func() {
+	// Guards against an entry that is cut off and knows none that has started since it last read the hubs, against entries that read
+	// them all the time, and against reads that calm days would pay for.
+	bergamottest.Cases(map[string]lackCase{
+		"reads the hubs again as a hub":       {lacking: true, min: 2, max: 4},
+		"reads the hubs again as a follower":  {follows: true, lacking: true, min: 2, max: 4},
+		"reads them seldom otherwise":         {min: 1, max: 1},
+		"does not read them as a follower":    {follows: true},
+	}, func(c lackCase) {
+		s := newState(0)
+		table := newHubTable(s.Now)
+		for n := range 2 {
+			if c.follows {
+				table.put(bergamotmirror.NewHub(bergamotmirror.NewPeer(fmt.Sprint("e", n), "x:1"), "a", n, 1))
+			}
+		}
+		hubs := newHubs(table, "self", "a")
+		hubs.Lacking = func() bool { return c.lacking }
+		runTasks(s, hubs.Reconcile(s))
+		before := table.reads
+		for range 90 {
+			s.SetTime(s.Now().Add(100 * time.Millisecond))
+			runTasks(s, hubs.Reconcile(s))
+		}
+		gomega.Expect(table.reads - before).To(gomega.And(gomega.BeNumerically(">=", c.min), gomega.BeNumerically("<=", c.max)))
+	})
+})
--- a/core/bergamotdetour/helpers.go
+++ b/core/bergamotdetour/helpers.go
@@ -1,6 +1,7 @@
 package bergamotdetour
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -45,6 +46,7 @@
 	pool     []Helper        // entries that opened connections for others when they were drawn
 	hubs     []Branch        // of all data centres, as a hub knew them at the last draw; used by Step only
 	tree     tree            // used by Step only
+	lacking  bool            // the last draw found no entry that can help
 	drawn    bool            // entries have been drawn since the pool is in use
 	active   bool            // the pool is in use
 	wanted   bool            // it is kept filled even if no helper is asked for
@@ -53,6 +55,7 @@
 	nextDraw time.Time
 	pause    time.Duration // between the last two draws while there are too few usable entries, otherwise 0
 	wake     chan struct{}
+	ended    chan struct{} // closed at the end of the next draw, nil if nobody waits for it
 }
 
 // mark is an answer because of which an entry is not asked for a while, or after all others.
@@ -101,6 +104,34 @@
 	return h.countUsable() > 0
 }
 
+// Lacking reports whether this entry needs helpers and the last draw found none.
+func (h *Helpers) Lacking() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.wanted && h.lacking
+}
+
+// Wait waits until the draw that is due has ended, for at most a timeout, so that a connection for which no entry is left to ask can use
+// what it finds. It returns at once if none is due within the timeout or no other entry is known.
+func (h *Helpers) Wait(ctx context.Context, timeout time.Duration) {
+	h.mu.Lock()
+	isOther := func(b Branch) bool { return b.name != h.Name }
+	if h.nextDraw.Sub(h.Clock.Now()) > timeout || !slices.ContainsFunc(h.Directory.Hubs(), isOther) {
+		h.mu.Unlock()
+		return
+	}
+	if h.ended == nil {
+		h.ended = make(chan struct{})
+	}
+	ended := h.ended
+	h.mu.Unlock()
+	select {
+	case <-ended:
+	case <-h.Clock.After(timeout):
+	case <-ctx.Done():
+	}
+}
+
 // Record records the answer of an entry.
 func (h *Helpers) Record(e Helper, a Answer) {
 	h.mu.Lock()
--- a/core/bergamotdetour/pool.go
+++ b/core/bergamotdetour/pool.go
@@ -89,8 +89,9 @@
 	d := &drawing{
 		directory: h.Directory, random: h.randomNumber, self: h.Name, now: h.Clock.Now(), tree: h.tree, seen: map[string]bool{}, answers: map[string]Answer{},
 	}
-	if len(h.hubs) == 0 {
-		h.hubs = d.learnHubs(ctx, h.knownHubs())
+	if len(h.hubs) == 0 || h.isLacking() {
+		// The hubs that others know may be older than those that this entry has read.
+		h.hubs = withUnknown(d.learnHubs(ctx, h.knownHubs()), h.Directory.Hubs())
 	}
 	var own, others []Branch
 	for _, b := range h.hubs {
@@ -117,6 +118,24 @@
 	}
 }
 
+// isLacking reports whether the last draw found no entry that can help.
+func (h *Helpers) isLacking() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lacking
+}
+
+// withUnknown returns a list with the branches of more that it lacks.
+func withUnknown(list, more []Branch) []Branch {
+	out := slices.Clone(list)
+	for _, b := range more {
+		if !slices.ContainsFunc(out, func(o Branch) bool { return o.name == b.name }) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 // knownHubs returns hubs to ask for the others: those of the own data centre, if there are any.
 func (h *Helpers) knownHubs() []Branch {
 	all := h.Directory.Hubs()
@@ -177,6 +196,11 @@
 	if d.listed > 0 {
 		h.pool, h.drawn = d.found, true
 	}
+	h.lacking = len(d.found) == 0
+	if h.ended != nil {
+		close(h.ended)
+		h.ended = nil
+	}
 	isNew := slices.ContainsFunc(h.pool, func(e Helper) bool { return !slices.Contains(before, e) })
 	h.lastDraw = now
 	wait := refreshInterval
--- a/io/bergamottunnel/dialer.go
+++ b/io/bergamottunnel/dialer.go
@@ -17,6 +17,9 @@
 	// maxAsked is the largest number of helpers that are asked for one connection. Those that know that they cannot help say so at
 	// once.
 	maxAsked = 6
+	// findTimeout is how long a connection waits once for other helpers when none is left to ask. Finding some takes a few milliseconds
+	// between entries, and up to a tenth of a second if others have just been looked for.
+	findTimeout = 120 * time.Millisecond
 	// maxUnreached is the number of helpers that do not reach a runner after which it counts as dead.
 	maxUnreached = 2
 )
@@ -27,6 +30,8 @@
 	Next(asked []string) (h bergamotdetour.Helper, ok bool)
 	// Record records the answer of an entry.
 	Record(h bergamotdetour.Helper, a bergamotdetour.Answer)
+	// Wait waits until other entries may have been found, for at most a timeout.
+	Wait(ctx context.Context, timeout time.Duration)
 }
 
 // Dialer opens connections to runners, directly or over a helper. Nothing is sent on a connection before it is chosen, so that a
@@ -149,9 +154,14 @@
 func (d *Dialer) detour(ctx context.Context, address string) (c *Conn, a bergamotdetour.Answer) {
 	var asked []string
 	var verdict bergamotdetour.Answer
-	unreached := 0
+	unreached, waited := 0, false
 	for len(asked) < maxAsked && unreached < maxUnreached && ctx.Err() == nil {
 		h, ok := d.Helpers.Next(asked)
+		if !ok && !waited && unreached == 0 {
+			waited = true
+			d.Helpers.Wait(ctx, findTimeout)
+			continue
+		}
 		if !ok {
 			break
 		}
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -67,6 +67,7 @@
 	answers []bergamotdetour.Answer
 
 	clock    *bergamotclock.Virtual // of the links of the entries that are added, nil for the real one
+	late     bool                   // one that can help is found while a connection waits
 	noMemory bool                   // the entries that are added have none
 }
 
@@ -80,6 +81,13 @@
 	return h.list[n], true
 }
 
+// Wait adds an entry that can help, if the spec has one that is found late.
+func (h *helpers) Wait(context.Context, time.Duration) {
+	if h.late {
+		h.add(bergamotdetour.AnswerConnected)
+	}
+}
+
 // account has memory for some connections unless the spec wants none.
 func (h *helpers) account() *bergamotaccount.Account {
 	return &bergamotaccount.Account{Max: map[bool]int64{false: 1 << 20}[h.noMemory], Clock: bergamotclock.Real{}}
@@ -246,6 +254,15 @@
 		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerRefused, bergamotdetour.AnswerRefused, bergamotdetour.AnswerCut}))
 	})
 
+	// Guards against a connection that fails in the moment of the cut, when the entries that are known are cut too.
+	ginkgo.It("goes over a helper that is found while no other is left to ask", func() {
+		r, h := newRunner(), &helpers{late: true}
+		h.add(bergamotdetour.AnswerCut)
+		conn := dialOver(h, r)
+		defer func() { _ = conn.Close() }() // nothing was sent
+		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerCut, bergamotdetour.AnswerConnected}))
+	})
+
 	// Guards against a helper that ends because it carries more than its memory allows.
 	ginkgo.It("is not opened by a helper without memory", func() {
 		r, h := newRunner(), &helpers{noMemory: true}
