--- a/core/bergamotcluster/hubs_test.go
+++ b/core/bergamotcluster/hubs_test.go
@@ -325,10 +325,10 @@
 	// Guards against an entry that is cut off and knows none that has started since it last read the hubs, against entries that read
 	// them all the time, and against reads that calm days would pay for.
 	bergamottest.Cases(map[string]lackCase{
-		"reads the hubs again as a hub":       {lacking: true, min: 2, max: 4},
-		"reads the hubs again as a follower":  {follows: true, lacking: true, min: 2, max: 4},
-		"reads them seldom otherwise":         {min: 1, max: 1},
-		"does not read them as a follower":    {follows: true},
+		"reads the hubs again as a hub":      {lacking: true, min: 2, max: 4},
+		"reads the hubs again as a follower": {follows: true, lacking: true, min: 2, max: 4},
+		"reads them seldom otherwise":        {min: 1, max: 1},
+		"does not read them as a follower":   {follows: true},
 	}, func(c lackCase) {
 		s := newState(0)
 		table := newHubTable(s.Now)
