Probe a runner that has not failed as soon as any is missed

The probe that ends the doubt about the links came too late or at the wrong runner: it waited for three runners, nothing woke the loop for a runner that was missed on behalf of another entry, and it could choose one that had just been dropped from the missed ones but was known to have failed. One missed runner that stayed from an earlier round of checks made the other three count as missed for long at once; a trace of the calls showed three probes in a row at dead runners.

The links say when the first runner is missed, which wakes the controller, and it tries runners that have not failed.

--- a/core/bergamotcluster/linkcheck.go
+++ b/core/bergamotcluster/linkcheck.go
@@ -16,8 +16,7 @@
 type OwnLinks interface {
 	AreLost() bool
 	Probed(connected bool)
-	// AreDoubtful reports whether the links are lost or may be: several runners were not reached, and none since.
-	AreDoubtful() bool
+	AreMissed() bool              // some runner was not reached, and none since
 	IsMissed(address string) bool // the runner is one of those
 	Connected(address string)
 }
@@ -27,9 +26,9 @@
 	Probe(ctx context.Context, address string) error
 }
 
-// LinkCheck is the controller that finds out when lost links to the runners work again, and whether they are lost when several runners
-// are not reached: an entry without requests connects to no others meanwhile. An entry without links neither holds the placement
-// lease nor judges runners.
+// LinkCheck is the controller that finds out when lost links to the runners work again, and whether they do when runners are not
+// reached: an entry without requests connects to no others meanwhile. An entry without links neither holds the placement lease nor
+// judges runners.
 type LinkCheck struct {
 	Links  OwnLinks
 	Prober LinkProber
@@ -44,8 +43,8 @@
 
 // Next returns when the next probe is due.
 func (c *LinkCheck) Next(s *State) time.Time {
-	if c.inFlight || !c.Links.AreDoubtful() {
-		return s.Now().Add(time.Minute) // the end of a probe, and a runner that fails, wake the loop
+	if c.inFlight || !c.Links.AreLost() && !c.Links.AreMissed() {
+		return s.Now().Add(time.Minute) // the end of a probe and a runner that is missed wake the loop
 	}
 	return c.nextProbe
 }
@@ -56,21 +55,15 @@
 		s.setLinksLost(lost)
 	}
 	lost := s.linksLost
-	if !lost && !c.Links.AreDoubtful() || c.inFlight || s.Now().Before(c.nextProbe) {
+	if !lost && !c.Links.AreMissed() || c.inFlight || s.Now().Before(c.nextProbe) {
 		return nil
 	}
 	c.nextProbe = s.Now().Add(probeInterval)
-	var addresses []string
-	for _, i := range s.Fleet().Instances() {
-		if lost || !c.Links.IsMissed(i.Address()) {
-			addresses = append(addresses, i.Address())
-		}
-	}
-	if len(addresses) == 0 {
+	address, ok := c.choose(s, lost)
+	if !ok {
 		return nil
 	}
 	c.inFlight = true
-	address := addresses[c.Random(len(addresses))]
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
@@ -84,3 +77,17 @@
 		return EventFunc(func(*State) { c.inFlight = false })
 	})}
 }
+
+// choose returns the address of a runner to probe. One that is known to have failed says nothing about links that are not lost.
+func (c *LinkCheck) choose(s *State, lost bool) (address string, ok bool) {
+	var addresses []string
+	for _, i := range s.Fleet().Instances() {
+		if lost || !i.Failed() && !c.Links.IsMissed(i.Address()) {
+			addresses = append(addresses, i.Address())
+		}
+	}
+	if len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[c.Random(len(addresses))], true
+}
--- a/core/bergamotcluster/linkcheck_test.go
+++ b/core/bergamotcluster/linkcheck_test.go
@@ -15,7 +15,7 @@
 // ownLinks are links that are lost until some probes have succeeded.
 type ownLinks struct {
 	lost    bool
-	missed  []string // addresses of runners that were not reached, which leave the links in doubt
+	missed  []string // addresses of runners that were not reached
 	err     error    // of probes
 	probed  []string
 	results []bool
@@ -23,7 +23,7 @@
 
 func (l *ownLinks) AreLost() bool { return l.lost }
 
-func (l *ownLinks) AreDoubtful() bool { return l.lost || len(l.missed) > 0 }
+func (l *ownLinks) AreMissed() bool { return len(l.missed) > 0 }
 
 func (l *ownLinks) IsMissed(address string) bool { return slices.Contains(l.missed, address) }
 
--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -66,6 +66,7 @@
 type Links struct {
 	Clock    Clock
 	OnChange func(Change) // called after each change, nil for none
+	OnMissed func()       // called when a runner was not reached and none was missed before, nil for none
 
 	mu         sync.Mutex
 	missed     map[string]time.Time // runners not reached since the last direct connection to any, by address
@@ -144,7 +145,11 @@
 	}
 	l.answered(address, a, now)
 	c, changed := l.checkLoss(now)
+	isFirst := len(l.missed) == 1 && l.missed[address].Equal(now)
 	l.mu.Unlock()
+	if isFirst && l.OnMissed != nil {
+		l.OnMissed()
+	}
 	l.notify(c, changed)
 }
 
@@ -251,6 +256,13 @@
 	return l.lost || unexplained >= minDoubtful && now.Sub(first) >= minDoubtfulTime
 }
 
+// AreMissed reports whether some runner was not reached, and none was since.
+func (l *Links) AreMissed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.missed) > 0
+}
+
 // IsMissed reports whether the runner at an address was not reached since the last direct connection to any.
 func (l *Links) IsMissed(address string) bool {
 	l.mu.Lock()
