--- a/core/bergamotcluster/linkcheck.go
+++ b/core/bergamotcluster/linkcheck.go
@@ -27,9 +27,9 @@
 	Probe(ctx context.Context, address string) error
 }
 
-// LinkCheck is the controller that finds out when lost links to the runners work again, and whether they are lost when several runners
-// are not reached: an entry without requests connects to no others meanwhile. An entry without links neither holds the placement
-// lease nor judges runners.
+// LinkCheck is the controller that finds out when lost links to the runners work again, and whether they do when runners are not
+// reached: an entry without requests connects to no others meanwhile. An entry without links neither holds the placement lease nor
+// judges runners.
 type LinkCheck struct {
 	Links  OwnLinks
 	Prober LinkProber
@@ -64,17 +64,11 @@
 		return nil
 	}
 	c.nextProbe = s.Now().Add(probeInterval)
-	var addresses []string
-	for _, i := range s.Fleet().Instances() {
-		if lost || !c.Links.IsMissed(i.Address()) {
-			addresses = append(addresses, i.Address())
-		}
-	}
-	if len(addresses) == 0 {
+	address, ok := c.choose(s, lost)
+	if !ok {
 		return nil
 	}
 	c.inFlight = true
-	address := addresses[c.Random(len(addresses))]
 	return []Task{NewTask(c.Name(), func(ctx context.Context) Event {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
@@ -88,3 +82,17 @@
 		return EventFunc(func(*State) { c.inFlight = false })
 	})}
 }
+
+// choose returns the address of a runner to probe. One that is known to have failed says nothing about links that are not lost.
+func (c *LinkCheck) choose(s *State, lost bool) (address string, ok bool) {
+	var addresses []string
+	for _, i := range s.Fleet().Instances() {
+		if lost || !i.Failed() && !c.Links.IsMissed(i.Address()) {
+			addresses = append(addresses, i.Address())
+		}
+	}
+	if len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[c.Random(len(addresses))], true
+}
--- a/core/bergamotcluster/linkcheck_test.go
+++ b/core/bergamotcluster/linkcheck_test.go
@@ -15,7 +15,7 @@
 // ownLinks are links that are lost until some probes have succeeded.
 type ownLinks struct {
 	lost    bool
-	missed  []string // addresses of runners that were not reached, which leave the links in doubt
+	missed  []string // addresses of runners that were not reached
 	err     error    // of probes
 	probed  []string
 	results []bool
