--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -26,6 +26,8 @@
 	// unreachedHold is how long a runner that helpers do not reach either gets no detour, so that a dead runner does not double the
 	// connections of all entries.
 	unreachedHold = time.Second
+	// maxKnown is more than the number of runners of a deployment. Beyond it the addresses of runners that are gone are forgotten.
+	maxKnown = 16384
 	// lateRate and lateBurst limit the detours for direct connections that are only late, in a second and at once. They keep a
 	// machine that is short of processor time from sending its connections over others.
 	lateRate  = 5
@@ -163,7 +165,7 @@
 
 // answered records an answer. The caller holds the lock.
 func (l *Links) answered(address string, a Answer, now time.Time) {
-	if l.apart == nil {
+	if l.apart == nil || len(l.apart)+len(l.unreached) > maxKnown {
 		l.apart, l.unreached = map[string]time.Time{}, map[string]time.Time{}
 	}
 	switch a {
@@ -283,7 +285,7 @@
 	return l.lostAt, l.lost && l.lostSilent
 }
 
-// isRecent reports whether the time of an address is less than d ago, and forgets it otherwise. The caller holds the lock.
+// isRecent reports whether the time of an address is less than d ago. The caller holds the lock.
 func (l *Links) isRecent(times map[string]time.Time, address string, d time.Duration) bool {
 	t, known := times[address]
 	return known && l.Clock.Now().Sub(t) < d
--- a/io/bergamottunnel/dialer.go
+++ b/io/bergamottunnel/dialer.go
@@ -48,8 +48,10 @@
 // Dial opens a connection to the runner at an address. The error is ErrNoHelper if nothing is known about the runner.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if d.Links.UsesHelper(address) {
-		c, a := d.detour(ctx, address)
-		d.Links.Answered(address, a)
+		c, a, sure := d.detour(ctx, address)
+		if sure {
+			d.Links.Answered(address, a)
+		}
 		switch {
 		case c != nil:
 			record(ctx, c.helper)
@@ -128,14 +130,17 @@
 
 // finishDetour opens a connection over a helper and reports whether it is used.
 func (d *Dialer) finishDetour(ctx context.Context, address string, r *detourResult) bool {
-	c, a := d.detour(ctx, address)
+	c, a, sure := d.detour(ctx, address)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c != nil && r.canceled {
 		_ = c.Close() // nothing was sent
 		return false
 	}
-	r.conn, r.answer = c, a
+	r.conn = c
+	if sure {
+		r.answer = a
+	}
 	return c != nil
 }
 
@@ -150,8 +155,8 @@
 }
 
 // detour opens a connection over one helper after the other. The answer is that of the last helper that did not reach the runner, and
-// empty if none could say.
-func (d *Dialer) detour(ctx context.Context, address string) (c *Conn, a bergamotdetour.Answer) {
+// empty if none could say. It is sure unless only one helper has tried: that one may be cut too without knowing it yet.
+func (d *Dialer) detour(ctx context.Context, address string) (c *Conn, a bergamotdetour.Answer, sure bool) {
 	var asked []string
 	var verdict bergamotdetour.Answer
 	unreached, waited := 0, false
@@ -173,14 +178,14 @@
 		d.Helpers.Record(h, a)
 		d.OnAnswer(h, address, a)
 		if c != nil {
-			return c, a
+			return c, a, true
 		}
 		if a.IsNotReached() {
 			unreached++
 			verdict = a
 		}
 	}
-	return nil, verdict
+	return nil, verdict, unreached >= maxUnreached
 }
 
 // viaKey is the key of a Via in a context.
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -254,6 +254,18 @@
 		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerRefused, bergamotdetour.AnswerRefused, bergamotdetour.AnswerCut}))
 	})
 
+	// Guards against runners that count as dead for a second because the only entry that was asked is cut too.
+	ginkgo.It("is tried again when only one helper did not reach the runner", func() {
+		h, links := &helpers{}, newLinks()
+		h.add(bergamotdetour.AnswerRefused)
+		d := &bergamottunnel.Dialer{Entry: "me", Direct: refuse, Links: links, Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		for range 2 {
+			_, err := d.Dial(context.Background(), "tcp", "127.0.0.1:1")
+			gomega.Expect(errors.Is(err, errRefused)).To(gomega.BeTrue(), "%v", err)
+		}
+		gomega.Expect(h.answers).To(gomega.HaveLen(2))
+	})
+
 	// Guards against a connection that fails in the moment of the cut, when the entries that are known are cut too.
 	ginkgo.It("goes over a helper that is found while no other is left to ask", func() {
 		r, h := newRunner(), &helpers{late: true}
