--- a/io/bergamottunnel/client.go
+++ b/io/bergamottunnel/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,15 +41,15 @@
 }
 
 // ask asks a helper for a connection to the runner at an address. The connection is nil unless the answer is AnswerConnected.
-func ask(ctx context.Context, helper bergamotdetour.Helper, entry, address string) (c *Conn, a bergamotdetour.Answer) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+func (d *Dialer) ask(ctx context.Context, helper bergamotdetour.Helper, address string) (c *Conn, a bergamotdetour.Answer) {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.AskTimeout, askTimeout))
 	defer cancel()
-	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
-	raw, err := d.DialContext(ctx, "tcp", helper.Address())
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
+	raw, err := dialer.DialContext(ctx, "tcp", helper.Address())
 	if err != nil {
 		return nil, bergamotdetour.AnswerSilent
 	}
-	if c, a = handshake(ctx, raw, helper, entry, address); c == nil {
+	if c, a = handshake(ctx, raw, helper, d.Entry, address); c == nil {
 		_ = raw.Close() // it is not used
 	}
 	return c, a
--- a/io/bergamottunnel/dialer.go
+++ b/io/bergamottunnel/dialer.go
@@ -41,6 +41,8 @@
 	Direct  func(ctx context.Context, network, address string) (net.Conn, error)
 	Links   *bergamotdetour.Links
 	Helpers Helpers
+	// AskTimeout is how long a helper may take to answer, 0 for 100 ms.
+	AskTimeout time.Duration
 	// OnAnswer is called with each answer of a helper.
 	OnAnswer func(h bergamotdetour.Helper, address string, a bergamotdetour.Answer)
 }
@@ -162,7 +164,7 @@
 	unreached, waited := 0, false
 	for len(asked) < maxAsked && unreached < maxUnreached && ctx.Err() == nil {
 		h, ok := d.Helpers.Next(asked)
-		if !ok && !waited && unreached == 0 {
+		if !ok && !waited {
 			waited = true
 			d.Helpers.Wait(ctx, findTimeout)
 			continue
@@ -171,7 +173,7 @@
 			break
 		}
 		asked = append(asked, h.Name())
-		c, a = ask(ctx, h, d.Entry, address)
+		c, a = d.ask(ctx, h, address)
 		if c == nil && ctx.Err() != nil {
 			break // the connection is not needed any more; the helper is not at fault
 		}
