Count a run at a runner that had accepted a request when it is refused

Found by reading: a stream is handed over to another path once a runner there has accepted it. If the attempt before had not been sent, and the request ended (deadline, stop, quarantine) before the other one went on, the refusal said that it had not run, although the runner that had accepted it may have.

An attempt that was accepted and is not continued counts as one that may have run. The new spec (go test ./core/bergamotrelay -ginkgo.focus 'may have run when it ends') covers the count. Two comments are wrapped, and say that a successor has accepted the request.

--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -39,7 +39,8 @@
 	isConfirmed func() bool   // reports whether the request is known to make runners crash, nil for no
 	isLinkLost  func() bool   // reports whether the connection is silent because of the links of this entry, nil for no
 	// takeSuccessor takes a retry for another path without the runner at an address, or for any path if the address is empty, while less
-	// than the given share of the budget is used, and reports whether there is such a path and the budget allows it. It is nil if the route allows no further attempt.
+	// than the given share of the budget is used, and reports whether that path has accepted the request. It is nil if the route allows
+	// no further attempt.
 	takeSuccessor func(address string, share float64) bool
 	// onStall is called once with the address of a runner that stalls the attempt and with the cause, whether or not the attempt ends.
 	onStall func(address string, cause error)
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -115,7 +115,7 @@
 			o = newOpened(ctx, plan, h.Clock.Now())
 		}
 		if h.Quarantine.isConfirmed(x) {
-			s.discard(o)
+			s.abandon(o)
 			return s.refuseConfirmed()
 		}
 		if next == nil {
@@ -136,12 +136,20 @@
 		s.recordFailure(o.plan)
 		s.recordSends(ctx, move)
 		if ctx.Err() != nil || s.crashed || next == nil && !s.takeRetry() {
-			s.discard(next)
+			s.abandon(next)
 			return s.refuse(ctx)
 		}
 	}
 }
 
+// abandon discards an attempt that is not continued. If a runner has accepted it, the request may have run there.
+func (s *streamState) abandon(o *opened) {
+	if o != nil && o.response != nil {
+		s.possibleRuns++
+	}
+	s.discard(o)
+}
+
 // discard ends an attempt and releases what it holds; it does nothing for nil.
 func (s *streamState) discard(o *opened) {
 	if o == nil {
--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -137,8 +137,9 @@
 }
 
 // successorFunc returns a function that takes a retry for another path than p, without the runner at an address, or for any path if the
-// address is empty, while less than the given share of the budget is used, and sends the request over it. It reports whether that path has accepted the request: a runner
-// that is only slow or pauses still serves the caller. The function is nil if the route allows no further attempt.
+// address is empty, while less than the given share of the budget is used, and sends the request over it. It reports whether that path
+// has accepted the request: a runner that is only slow or pauses still serves the caller. The function is nil if the route allows no
+// further attempt.
 func (s *streamState) successorFunc(ctx context.Context, p bergamotroute.Plan, move *handover) func(address string, share float64) bool {
 	if !s.x.Route().IsRetryable() || !s.canAttempt(s.possibleRuns+1) {
 		return nil
--- a/core/bergamotrelay/successor_test.go
+++ b/core/bergamotrelay/successor_test.go
@@ -10,6 +10,7 @@
 	"bergamotspur/core/bergamotcluster"
 	"bergamotspur/core/bergamotconfig"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamottest"
 )
 
@@ -72,6 +73,20 @@
 		gomega.Expect(g.clock.Now()).To(gomega.Equal(now.Add(400*time.Millisecond)), "it waited for a path")
 	})
 
+	// Guards against a refusal as not run of a request that another runner has accepted meanwhile.
+	ginkgo.It("may have run when it ends before the runner that has accepted it goes on", func() {
+		g := newRig(route(resumable), model)
+		s := &streamState{handler: &StreamHandler{Router: g.router}, x: g.x}
+		for _, accepted := range []bool{false, true} {
+			o := newOpened(context.Background(), twoStages, now)
+			if accepted {
+				o.response = &fakeResponse{}
+			}
+			s.abandon(o)
+			gomega.Expect(s.runState() != bergamotrequest.RunNo).To(gomega.Equal(accepted))
+		}
+	})
+
 	// Guards against an answer that is complete but held until a runner which was asked meanwhile has given its report.
 	ginkgo.It("ends while the runner that refused it is asked why", func() {
 		pause, release := make(chan struct{}), make(chan struct{})
