--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -30,6 +30,7 @@
 	rejected    int    // requests that were rejected
 	retryAfter  string // Retry-After of rejections, empty for none
 	leaving     bool
+	rateLimit   string // Server-Limit of all answers, empty for none
 	breaks      int // answers still to be broken off
 	after       int // events before a stream is broken off
 	wrongID     bool
@@ -124,6 +125,30 @@
 	f.leaving = leaving
 }
 
+// SetRateLimit sets the requests a second that the runner names in all its answers and reports; an empty text names none.
+func (f *RelayRunner) SetRateLimit(text string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rateLimit = text
+}
+
+// nameLimit adds the limit to the header of an answer. The caller holds the lock.
+func (f *RelayRunner) nameLimit(h http.Header) {
+	if f.rateLimit != "" {
+		h.Set("Server-Limit", f.rateLimit)
+	}
+}
+
+// RunsIn returns how many requests the runner has started to run in a span of time, of all entries together.
+func (f *RelayRunner) RunsIn(from, to time.Time) (n int) {
+	for _, r := range f.Runs() {
+		if !r.StartTime.Before(from) && r.StartTime.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // BreakAnswers makes the runner close the connection during the next n answers: in a stream after that number of events,
 // otherwise before the answer.
 func (f *RelayRunner) BreakAnswers(n, after int) {
@@ -200,6 +225,7 @@
 func (f *RelayRunner) report(w http.ResponseWriter, _ *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.nameLimit(w.Header())
 	m := map[string]any{"born": f.startTime, "seq": f.orders, "kvUsed": 0, "kvTotal": 1e6, "pace": 1.0, "layers": nil, "stalled": []any{}}
 	if f.to > f.from {
 		m["layers"] = map[string]int{"from": f.from, "target": f.to, "version": 1}
@@ -245,6 +271,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	f.nameLimit(w.Header())
 	if f.rejectsLeft > 0 {
 		f.rejectsLeft--
 		f.rejected++
