--- a/cmd/bergamotcommand/layout.go
+++ b/cmd/bergamotcommand/layout.go
@@ -42,6 +42,9 @@
 	for _, a := range m.Admission {
 		printAdmission(w, a)
 	}
+	for _, l := range m.Limits {
+		_, _ = fmt.Fprintf(w, "limit of %s\t%g requests/s of all entries\t%d sent and %d held back here in 4 s\tpermits %s\n", l.Runner, l.Rate, l.Used, l.Lacked, m.Permits)
+	}
 	_, _ = fmt.Fprintln(w, "SERVICE\tCENTRE\tLAYERS\tKIND\tRUNNER\tSTATE")
 	runners := slices.Clone(m.Runners)
 	slices.SortFunc(runners, func(a, b bergamotplatform.RunnerStatus) int {
--- a/core/bergamotcluster/calls_test.go
+++ b/core/bergamotcluster/calls_test.go
@@ -30,6 +30,7 @@
 func (l *countingLease) Release(context.Context) error { return nil }
 
 func (l *countingLease) FreeIn() time.Duration { return l.freeIn }
+func (l *countingLease) HolderAddress() string { return "" }
 
 type leaseCase struct {
 	hubs     int           // hubs before this entry in the order, -1 if this entry is no hub
--- a/core/bergamotcluster/healthchecker.go
+++ b/core/bergamotcluster/healthchecker.go
@@ -7,7 +7,9 @@
 
 const (
 	checkInterval = 500 * time.Millisecond // time between two checks of a failed runner; each of them is billed
-	reportTimeout = 400 * time.Millisecond // a runner that takes longer to report is too slow to serve requests
+	// limitedCheckInterval replaces checkInterval for a runner that names how many requests it takes.
+	limitedCheckInterval = 2 * time.Second
+	reportTimeout        = 400 * time.Millisecond // a runner that takes longer to report is too slow to serve requests
 	// maxChecks is the number of checks in flight. When an entry is cut off, all runners fail at once, and the reads of the
 	// store must not wait for their checks.
 	maxChecks = 64
@@ -26,6 +28,8 @@
 	// giving reports.
 	Prober      Prober
 	OnRecovered func(runner string) // called when a failed runner answers again
+	// IsLimited reports whether a process names how many requests it takes; nil for none.
+	IsLimited func(process string) bool
 }
 
 // Name returns "checks".
@@ -56,9 +60,12 @@
 			continue
 		}
 		free--
+		i, _ := s.Runner(name)
 		f.nextCheck, f.checking = s.Now().Add(checkInterval), true
+		if c.IsLimited != nil && c.IsLimited(i.Process()) {
+			f.nextCheck = s.Now().Add(limitedCheckInterval)
+		}
 		s.failed[name] = f
-		i, _ := s.Runner(name)
 		path := ""
 		if f.held {
 			path = s.healthPath(i)
--- a/core/bergamotcluster/leadership.go
+++ b/core/bergamotcluster/leadership.go
@@ -14,12 +14,14 @@
 	Release(ctx context.Context) error
 	// FreeIn returns how long the term of the holder goes on as far as is known, 0 if the lease is free or that is unknown.
 	FreeIn() time.Duration
+	// HolderAddress returns the address at which other entries reach the holder, as far as is known, empty if it is not.
+	HolderAddress() string
 }
 
-// candidateCount is the number of hubs that often check whether the lease is free. If all entries did, the calls would
+// CandidateCount is the number of hubs that often check whether the lease is free. If all entries did, the calls would
 // grow with their number. With three candidates, a deployment of four entries had no holder for 5 s when two candidates
 // restarted and the third had been replaced.
-const candidateCount = 5
+const CandidateCount = 5
 
 // maxCandidateJitter is the longest random delay of an attempt, so that candidates do not write at the same moment.
 const maxCandidateJitter = 100 * time.Millisecond
@@ -76,7 +78,7 @@
 	if s.linksLost && !c.Stopping() {
 		return s.grant.Valid(s.Now()) && !c.yielding
 	}
-	return s.grant.Valid(s.Now()) || s.hubRank >= 0 && s.hubRank < candidateCount || c.Stopping() && !c.released
+	return s.grant.Valid(s.Now()) || s.hubRank >= 0 && s.hubRank < CandidateCount || c.Stopping() && !c.released
 }
 
 // Reconcile renews or tries to acquire the lease, and releases it when the entry is stopping.
@@ -112,7 +114,7 @@
 		g, err := c.Lease.AcquireOrRenew(ctx)
 		return EventFunc(func(s *State) {
 			c.inFlight = false
-			s.grant = g
+			s.grant, s.leaseHolder = g, c.Lease.HolderAddress()
 			holds := g.Valid(s.Now())
 			if holds {
 				c.nextStep = s.Now().Add(c.RenewInterval)
--- a/core/bergamotcluster/placement.go
+++ b/core/bergamotcluster/placement.go
@@ -10,6 +10,7 @@
 	"bergamotspur/core/bergamotconfig"
 	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotlayout"
+	"bergamotspur/core/bergamotrate"
 	"bergamotspur/core/bergamotstore"
 )
 
@@ -38,6 +39,16 @@
 	minLiveShare = 0.5
 )
 
+// minLimitAge is how long a runner must have had a limit before the plan takes account of it. A shorter one has ended before the layers
+// would be loaded elsewhere.
+const minLimitAge = 3 * time.Second
+
+// RunnerLimits has the requests a second that runners say they take from all entries together.
+type RunnerLimits interface {
+	// Limit returns the limit of a process and for how long it has said so; ok is false if it has none.
+	Limit(process string) (l bergamotrate.Limit, age time.Duration, ok bool)
+}
+
 // unknownCount is the number of accepted orders of a runner that gave no report.
 const unknownCount = -1
 
@@ -47,6 +58,8 @@
 	Clock   interface{ Now() time.Time }
 	Orders  Orderer
 	Reports Reporter
+	// Limits has the requests that runners say they take; nil for none.
+	Limits RunnerLimits
 	// OnOrder is called when an order was sent, and when it is confirmed or abandoned.
 	OnOrder func(runner string, s bergamotlayout.Span, event string, err error)
 
@@ -155,6 +168,11 @@
 		}
 		anyHeld = anyHeld || span.Len() > 0
 		r := bergamotlayout.NewRunner(i.Name(), i.DataCentre(), kind.MemoryMB(), kind.Pace(), span)
+		if c.Limits != nil {
+			if l, age, limited := c.Limits.Limit(i.Process()); limited && age >= minLimitAge {
+				r = r.WithRate(l.Rate())
+			}
+		}
 		runners = append(runners, r)
 		confirmed = append(confirmed, r.WithHeld(confirmedSpan))
 		byName[i.Name()] = i
--- a/core/bergamotcluster/state.go
+++ b/core/bergamotcluster/state.go
@@ -50,6 +50,7 @@
 	era           int64                // of the store, 0 before the first change of it
 	restoredAt    time.Time            // when a table was first found to be of that era
 	grant         bergamotlease.Grant  // placement lease
+	leaseHolder   string               // address of its holder, empty if it is not known
 	entryCount    int                  // entries that share the runners, including this one
 	counted       bool                 // whether the entries have been counted
 	linksLost     bool                 // this entry reaches runners over other entries only
@@ -238,6 +239,6 @@
 func (s *State) View() *View {
 	return &View{
 		config: s.config, confirmedAt: s.confirmedAt, fleet: s.Fleet(), entryCount: s.entryCount, takenAt: s.now, hasRunnerList: s.hasRunnerList,
-		holdsLease: s.grant.Valid(s.now), counted: s.counted,
+		grant: s.grant, leaseHolder: s.leaseHolder, counted: s.counted,
 	}
 }
--- a/core/bergamotcluster/view.go
+++ b/core/bergamotcluster/view.go
@@ -5,6 +5,7 @@
 
 	"bergamotspur/core/bergamotconfig"
 	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotlease"
 )
 
 // View is a read-only copy of the control state that request handlers use.
@@ -15,7 +16,8 @@
 	fleet         *bergamotfleet.Fleet
 	entryCount    int
 	hasRunnerList bool
-	holdsLease    bool
+	grant         bergamotlease.Grant
+	leaseHolder   string
 	counted       bool
 }
 
@@ -53,5 +55,11 @@
 // HasRunnerList reports whether the list of runners has been read.
 func (v *View) HasRunnerList() bool { return v.hasRunnerList }
 
-// HoldsPlacementLease reports whether this entry holds the lease to place layers.
-func (v *View) HoldsPlacementLease() bool { return v.holdsLease }
+// HoldsPlacementLease reports whether this entry held the lease to place layers when the view was taken.
+func (v *View) HoldsPlacementLease() bool { return v.grant.Valid(v.takenAt) }
+
+// PlacementGrant returns the lease to place layers as this entry holds it.
+func (v *View) PlacementGrant() bergamotlease.Grant { return v.grant }
+
+// LeaseHolder returns the address at which other entries reach the holder of that lease, empty if it is not known.
+func (v *View) LeaseHolder() string { return v.leaseHolder }
--- a/core/bergamotlayout/groupplan.go
+++ b/core/bergamotlayout/groupplan.go
@@ -173,6 +173,19 @@
 	return (r.memory - float64(layers)*p.model.layerMB) / (p.model.tokenMB * float64(layers))
 }
 
+// requestTime is roughly how long a request takes, in seconds.
+const requestTime = 3.0
+
+// usableCapacity is tokenCapacity for a runner that holds a range. One that begins with the first layer is the first of its paths, where a
+// runner that limits its requests has no use for the rest of its memory.
+func (p *groupPlan) usableCapacity(r Runner, s Span) float64 {
+	capacity := p.tokenCapacity(r, s.Len())
+	if r.hasRate && s.from == 0 {
+		return min(capacity, r.rate*requestTime*p.model.requestTokens)
+	}
+	return capacity
+}
+
 func (p *groupPlan) applyMove(m move) {
 	name := p.runners[m.runner].name
 	s := p.spans[name].resize(m.up, 1)
--- a/core/bergamotlayout/replicate.go
+++ b/core/bergamotlayout/replicate.go
@@ -68,7 +68,7 @@
 		return 0, false
 	}
 	capacity = math.Inf(1)
-	own := p.tokenCapacity(r, s.Len())
+	own := p.usableCapacity(r, s)
 	for i := s.from; i < min(s.to, len(p.holders)); i++ {
 		if p.holders[i] < 2 {
 			return 0, false
--- a/core/bergamotlayout/span.go
+++ b/core/bergamotlayout/span.go
@@ -51,6 +51,9 @@
 	memory float64 // MB
 	pace   float64 // factor on the time of a step; lower is faster
 	held   Span    // layers that it holds or was ordered to hold
+	rate   float64 // requests a second that it takes from callers, if hasRate is set
+	// hasRate is set for a runner that says how many requests it takes as the first one of their paths.
+	hasRate bool
 }
 
 // NewRunner returns a runner of a data centre with its memory in MB, the factor on the time of a step, and the layers
@@ -82,3 +85,9 @@
 	r.held = s
 	return r
 }
+
+// WithRate returns a copy of the runner that takes a number of requests a second as the first one of their paths.
+func (r Runner) WithRate(perSecond float64) Runner {
+	r.rate, r.hasRate = perSecond, true
+	return r
+}
--- a/core/bergamotlayout/transfer.go
+++ b/core/bergamotlayout/transfer.go
@@ -189,7 +189,7 @@
 	if s.Len() == 0 {
 		return
 	}
-	tokenCapacity := p.tokenCapacity(r, s.Len())
+	tokenCapacity := p.usableCapacity(r, s)
 	for i := s.from; i < min(s.to, p.model.layers); i++ {
 		p.holders[i] += sign
 		p.capacity[i] += float64(sign) * tokenCapacity
--- a/core/bergamotlease/lease.go
+++ b/core/bergamotlease/lease.go
@@ -30,10 +30,12 @@
 
 // Lease acquires and renews one lease. Its methods must not be called concurrently.
 type Lease struct {
-	Table      Table
-	Clock      Clock
-	Key        string
-	Holder     string        // unique name of this entry
+	Table  Table
+	Clock  Clock
+	Key    string
+	Holder string // unique name of this entry
+	// Address returns the address at which other entries reach this one, empty if they cannot; nil for none.
+	Address    func() string
 	Term       time.Duration // time without a renewal after which others may take the lease
 	Margin     time.Duration // how long before the end of the term the holder stops using the lease; covers the drift between clocks
 	NewWriteID func() string // returns a different value each time
@@ -126,6 +128,15 @@
 	return max(time.Duration(r.ExpiresMS)*time.Millisecond-earliest, 0)
 }
 
+// HolderAddress returns the address at which the holder in the row that was read last can be reached, empty if it is not known.
+func (l *Lease) HolderAddress() string {
+	r, err := decodeRecord(l.lastRow.Value())
+	if err != nil || r.Holder == "" || isLost(l.lastRow, r) {
+		return ""
+	}
+	return r.Address
+}
+
 // termEnd returns the latest end of a term that starts now, in milliseconds of the clock of the table service, or 0 if that
 // is unknown.
 func (l *Lease) termEnd() int64 {
@@ -199,7 +210,11 @@
 // write stores the lease with a fencing token, and reads it back if the reply is lost.
 func (l *Lease) write(ctx context.Context, row bergamotstore.Row, fencingToken int64) (g Grant, err error) {
 	writeID := l.NewWriteID()
-	value, err := json.Marshal(record{Holder: l.Holder, FencingToken: fencingToken, WriteID: writeID, ExpiresMS: l.termEnd(), Era: row.Era()})
+	r := record{Holder: l.Holder, FencingToken: fencingToken, WriteID: writeID, ExpiresMS: l.termEnd(), Era: row.Era()}
+	if l.Address != nil {
+		r.Address = l.Address()
+	}
+	value, err := json.Marshal(r)
 	if err != nil {
 		return l.grant, err
 	}
--- a/core/bergamotload/exchange.go
+++ b/core/bergamotload/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotrate"
 )
 
 const (
@@ -16,11 +17,34 @@
 	answerTimeout       = 300 * time.Millisecond // for an answer in addition to the wait
 )
 
-// Network sends queries for reports to other entries.
+// Query asks an entry for what is new about the runners.
+type Query struct {
+	Reports int64         // version of the board up to which the reports are known
+	Limits  int64         // version of the book up to which the limits are known
+	Own     bool          // only what the entry has from the runners themselves, or from entries that follow it
+	Wait    time.Duration // how long the answer may wait for news
+}
+
+// News is the answer to a query, with the versions for the next one.
+type News struct {
+	Reports       []Report
+	Limits        []bergamotrate.Limit
+	ReportVersion int64
+	LimitVersion  int64
+}
+
+// Network sends queries to other entries.
 type Network interface {
-	// Reports returns the reports that were added to the board of an entry after a version, and the new version. If own is
-	// set, it returns only those of runners that the entry has asked itself.
-	Reports(ctx context.Context, to bergamotmirror.Peer, version int64, own bool, wait time.Duration) (reports []Report, now int64, err error)
+	// News returns what is new to an entry about the runners.
+	News(ctx context.Context, to bergamotmirror.Peer, q Query) (News, error)
+}
+
+// Limits holds the limits that runners name.
+type Limits interface {
+	// Learn records limits of other entries; own is set if they come from entries that follow this one.
+	Learn(limits []bergamotrate.Limit, own bool) (news []bergamotrate.Limit)
+	// Since returns the limits that have changed after a version, the new version, and a channel that is closed at the next change.
+	Since(version int64, own bool) (limits []bergamotrate.Limit, now int64, changed <-chan struct{})
 }
 
 // Peers selects the entries to get reports from.
@@ -32,20 +56,21 @@
 	Leads() []bergamotmirror.Peer
 }
 
-// Exchange gets reports from other entries: an entry that asks runners itself gets the others' own reports, and all others
-// get all reports from the entry that they follow.
+// Exchange gets reports and limits of runners from other entries: a hub gets the others' own ones, and all others get all from the entry
+// that they follow.
 type Exchange struct {
 	Clock     Clock
 	Network   Network
 	Peers     Peers
 	Board     *Board
+	Limits    Limits
 	OnReports func(reports []Report) // called with reports that are new to the board
 	// OnFailure is called for each entry that did not answer, nil for none.
 	OnFailure func(peer string, err error)
 
 	mu       sync.Mutex
-	versions map[string]int64 // version of the board of each entry, by name
-	asking   map[string]bool  // entries that have not answered yet, by name
+	versions map[string]News // with the versions that are known of each entry, by name
+	asking   map[string]bool // entries that have not answered yet, by name
 	inFlight sync.WaitGroup
 }
 
@@ -68,35 +93,37 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.asking == nil {
-		e.asking, e.versions = map[string]bool{}, map[string]int64{}
+		e.asking, e.versions = map[string]bool{}, map[string]News{}
 	}
 	for _, p := range peers {
 		if e.asking[p.Name()] {
 			continue
 		}
 		e.asking[p.Name()] = true
-		version := e.versions[p.Name()]
-		e.inFlight.Go(func() { e.ask(ctx, p, version, own) })
+		known := e.versions[p.Name()]
+		q := Query{Reports: known.ReportVersion, Limits: known.LimitVersion, Own: own, Wait: MaxWait}
+		e.inFlight.Go(func() { e.ask(ctx, p, q) })
 	}
 }
 
 // ask sends a query to an entry and applies its answer.
-func (e *Exchange) ask(ctx context.Context, p bergamotmirror.Peer, version int64, own bool) {
+func (e *Exchange) ask(ctx context.Context, p bergamotmirror.Peer, q Query) {
 	ctx, cancel := context.WithTimeout(ctx, MaxWait+answerTimeout)
 	defer cancel()
-	reports, version, err := e.Network.Reports(ctx, p, version, own, MaxWait)
+	news, err := e.Network.News(ctx, p, q)
 	e.mu.Lock()
 	delete(e.asking, p.Name())
-	delete(e.versions, p.Name()) // after an error, the next query asks for all reports
+	delete(e.versions, p.Name()) // after an error, the next query asks for all
 	if err == nil {
-		e.versions[p.Name()] = version
+		e.versions[p.Name()] = News{ReportVersion: news.ReportVersion, LimitVersion: news.LimitVersion}
 	}
 	e.mu.Unlock()
 	if err != nil && e.OnFailure != nil {
 		e.OnFailure(p.Name(), err)
 	}
-	if news := e.Board.Put(reports, false); err == nil && len(news) > 0 {
-		e.OnReports(news)
+	e.Limits.Learn(news.Limits, false)
+	if reports := e.Board.Put(news.Reports, false); err == nil && len(reports) > 0 {
+		e.OnReports(reports)
 	}
 }
 
@@ -111,21 +138,23 @@
 	return e.Peers.Leads(), true
 }
 
-// Answer returns the reports that were added to the board after a version as soon as there are any, or none after a wait,
-// and the new version. If own is set, it returns only those of runners that this entry has asked itself.
-func (e *Exchange) Answer(ctx context.Context, version int64, own bool, wait time.Duration) (reports []Report, now int64) {
-	timeout := e.Clock.After(min(wait, MaxWait))
+// Answer returns what is new to this entry about the runners as soon as there is anything, or nothing after the wait of the query.
+func (e *Exchange) Answer(ctx context.Context, q Query) (n News) {
+	timeout := e.Clock.After(min(q.Wait, MaxWait))
 	for {
-		reports, now, changed := e.Board.Since(version, own)
-		if len(reports) > 0 {
-			return reports, now
+		reports, reportVersion, changed := e.Board.Since(q.Reports, q.Own)
+		limits, limitVersion, limited := e.Limits.Since(q.Limits, q.Own)
+		n = News{Reports: reports, Limits: limits, ReportVersion: reportVersion, LimitVersion: limitVersion}
+		if len(reports)+len(limits) > 0 {
+			return n
 		}
 		select {
 		case <-changed:
+		case <-limited:
 		case <-timeout:
-			return nil, now
+			return n
 		case <-ctx.Done():
-			return nil, now
+			return n
 		}
 	}
 }
--- a/core/bergamotload/load_test.go
+++ b/core/bergamotload/load_test.go
@@ -13,6 +13,7 @@
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotrate"
 	"bergamotspur/core/bergamottest"
 )
 
@@ -105,17 +106,17 @@
 	failed  map[string]int                // failures recorded, by the entry that did not answer
 }
 
-func (m *mesh) Reports(ctx context.Context, to bergamotmirror.Peer, version int64, own bool, _ time.Duration) ([]bergamotload.Report, int64, error) {
+func (m *mesh) News(ctx context.Context, to bergamotmirror.Peer, q bergamotload.Query) (bergamotload.News, error) {
 	m.mu.Lock()
 	silent := m.silent[to.Name()]
 	m.asked[to.Name()]++
 	m.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return bergamotload.News{}, ctx.Err()
 	}
-	reports, now := m.entries[to.Name()].Answer(ctx, version, own, 0)
-	return reports, now, nil
+	q.Wait = 0
+	return m.entries[to.Name()].Answer(ctx, q), nil
 }
 
 // newMesh returns 118 entries in five data centres with two hubs each.
@@ -134,7 +135,7 @@
 		peers.SetHubs(hubs)
 		m.known[name] = map[string]float64{}
 		m.entries[name] = &bergamotload.Exchange{
-			Clock: bergamotclock.Real{}, Network: m, Peers: peers, Board: bergamotload.NewBoard(),
+			Clock: bergamotclock.Real{}, Network: m, Peers: peers, Board: bergamotload.NewBoard(), Limits: &bergamotrate.Book{Clock: bergamotclock.Real{}},
 			OnFailure: func(peer string, _ error) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
@@ -185,6 +186,21 @@
 		}
 	})
 
+	// Guards against entries that go on at the old pace because the limit was named to another one.
+	ginkgo.It("brings the limit of a runner, and its end, to all entries of all data centres", func() {
+		m := newMesh()
+		limits := func(name string) *bergamotrate.Book { return m.entries[name].Limits.(*bergamotrate.Book) }
+		for _, l := range []bergamotrate.Limit{bergamotrate.NewLimit("r@1", 1.5, time.Second), bergamotrate.NewEnd("r@1", 2*time.Second)} {
+			limits("e3").Learn([]bergamotrate.Limit{l}, true)
+			m.step(context.Background())
+			for name := range m.entries {
+				rate, limited := limits(name).Rate("r@1")
+				gomega.Expect(limited).To(gomega.Equal(!l.Ended()), name)
+				gomega.Expect(rate).To(gomega.Equal(l.Rate()), name)
+			}
+		}
+	})
+
 	// Guards against a report that replaces a newer one because it took a longer way.
 	ginkgo.It("keeps the newest report of a runner", func() {
 		m := newMesh()
--- a/core/bergamotload/monitor.go
+++ b/core/bergamotload/monitor.go
@@ -14,6 +14,8 @@
 	// idleInterval is the same for all other runners, unless they are so many that maxIdleRate is exceeded.
 	idleInterval    = 1200 * time.Millisecond
 	busyUtilization = 0.3
+	// limitedInterval replaces both for runners that name how many requests they take: each report may count.
+	limitedInterval = 2 * time.Second
 	// maxIdleRate is the largest number of reports of idle runners in a second. One takes 80 us of processor time.
 	maxIdleRate = 250
 	// minChange is the change of the utilization from which a report is passed on; smaller ones do not affect the choice
@@ -29,11 +31,18 @@
 type Target struct {
 	name    string
 	address string
+	limited bool
 }
 
 // NewTarget returns the runner of that name; address is its host and port.
 func NewTarget(name, address string) Target { return Target{name: name, address: address} }
 
+// WithLimit returns a copy for a runner that names how many requests it takes, and is asked more rarely.
+func (t Target) WithLimit() Target {
+	t.limited = true
+	return t
+}
+
 // Name returns the name of the runner.
 func (t Target) Name() string { return t.name }
 
@@ -118,7 +127,10 @@
 		}
 		if !s.asking && !now.Before(s.nextAsk) {
 			s.asking, s.nextAsk = true, now.Add(idle)
-			if s.utilization >= busyUtilization {
+			switch {
+			case t.limited:
+				s.nextAsk = now.Add(max(idle, limitedInterval))
+			case s.utilization >= busyUtilization:
 				s.nextAsk = now.Add(busyInterval)
 			}
 			out = append(out, t)
@@ -145,7 +157,7 @@
 		return r, false
 	}
 	s.utilization = used / total
-	if s.utilization >= busyUtilization && s.nextAsk.After(now.Add(busyInterval)) {
+	if !t.limited && s.utilization >= busyUtilization && s.nextAsk.After(now.Add(busyInterval)) {
 		s.nextAsk = now.Add(busyInterval)
 	}
 	changed := math.Abs(s.utilization-s.published) >= minChange
--- a/core/bergamotmirror/peers.go
+++ b/core/bergamotmirror/peers.go
@@ -151,6 +151,13 @@
 	return p.isHub
 }
 
+// Rank returns the position of this entry in the order of all hubs, from 0; -1 if it is none.
+func (p *Peers) Rank() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.IndexFunc(p.hubs, func(h Hub) bool { return h.name == p.Name })
+}
+
 // isNewHub reports whether this entry has become a hub so recently that others may be about to follow it.
 func (p *Peers) isNewHub() bool {
 	p.mu.Lock()
--- a/core/bergamotpath/router.go
+++ b/core/bergamotpath/router.go
@@ -29,6 +29,8 @@
 	// Bounds of the exponent of the load, for answers of twice the typical length and more, and of half of it and less.
 	minLoadExponent = 0.5
 	maxLoadExponent = 2.0
+	// maxPermitTries is how often a path is chosen anew because the permit of its first runner has expired meanwhile.
+	maxPermitTries = 3
 )
 
 // Query describes the path that a request needs.
@@ -49,6 +51,8 @@
 	Centre string     // data centre of the entry
 	// Exclusions has the runners that asked for no more requests, nil for none.
 	Exclusions *Exclusions
+	// Limits has the limits of requests that runners name, nil for none.
+	Limits Limits
 
 	mu            sync.Mutex
 	used          map[string]float64     // token-layers of requests of this entry in flight, by runner
@@ -60,51 +64,79 @@
 	candidates    []candidate // candidates of the current call of Route, kept to reuse the allocation
 }
 
-// Route returns the plan with the lowest expected time and reserves memory for its tokens; ok is false if no path covers
-// all layers.
+// Route returns the plan with the lowest expected time and reserves memory for its tokens, and a permit if its first runner has a limit; ok
+// is false if no path covers all layers.
 func (r *Router) Route(q Query) (p bergamotroute.Plan, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.used == nil {
 		r.used = map[string]float64{}
 	}
+	var c choice
+	for range maxPermitTries {
+		if c, ok = r.choose(q, true); !ok {
+			return p, false
+		}
+		// The last permit may have expired since the candidates were compared.
+		if ok = r.Limits == nil || r.Limits.Take(c.first); ok {
+			break
+		}
+	}
+	if !ok {
+		return p, false
+	}
+	if c.centre != "" {
+		r.recordExpected(c.centre, c.cost)
+	} else if !r.allowCrossings(q, c.crossings) {
+		r.giveBack(c.first)
+		return p, false
+	}
+	r.reserve(c.plan, q.Tokens)
+	return c.plan, true
+}
+
+// choice is the path that a query gets.
+type choice struct {
+	plan      bergamotroute.Plan
+	first     string  // process of the first runner
+	centre    string  // data centre that it stays in, empty for a path over several
+	cost      float64 // in nanoseconds
+	crossings int
+}
+
+// choose returns the plan with the lowest expected time. Unless heed is set, it takes no account of the limits of runners.
+func (r *Router) choose(q Query, heed bool) (out choice, ok bool) {
 	if r.index == nil || r.index.fleet != q.Fleet || r.index.engine != q.Engine || r.index.service != q.Service {
 		r.index = newIndex(q)
 	}
 	r.candidates = r.candidates[:0]
-	lowest, selected, expected := 0.0, "", 0.0
+	lowest := 0.0
 	for _, dc := range r.index.centres {
-		centre, begin := dc.name, len(r.candidates)
-		r.appendCandidates(q, dc)
+		begin := len(r.candidates)
+		r.appendCandidates(q, dc, heed)
 		s := search{candidates: r.candidates[begin:], layers: q.Engine.Layers()}
-		plan, cost, found := s.run()
+		plan, base, found := s.run()
 		if !found {
 			continue
 		}
-		base := cost
-		cost *= r.costFactor(centre) * (1 + maxCostJitter*r.Random.Float64())
-		if centre != r.Centre {
+		cost := base * r.costFactor(dc.name) * (1 + maxCostJitter*r.Random.Float64())
+		if dc.name != r.Centre {
 			cost *= remoteCostFactor
 		}
 		if !ok || cost < lowest {
-			p, lowest, ok = plan, cost, true
-			selected, expected = centre, base
+			out, lowest, ok = choice{plan: plan, first: s.process(plan), centre: dc.name, cost: base}, cost, true
 		}
 	}
 	if ok {
-		r.recordExpected(selected, expected)
+		return out, true
 	}
+	slices.SortStableFunc(r.candidates, func(a, b candidate) int { return a.from - b.from })
+	s := search{candidates: r.candidates, layers: q.Engine.Layers(), crossingCost: float64(q.Engine.CrossingTime())}
+	plan, _, ok := s.run()
 	if !ok {
-		slices.SortStableFunc(r.candidates, func(a, b candidate) int { return a.from - b.from })
-		s := search{candidates: r.candidates, layers: q.Engine.Layers(), crossingCost: float64(q.Engine.CrossingTime())}
-		if p, _, ok = s.run(); ok {
-			ok = r.allowCrossings(q, s.countCrossings(p))
-		}
-	}
-	if ok {
-		r.reserve(p, q.Tokens)
+		return out, false
 	}
-	return p, ok
+	return choice{plan: plan, first: s.process(plan), crossings: s.countCrossings(plan)}, true
 }
 
 // allowCrossings reports whether the rate limit permits a path with the given number of crossings between data centres.
@@ -133,7 +165,7 @@
 
 // appendCandidates appends up to maxSampled available runners for each layer range in a data centre, at their current
 // cost. Larger groups are scanned from a random runner on.
-func (r *Router) appendCandidates(q Query, dc centreIndex) {
+func (r *Router) appendCandidates(q Query, dc centreIndex, heed bool) {
 	for _, runners := range dc.ranges {
 		first := 0
 		if len(runners) > maxSampled {
@@ -141,7 +173,10 @@
 		}
 		appended := 0
 		for n := 0; n < len(runners) && appended < maxSampled; n++ {
-			if c, ok := r.candidate(q, dc.name, runners[(first+n)%len(runners)]); ok {
+			runner := runners[(first+n)%len(runners)]
+			if c, ok := r.candidate(q, dc.name, runner); ok {
+				// Those of the next runner on a path come from the runner before it, and do not count.
+				c.isAtLimit = heed && runner.from == 0 && r.Limits != nil && !r.Limits.MayTake(runner.process)
 				r.candidates = append(r.candidates, c)
 				appended++
 			}
@@ -163,7 +198,7 @@
 	// spread their requests: if all went by the shared reports alone, they would choose the same runners until the next.
 	utilization := min(max(used, r.used[runner.name]*float64(max(q.Entries, 1)))/runner.capacity, maxUtilization)
 	return candidate{
-		name: runner.name, address: runner.address, centre: centre, from: runner.from, to: runner.to,
+		name: runner.name, process: runner.process, address: runner.address, centre: centre, from: runner.from, to: runner.to,
 		layerTime: runner.layerTime * math.Pow(1-utilization, -q.loadExponent()), maxLayers: (runner.capacity - used) / max(q.Tokens, 1),
 	}, true
 }
--- a/core/bergamotpath/search.go
+++ b/core/bergamotpath/search.go
@@ -10,8 +10,10 @@
 // candidate is a runner that holds layers from (included) to to (excluded).
 type candidate struct {
 	name      string
+	process   string
 	address   string
 	centre    string
+	isAtLimit bool // it takes no request as the first runner of a path
 	from      int
 	to        int
 	layerTime float64 // expected nanoseconds per layer
@@ -62,7 +64,7 @@
 		if boundaries[i] < c.from {
 			return // the candidates are sorted by first layer
 		}
-		if boundaries[i] >= c.to {
+		if boundaries[i] >= c.to || i == 0 && c.isAtLimit {
 			continue
 		}
 		base := best[i].cost + float64(hopCost)
@@ -81,6 +83,16 @@
 	}
 }
 
+// process returns the process of the first runner of a plan.
+func (s *search) process(p bergamotroute.Plan) string {
+	for _, c := range s.candidates {
+		if c.name == p.Stages()[0].Instance() {
+			return c.process
+		}
+	}
+	return ""
+}
+
 // hasRunner reports whether the path to boundary i already contains candidate n; a path may use each runner only once.
 func (s *search) hasRunner(best []partialPath, i, n int) bool {
 	for best[i].runner >= 0 {
--- a/core/bergamotpath/usage.go
+++ b/core/bergamotpath/usage.go
@@ -61,14 +61,14 @@
 }
 
 // FullestRunner returns the runner of a plan with the highest estimated memory utilization among those without a fresh
-// report; ok is false if none of them is nearly full.
+// report and without a limit; ok is false if none of them is nearly full.
 func (r *Router) FullestRunner(p bergamotroute.Plan, q Query) (runner, address string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	highest := minProbeUtilization
 	for _, s := range p.Stages() {
 		i, known := q.Fleet.Instance(s.Instance())
-		if !known || r.hasShared(s.Instance()) || r.Clock.Now().Sub(r.otherUsage[s.Instance()].at) < maxFreshAge {
+		if !known || r.Limits != nil && r.Limits.IsLimited(i.Process()) || r.hasShared(s.Instance()) || r.Clock.Now().Sub(r.otherUsage[s.Instance()].at) < maxFreshAge {
 			continue
 		}
 		capacity, _ := capacity(q.Engine, i)
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -36,6 +36,7 @@
 		IsAvoided(runner string) bool
 	}
 	Exclusions *bergamotpath.Exclusions // runners that asked for no more requests
+	Gate       *LimitGate               // nil for none
 
 	mu       sync.Mutex
 	inFlight map[string]int // calls in flight by runner
@@ -109,7 +110,14 @@
 	}
 	c.trial = t
 	defer t.end()
-	if !c.startAttempt(ctx) {
+	started, err := h.Gate.pass(ctx, x, runnerSearch{
+		atLimit: func() (process string, ok bool) { return h.atLimit(x, c.tried) },
+		take:    func() bool { return c.startAttempt(ctx) },
+	})
+	if err != nil {
+		return err
+	}
+	if !started {
 		return bergamotrequest.Refuse(bergamotrequest.ReasonTarget, "no runner of the service is usable").WithRetryAfter(c.retryAfter())
 	}
 	var hedge <-chan time.Time
@@ -279,17 +287,36 @@
 	return max(first, retryDelay(c.x, h.Clock.Now()))
 }
 
-// acquireRunner returns the usable runner with the fewest calls in flight per slot and counts one more call for it.
+// acquireRunner returns the usable runner with the fewest calls in flight per slot and counts one more call for it. It takes a permit if the
+// runner has a limit.
 func (h *CallHandler) acquireRunner(x *Exchange, tried map[string]bool) (best bergamotfleet.Instance, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if best, ok = h.chooseRunner(x, tried, true); !ok || !h.Gate.take(best.Process()) {
+		return best, false
+	}
 	if h.inFlight == nil {
 		h.inFlight = map[string]int{}
 	}
+	h.inFlight[best.Name()]++
+	return best, true
+}
+
+// atLimit returns the process of the runner that acquireRunner would return without limits, if that is at its limit.
+func (h *CallHandler) atLimit(x *Exchange, tried map[string]bool) (process string, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	best, found := h.chooseRunner(x, tried, false)
+	return best.Process(), found && !h.Gate.mayTake(best.Process())
+}
+
+// chooseRunner returns the usable runner with the fewest calls in flight per slot. Unless heed is set, it takes no account of the limits of
+// runners. The caller holds the lock.
+func (h *CallHandler) chooseRunner(x *Exchange, tried map[string]bool, heed bool) (best bergamotfleet.Instance, ok bool) {
 	minCost := 0.0
 	for _, includeSuspects := range []bool{false, true} {
 		for _, instance := range h.Views.View().Fleet().ByRole(x.Service().Name()) {
-			if h.Exclusions.IsExcluded(instance.Process()) {
+			if h.Exclusions.IsExcluded(instance.Process()) || heed && !h.Gate.mayTake(instance.Process()) {
 				continue
 			}
 			// The second pass includes runners that failed recently: a call that they reject costs little.
@@ -305,7 +332,6 @@
 			}
 		}
 		if ok {
-			h.inFlight[best.Name()]++
 			return best, true
 		}
 	}
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -266,6 +266,7 @@
 	ledger   *bergamotsuspect.Ledger
 	reporter bergamotcluster.Reporter
 	links    fakeLinks
+	gate     *LimitGate // nil for none
 }
 
 // fakeLinks is what is known of the links of the entry.
@@ -296,7 +297,7 @@
 func (g *rig) stream(ctx context.Context) error {
 	h := &StreamHandler{
 		Clock: instantClock{g.clock}, Upstream: g.upstream, Router: g.router, Views: g.views, Budget: g.budget, Observer: g.observer,
-		Quarantine: g.quarantine(), Links: g.links,
+		Quarantine: g.quarantine(), Links: g.links, Gate: g.gate,
 		StallDetector: &StallDetector{Clock: g.clock, Reporter: silentReporter{}, IsSuspected: func(string) bool { return false }},
 	}
 	return h.Handle(ctx, g.x)
@@ -305,6 +306,7 @@
 func (g *rig) call(ctx context.Context) error {
 	h := &CallHandler{
 		Clock: g.clock, Upstream: g.upstream, Views: g.views, Budget: g.budget, Observer: g.observer, Centre: "a", Avoid: g.router, Quarantine: g.quarantine(), Exclusions: &bergamotpath.Exclusions{Clock: g.clock},
+		Gate: g.gate,
 	}
 	return h.Handle(ctx, g.x)
 }
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -166,6 +166,9 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return refuseEnded(ctx).WithRun(s.runState())
 	}
+	if s.heldBack != nil {
+		return bergamotrequest.AsRefusal(s.heldBack).WithRun(s.runState())
+	}
 	if s.failure == nil {
 		return bergamotrequest.Refuse(bergamotrequest.ReasonPath, "no path covers all layers").WithRetryAfter(retryDelay(s.x, s.handler.Clock.Now()))
 	}
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -70,6 +70,7 @@
 	StallDetector *StallDetector
 	Quarantine    *Quarantine
 	Links         Links
+	Gate          *LimitGate // nil for none
 }
 
 // Links tells what is known of the links of this entry to the runners.
@@ -90,7 +91,8 @@
 	avoid        map[string]bool // runners that failed this request
 	failure      *Failure        // failure of the last attempt
 	trial        *trial
-	crashed      bool // a runner has crashed after it began to answer and before the first event, possibly because of this request
+	heldBack     error // refusal because of the limits of runners, nil for none
+	crashed      bool  // a runner has crashed after it began to answer and before the first event, possibly because of this request
 }
 
 // Handle sends the request over a path and forwards the events to the caller. It returns a *bergamotrequest.Refusal
@@ -162,13 +164,20 @@
 	s.handler.Router.Release(o.plan, s.x.Request().Tokens())
 }
 
-// plan returns a path, waiting up to maxPathWait for one; ok is false if there is none.
+// plan returns a path, waiting up to maxPathWait for one, and for the limits of runners; ok is false if there is none.
 func (s *streamState) plan(ctx context.Context) (p bergamotroute.Plan, ok bool) {
 	h := s.handler
 	deadline := h.Clock.Now().Add(maxPathWait)
+	search := runnerSearch{
+		resumes: s.started.Load(),
+		atLimit: func() (process string, ok bool) { return h.Router.AtLimit(s.pathQuery(h.Views.View())) },
+		take: func() (found bool) {
+			p, found = s.route(s.pathQuery(h.Views.View()))
+			return found
+		},
+	}
 	for {
-		p, ok = s.route(s.pathQuery(h.Views.View()))
-		if ok || !h.Clock.Now().Before(deadline) {
+		if ok, s.heldBack = h.Gate.pass(ctx, s.x, search); ok || s.heldBack != nil || !h.Clock.Now().Before(deadline) {
 			return p, ok
 		}
 		// A runner that failed this request may be the only one left with its layers.
@@ -187,7 +196,7 @@
 	p, ok = r.Route(q)
 	if ok && s.probeFullestRunner(p, q) {
 		// A runner of the path is at or near its memory limit, possibly because of other entries: search again with its current report.
-		r.Release(p, q.Tokens)
+		r.Withdraw(p, q)
 		p, ok = r.Route(q)
 	}
 	return p, ok
@@ -213,7 +222,7 @@
 		if !ok {
 			break
 		}
-		h.Router.Release(p, s.x.Request().Tokens())
+		h.Router.Withdraw(p, query)
 		p = other
 	}
 	if i, ok := v.Fleet().Instance(p.Stages()[0].Instance()); ok {
--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -164,18 +164,20 @@
 		}
 		if s.trial.suspect.Load() {
 			// A suspect leaves its runner before it goes to another one.
-			h.Router.Release(other, query.Tokens)
+			h.Router.Withdraw(other, current)
 			return h.Budget.TakeWithin(query.Service, share)
 		}
 		o := newOpened(ctx, other, h.Clock.Now())
 		lastEvent, ok := move.begin(o.cancel, allowed)
 		if !ok {
-			s.discard(o)
+			o.cancel(nil)
+			h.Router.Withdraw(other, current)
 			return false
 		}
 		if !h.Budget.TakeWithin(query.Service, share) {
 			move.withdraw()
-			s.discard(o)
+			o.cancel(nil)
+			h.Router.Withdraw(other, current)
 			return false
 		}
 		runner, known := current.Fleet.Instance(other.Stages()[0].Instance())
--- a/core/bergamotrequest/reason.go
+++ b/core/bergamotrequest/reason.go
@@ -20,6 +20,7 @@
 	ReasonRate        Reason = "rate"     // the workspace exceeded its request rate
 	ReasonTokens      Reason = "tokens"   // the workspace exceeded its token rate
 	ReasonFull        Reason = "full"     // the queue or a runner is full
+	ReasonLimit       Reason = "limit"    // all runners that could serve the request are at the limits that they have named
 	ReasonRoom        Reason = "room"     // the capacity left is expected to be needed by more urgent requests
 	ReasonSuspect     Reason = "suspect"  // the request is quarantined because targets failed while running it
 	ReasonDigest      Reason = "digest"   // the idempotency key was used with other content
@@ -43,7 +44,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdempotency, ReasonBundle, ReasonStale,
-		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonRoom, ReasonSuspect, ReasonDigest,
+		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonLimit, ReasonRoom, ReasonSuspect, ReasonDigest,
 		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall, ReasonLink,
 		ReasonProof, ReasonBudget, ReasonMemory, ReasonUpload, ReasonCancel, ReasonInternal,
 	}
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -31,8 +31,8 @@
 	retryAfter  string // Retry-After of rejections, empty for none
 	leaving     bool
 	rateLimit   string // Server-Limit of all answers, empty for none
-	breaks      int // answers still to be broken off
-	after       int // events before a stream is broken off
+	breaks      int    // answers still to be broken off
+	after       int    // events before a stream is broken off
 	wrongID     bool
 	unframed    bool        // answers have neither a length nor chunks
 	deadlyPart  string      // part of prompts on which the process crashes, empty for none
--- a/io/bergamotfront/refusal_test.go
+++ b/io/bergamotfront/refusal_test.go
@@ -45,6 +45,7 @@
 		"tokens":   {status: 429, retryAfter: "1", errType: "rate_limit_error"},
 		"full":     {status: 503, retryAfter: "1", errType: server},
 		"room":     {status: 503, retryAfter: "1", errType: server},
+		"limit":    {status: 503, retryAfter: "1", errType: server},
 		"suspect":  {status: 422, errType: invalid},
 		"digest":   {status: 422, errType: invalid},
 		"progress": {status: 409, errType: invalid},
--- a/io/bergamotreplication/client.go
+++ b/io/bergamotreplication/client.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/samber/oops"
 
 	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotrate"
 	"bergamotspur/io/bergamotwire"
 )
 
@@ -50,20 +50,39 @@
 	return out.decode(), nil
 }
 
-// Reports returns the reports of runners that were added to the board of an entry after a version, and the new version. If
-// own is set, it returns only those of runners that the entry has asked itself.
-func (c *Client) Reports(ctx context.Context, to bergamotmirror.Peer, version int64, own bool, wait time.Duration) (
-	reports []bergamotload.Report, now int64, err error,
-) {
+// News returns what is new to an entry about the runners.
+func (c *Client) News(ctx context.Context, to bergamotmirror.Peer, q bergamotload.Query) (n bergamotload.News, err error) {
 	defer func() { err = oops.In("replication").Wrapf(err, "ask %s for reports", to.Name()) }()
 	var out loadReply
-	if err = c.client.Post(ctx, to.Address(), pathLoad, loadQuery{Version: version, Own: own, Wait: wait}, &out); err != nil {
-		return nil, 0, err
+	in := loadQuery{Version: q.Reports, Limits: q.Limits, Own: q.Own, Wait: q.Wait}
+	if err = c.client.Post(ctx, to.Address(), pathLoad, in, &out); err != nil {
+		return n, err
 	}
+	n.ReportVersion, n.LimitVersion = out.Version, out.Limited
 	for _, r := range out.Reports {
-		reports = append(reports, bergamotload.NewReport(r.Runner, float64(r.Used), r.Time))
+		n.Reports = append(n.Reports, bergamotload.NewReport(r.Runner, float64(r.Used), r.Time))
 	}
-	return reports, out.Version, nil
+	for _, l := range out.Limits {
+		if decoded, ok := l.decode(); ok {
+			n.Limits = append(n.Limits, decoded)
+		}
+	}
+	return n, nil
+}
+
+// Permits asks an entry for permits and returns those that the owner gave out. An entry of a build before permits answers with an error, like
+// one that reaches no owner.
+func (c *Client) Permits(ctx context.Context, to bergamotmirror.Peer, wants []bergamotrate.Want, hops int) (given bergamotrate.Permits, err error) {
+	defer func() { err = oops.In("replication").Wrapf(err, "ask %s for permits", to.Name()) }()
+	in := permitQuery{Hops: hops}
+	for _, w := range wants {
+		l := encodeLimit(w.Limit())
+		l.Wanted = w.Number()
+		in.Wants = append(in.Wants, l)
+	}
+	var out permitReply
+	err = c.client.Post(ctx, to.Address(), pathPermit, in, &out)
+	return out.Given, err
 }
 
 // Borrow borrows a retry of a service and reports whether the hub lends it, which it does while less than a share of its
--- a/io/bergamotreplication/handler.go
+++ b/io/bergamotreplication/handler.go
@@ -4,16 +4,20 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotrate"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/io/bergamotwire"
 )
 
-// maxQueryBytes is the maximum size of a query; one has about 200 bytes.
-const maxQueryBytes = 4 << 10
+const (
+	// maxQueryBytes is the maximum size of a query; one has about 200 bytes.
+	maxQueryBytes = 4 << 10
+	// maxPermitQueryBytes is the same for permits, of which one query wants those of up to 512 processes with about 90 bytes each.
+	maxPermitQueryBytes = 128 << 10
+)
 
 // Source answers queries.
 type Source interface {
@@ -21,10 +25,16 @@
 	Answer(ctx context.Context, peer bergamotmirror.Peer, q bergamotmirror.Query) bergamotmirror.Reply
 }
 
-// LoadSource answers queries for reports of runners.
+// LoadSource answers queries for reports and limits of runners.
 type LoadSource interface {
-	// Answer returns the reports that were added after a version, and the new version.
-	Answer(ctx context.Context, version int64, own bool, wait time.Duration) (reports []bergamotload.Report, now int64)
+	// Answer returns what is new about the runners.
+	Answer(ctx context.Context, q bergamotload.Query) bergamotload.News
+}
+
+// PermitSource answers queries for permits.
+type PermitSource interface {
+	// Answer returns the permits that the owner gave out; hops is the number of entries that the query has passed.
+	Answer(ctx context.Context, wants []bergamotrate.Want, hops int) (bergamotrate.Permits, error)
 }
 
 // Lender lends retries.
@@ -34,7 +44,7 @@
 }
 
 // NewHandler returns a handler that answers the queries of other entries.
-func NewHandler(s Source, l LoadSource, lender Lender) http.Handler {
+func NewHandler(s Source, l LoadSource, lender Lender, permits PermitSource) http.Handler {
 	mux, tables := http.NewServeMux(), &packedTables{}
 	mux.HandleFunc("POST "+pathFollow, func(w http.ResponseWriter, r *http.Request) {
 		var in query
@@ -59,11 +69,14 @@
 		if !decode(w, r, &in) {
 			return
 		}
-		reports, now := l.Answer(r.Context(), in.Version, in.Own, in.Wait)
-		out := loadReply{Version: now}
-		for _, r := range reports {
+		n := l.Answer(r.Context(), bergamotload.Query{Reports: in.Version, Limits: in.Limits, Own: in.Own, Wait: in.Wait})
+		out := loadReply{Version: n.ReportVersion, Limited: n.LimitVersion}
+		for _, r := range n.Reports {
 			out.Reports = append(out.Reports, report{Runner: r.Runner(), Used: int64(r.Used()), Time: r.At()})
 		}
+		for _, l := range n.Limits {
+			out.Limits = append(out.Limits, encodeLimit(l))
+		}
 		bergamotwire.Write(w, http.StatusOK, out)
 	})
 	mux.HandleFunc("POST "+pathBorrow, func(w http.ResponseWriter, r *http.Request) {
@@ -72,12 +85,35 @@
 			bergamotwire.Write(w, http.StatusOK, borrowReply{Lent: lender.Lend(in.Service, in.Share)})
 		}
 	})
+	mux.HandleFunc("POST "+pathPermit, func(w http.ResponseWriter, r *http.Request) {
+		var in permitQuery
+		if !decodeWithin(w, r, &in, maxPermitQueryBytes) {
+			return
+		}
+		var wants []bergamotrate.Want
+		for _, l := range in.Wants {
+			if decoded, ok := l.decode(); ok {
+				wants = append(wants, bergamotrate.NewWant(decoded, l.Wanted))
+			}
+		}
+		given, err := permits.Answer(r.Context(), wants, in.Hops)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		bergamotwire.Write(w, http.StatusOK, permitReply{Given: given})
+	})
 	return mux
 }
 
 // decode decodes a query and reports whether it is valid; it answers one that is not.
 func decode(w http.ResponseWriter, r *http.Request, q any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQueryBytes)).Decode(q); err != nil {
+	return decodeWithin(w, r, q, maxQueryBytes)
+}
+
+// decodeWithin is decode for queries of up to a number of bytes.
+func decodeWithin(w http.ResponseWriter, r *http.Request, q any, size int64) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, size)).Decode(q); err != nil {
 		http.Error(w, "not a query", http.StatusBadRequest)
 		return false
 	}
--- a/io/bergamotreplication/message.go
+++ b/io/bergamotreplication/message.go
@@ -5,14 +5,16 @@
 	"unicode/utf8"
 
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotrate"
 	"bergamotspur/core/bergamotstore"
 )
 
 // Paths of queries.
 const (
 	pathFollow = "/follow" // for changes of a table
-	pathLoad   = "/load"   // for reports of runners
+	pathLoad   = "/load"   // for reports and limits of runners
 	pathBorrow = "/borrow" // for retries
+	pathPermit = "/permit" // for permits of runners with a limit
 )
 
 // query is a bergamotmirror.Query in JSON.
@@ -55,9 +57,10 @@
 	Address string `json:"address"`
 }
 
-// loadQuery asks for the reports of runners that were added after a version.
+// loadQuery is a bergamotload.Query in JSON. Builds before the limits have neither the field for their version nor that for limits.
 type loadQuery struct {
 	Version int64         `json:"version"`
+	Limits  int64         `json:"limits,omitempty"`
 	Own     bool          `json:"own"`  // only reports of runners that the entry has asked itself
 	Wait    time.Duration `json:"wait"` // in nanoseconds
 }
@@ -66,6 +69,28 @@
 type loadReply struct {
 	Version int64    `json:"version"`
 	Reports []report `json:"reports"`
+	Limited int64    `json:"limited,omitempty"` // version of the limits
+	Limits  []limit  `json:"limits,omitempty"`
+}
+
+// limit is a bergamotrate.Limit in JSON, in a query for permits with how many are wanted.
+type limit struct {
+	Process string        `json:"process"`
+	Rate    float64       `json:"rate"` // requests a second
+	Ended   bool          `json:"ended,omitempty"`
+	Time    time.Duration `json:"time"` // of the store's clock, in nanoseconds
+	Wanted  int           `json:"wanted,omitempty"`
+}
+
+// permitQuery asks for permits, or only passes limits on.
+type permitQuery struct {
+	Wants []limit `json:"wants"`
+	Hops  int     `json:"hops"` // entries that the query has passed
+}
+
+// permitReply is the answer to a permitQuery.
+type permitReply struct {
+	Given map[string]int `json:"given"` // by process
 }
 
 // report is a bergamotload.Report in JSON.
@@ -86,6 +111,18 @@
 	Lent bool `json:"lent"`
 }
 
+func encodeLimit(l bergamotrate.Limit) limit {
+	return limit{Process: l.Process(), Rate: l.Rate(), Ended: l.Ended(), Time: l.At()}
+}
+
+// decode returns the limit; ok is false for one that no runner can have named.
+func (l limit) decode() (out bergamotrate.Limit, ok bool) {
+	if l.Ended {
+		return bergamotrate.NewEnd(l.Process, l.Time), l.Process != ""
+	}
+	return bergamotrate.NewLimit(l.Process, l.Rate, l.Time), l.Process != "" && l.Rate >= 0
+}
+
 func encodeChanges(list []bergamotstore.Change) (out []change) {
 	for _, c := range list {
 		e := change{Key: c.Row().Key(), Revision: c.Row().Revision(), Deleted: c.Deleted()}
--- a/io/bergamotreplication/replication_test.go
+++ b/io/bergamotreplication/replication_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	"bergamotspur/core/bergamotdetour"
 	"bergamotspur/core/bergamotload"
 	"bergamotspur/core/bergamotmirror"
+	"bergamotspur/core/bergamotrate"
 	"bergamotspur/core/bergamotstore"
 	"bergamotspur/core/bergamottest"
 	"bergamotspur/io/bergamotreplication"
@@ -50,7 +52,7 @@
 		"fails when the path has no names": {reply: bergamotmirror.NewReply(update, []string{"", "hub"}, 5, false), err: "without a name"},
 	}, func(c exchangeCase) {
 		s := &source{reply: c.reply}
-		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil, nil))
+		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil, nil, nil))
 		defer server.Close()
 		q := bergamotmirror.NewQuery("me", "t", bergamotstore.NewPosition(1, 6), 2*time.Second, time.Minute, 3)
 		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
@@ -86,7 +88,7 @@
 		u := bergamotmirror.NewUpdate(append(rows, binary), true, bergamotstore.NewPosition(1, 4000), time.Hour)
 		want := bergamotmirror.NewReply(u, []string{"hub"}, 5, false)
 		sent := int64(0)
-		handler := bergamotreplication.NewHandler(&source{reply: want}, nil, nil)
+		handler := bergamotreplication.NewHandler(&source{reply: want}, nil, nil, nil)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			handler.ServeHTTP(&countingWriter{ResponseWriter: w, n: &sent}, r)
 		}))
@@ -111,7 +113,7 @@
 			return out
 		}
 		s := &source{}
-		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil, nil))
+		server := httptest.NewServer(bergamotreplication.NewHandler(s, nil, nil, nil))
 		defer server.Close()
 		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
 		for era, value := range []string{"of the lost era", "of the new era"} {
@@ -137,7 +139,7 @@
 	}, func(c bodyCase) {
 		s := &source{reply: bergamotmirror.NewReply(bergamotmirror.NewUpdate(nil, false, bergamotstore.NewPosition(0, 7), 0), []string{"hub"}, 1, false)}
 		w := httptest.NewRecorder()
-		bergamotreplication.NewHandler(s, nil, nil).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/follow", strings.NewReader(c.body)))
+		bergamotreplication.NewHandler(s, nil, nil, nil).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/follow", strings.NewReader(c.body)))
 		gomega.Expect(w.Code).To(gomega.Equal(http.StatusOK))
 		gomega.Expect(s.query.Position()).To(gomega.Equal(c.want))
 		gomega.Expect(w.Body.String()).NotTo(gomega.ContainSubstring("era"))
@@ -155,30 +157,72 @@
 	return w.ResponseWriter.Write(p)
 }
 
-// loadSource answers each query with the same report and records what it was asked.
-type loadSource struct {
-	version int64
-	own     bool
-	wait    time.Duration
+// loadSource gives each query the same answer and records the query.
+type loadSource struct{ query bergamotload.Query }
+
+var wantNews = bergamotload.News{
+	Reports: []bergamotload.Report{bergamotload.NewReport("r", 700, time.Hour)}, ReportVersion: 9, LimitVersion: 3,
+	Limits: []bergamotrate.Limit{bergamotrate.NewLimit("r@1", 0.5, time.Hour), bergamotrate.NewEnd("r@2", time.Hour)},
+}
+
+func (s *loadSource) Answer(_ context.Context, q bergamotload.Query) bergamotload.News {
+	s.query = q
+	return wantNews
 }
 
-func (s *loadSource) Answer(_ context.Context, version int64, own bool, wait time.Duration) ([]bergamotload.Report, int64) {
-	s.version, s.own, s.wait = version, own, wait
-	return []bergamotload.Report{bergamotload.NewReport("r", 700, time.Hour)}, 9
+// permitSource gives each query one permit less than it wants, or fails.
+type permitSource struct {
+	wants []bergamotrate.Want
+	hops  int
+	err   error
 }
 
-var _ = ginkgo.Describe("a query for reports", func() {
+func (s *permitSource) Answer(_ context.Context, wants []bergamotrate.Want, hops int) (bergamotrate.Permits, error) {
+	s.wants, s.hops = wants, hops
+	return bergamotrate.Permits{"r@1": wants[0].Number() - 1}, s.err
+}
+
+var _ = ginkgo.Describe("a query about runners", func() {
+	peer := func(h http.Handler) bergamotmirror.Peer {
+		server := httptest.NewServer(h)
+		ginkgo.DeferCleanup(server.Close)
+		return bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
+	}
 	// Guards against fields that are lost on the way.
-	ginkgo.It("returns all fields", func() {
-		s := &loadSource{}
-		server := httptest.NewServer(bergamotreplication.NewHandler(nil, s, nil))
-		defer server.Close()
-		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
-		reports, version, err := bergamotreplication.NewClient().Reports(context.Background(), hub, 4, true, time.Second)
+	ginkgo.It("returns all fields of reports and limits", func() {
+		s, q := &loadSource{}, bergamotload.Query{Reports: 4, Limits: 5, Own: true, Wait: time.Second}
+		news, err := bergamotreplication.NewClient().News(context.Background(), peer(bergamotreplication.NewHandler(nil, s, nil, nil)), q)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(s.query).To(gomega.Equal(q))
+		gomega.Expect(news).To(gomega.Equal(wantNews))
+	})
+
+	// Guards against fields that are lost on the way, and against an owner that is not reached and looks like one without permits.
+	ginkgo.It("returns the permits that were given out, or fails", func() {
+		s := &permitSource{}
+		to := peer(bergamotreplication.NewHandler(nil, nil, nil, s))
+		wants := []bergamotrate.Want{bergamotrate.NewWant(bergamotrate.NewLimit("r@1", 0.5, time.Hour), 3), bergamotrate.NewWant(bergamotrate.NewEnd("r@2", time.Hour), 0)}
+		given, err := bergamotreplication.NewClient().Permits(context.Background(), to, wants, 2)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(given).To(gomega.Equal(bergamotrate.Permits{"r@1": 2}))
+		gomega.Expect(s.wants).To(gomega.Equal(wants))
+		gomega.Expect(s.hops).To(gomega.Equal(2))
+		s.err = bergamotrate.ErrNoOwner
+		_, err = bergamotreplication.NewClient().Permits(context.Background(), to, wants, 2)
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("503")))
+	})
+
+	// Guards against entries of the build before limits that cannot be asked, and against replies with fields of a later build.
+	ginkgo.It("is understood by other builds", func() {
+		var in map[string]any
+		to := peer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			gomega.Expect(json.NewDecoder(r.Body).Decode(&in)).To(gomega.Succeed())
+			_, _ = w.Write([]byte(`{"version":9,"reports":[{"runner":"r","used":700,"time":3600000000000}],"later":{"a":[1]}}`))
+		}))
+		news, err := bergamotreplication.NewClient().News(context.Background(), to, bergamotload.Query{Reports: 4, Wait: time.Second})
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		gomega.Expect(*s).To(gomega.Equal(loadSource{version: 4, own: true, wait: time.Second}))
-		gomega.Expect(reports).To(gomega.Equal([]bergamotload.Report{bergamotload.NewReport("r", 700, time.Hour)}))
-		gomega.Expect(version).To(gomega.Equal(int64(9)))
+		gomega.Expect(in).To(gomega.And(gomega.HaveKey("version"), gomega.HaveKey("own"), gomega.HaveKey("wait"), gomega.Not(gomega.HaveKey("limits"))))
+		gomega.Expect(news).To(gomega.Equal(bergamotload.News{Reports: wantNews.Reports, ReportVersion: 9}))
 	})
 })
 
@@ -197,7 +241,7 @@
 	// Guards against fields that are lost on the way.
 	ginkgo.It("returns whether it is lent", func() {
 		l := &lender{}
-		server := httptest.NewServer(bergamotreplication.NewHandler(nil, nil, l))
+		server := httptest.NewServer(bergamotreplication.NewHandler(nil, nil, l, nil))
 		defer server.Close()
 		hub := bergamotmirror.NewPeer("hub", strings.TrimPrefix(server.URL, "http://"))
 		lent, err := bergamotreplication.NewClient().Borrow(context.Background(), hub, "llm", 0.7)
@@ -228,7 +272,7 @@
 		"returns all fields":               {handler: bergamotreplication.NewEntriesHandler("hub", lister(want))},
 		"fails when another entry answers": {handler: bergamotreplication.NewEntriesHandler("other", lister(want)), err: "other answers"},
 		"fails when the list is too long":  {handler: bergamotreplication.NewEntriesHandler("hub", lister(long)), err: "list of 65"},
-		"fails when the entry is older":    {handler: bergamotreplication.NewHandler(nil, nil, nil), err: "404"},
+		"fails when the entry is older":    {handler: bergamotreplication.NewHandler(nil, nil, nil, nil), err: "404"},
 	}, func(c listingCase) {
 		mux := http.NewServeMux()
 		mux.Handle("POST "+bergamotreplication.EntriesPath, c.handler)
