--- a/io/bergamotsoak/entry_test.go
+++ b/io/bergamotsoak/entry_test.go
@@ -21,6 +21,7 @@
 	front    string
 	store    *bergamotfake.Proxy
 	gate     *bergamotfake.Gate // to the runners
+	program  string             // file of another build of the program, which has no gate; empty for this one
 	log      *logBuffer
 
 	restarting sync.Mutex // held during a restart, since a process can be waited for only once
@@ -87,6 +88,10 @@
 func (e *entry) run() {
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), childEnv+"="+e.settings, gateEnv+"="+e.gate.Address())
+	if e.program != "" {
+		cmd = exec.Command(e.program, "platform")
+		cmd.Env = append(os.Environ(), "BERGAMOTSPUR_BOOT="+e.settings)
+	}
 	cmd.Stdout, cmd.Stderr = e.log, e.log
 	must(cmd.Start())
 	e.mu.Lock()
--- a/io/bergamotsoak/harness_test.go
+++ b/io/bergamotsoak/harness_test.go
@@ -44,7 +44,11 @@
 	cuts    []cut    // that no other fault overlapped
 }
 
-func newHarness(dir string) *harness {
+// newHarness starts entries in the data centres of the soak.
+func newHarness(dir string) *harness { return newHarnessOf(dir, "", "a", "a", "b") }
+
+// newHarnessOf starts an entry of a build in each of the data centres; an empty program is this build.
+func newHarnessOf(dir, program string, centres ...string) *harness {
 	h := &harness{store: bergamotfake.NewMetadataStore()}
 	var err error
 	h.server, err = bergamotfake.Listen("127.0.0.1:0", h.store.Handler())
@@ -56,8 +60,9 @@
 		h.addTarget(fmt.Sprint("app-", i), "app")
 	}
 	h.writeConfig("key-0")
-	for i, centre := range []string{"a", "a", "b"} {
+	for i, centre := range centres {
 		e := newEntry(dir, fmt.Sprint("entry-", i), centre, h.server.Address())
+		e.program = program
 		e.run()
 		h.entries = append(h.entries, e)
 	}
--- a/io/bergamotsoak/soak_test.go
+++ b/io/bergamotsoak/soak_test.go
@@ -282,12 +282,15 @@
 	}
 }
 
+// seedsEnv is the environment variable with the number of seeds.
+const seedsEnv = "BERGAMOTSPUR_SOAK_SEEDS"
+
 // seeds returns the seeds from 1 to BERGAMOTSPUR_SOAK_SEEDS (2 by default) and BERGAMOTSPUR_SOAK_FRESH random ones (none
 // by default).
 func seeds() map[string]uint64 {
 	out := map[string]uint64{}
 	count := 2
-	if n, err := strconv.Atoi(os.Getenv("BERGAMOTSPUR_SOAK_SEEDS")); err == nil {
+	if n, err := strconv.Atoi(os.Getenv(seedsEnv)); err == nil {
 		count = n
 	}
 	for n := range count {
