Let entries help until the end of their stop

Cause: a stopping entry answered "stopping" to each request for help, though it reaches every runner for seconds.

It is asked when no entry that stays helps, the one with the most time left first, and only for what ends before or may be sent again. Its stop waits for what it has promised and for nothing else that was lent during it. Builds that know nothing of this get the same answers as before.

--- a/core/bergamotdetour/draw.go
+++ b/core/bergamotdetour/draw.go
@@ -48,6 +48,7 @@
 
 	seen    map[string]bool   // entries that were drawn or are on the way to some, by name
 	found   []Helper          // entries that can help
+	leaving []leavingHelper   // entries that can help although they are stopping
 	asked   int               // queries
 	listed  int               // answers to them
 	answers map[string]Answer // of the entries that were asked for their listings, AnswerSilent for none, by name
@@ -147,6 +148,9 @@
 		d.listed++
 		d.answers[name] = l.answer
 		d.hints = append(d.hints, l.helpers...)
+		if l.left > 0 {
+			d.leaving = append(d.leaving, leavingHelper{entries[i], d.now.Add(l.left)})
+		}
 		if len(l.hubs) >= len(d.hubs) {
 			d.hubs = l.hubs
 		}
--- a/core/bergamotdetour/fleet_test.go
+++ b/core/bergamotdetour/fleet_test.go
@@ -253,13 +253,13 @@
 func (f *fleet) open(e *fleetEntry, c *counts) {
 	var asked []string
 	for len(asked) < maxAsked && e.helpers.Available() {
-		h, ok := e.helpers.Next(asked)
+		h, ok := e.helpers.Next(asked, 0)
 		if !ok {
 			break
 		}
 		asked = append(asked, h.Name())
 		a := f.ask(f.byName[h.Name()])
-		e.helpers.Record(h, a)
+		e.helpers.Record(h, a, 0)
 		if a == bergamotdetour.AnswerConnected {
 			c.opened++
 			c.asks += len(asked)
--- a/core/bergamotdetour/helpers.go
+++ b/core/bergamotdetour/helpers.go
@@ -44,6 +44,7 @@
 	mu       sync.Mutex
 	marks    map[string]mark // what entries answered last, by name
 	pool     []Helper        // entries that opened connections for others when they were drawn
+	leaving  []leavingHelper // entries that are stopping and still help
 	hubs     []Branch        // of all data centres, as a hub knew them at the last draw; used by Step only
 	tree     tree            // used by Step only
 	lacking  bool            // the last draw found no entry that can help
@@ -65,8 +66,9 @@
 	times  int // how often it gave this answer in a row
 }
 
-// Next returns the entry to ask next, none of those that were asked before; ok is false if there is none.
-func (h *Helpers) Next(asked []string) (next Helper, ok bool) {
+// Next returns the entry to ask next for a connection that must not break for a time, none of those that were asked before; ok is false if
+// there is none. An entry that is stopping comes after all that stay.
+func (h *Helpers) Next(asked []string, need time.Duration) (next Helper, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.use()
@@ -91,7 +93,7 @@
 		all = doubtful
 	}
 	if len(all) == 0 {
-		return next, false
+		return h.nextLeaving(asked, need)
 	}
 	return all[h.Random(len(all))], true
 }
@@ -101,7 +103,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.use()
-	return h.countUsable() > 0
+	_, leaving := h.nextLeaving(nil, 0)
+	return leaving || h.countUsable() > 0
+}
+
+// IsSearching reports whether this entry has begun to look for others and none has answered yet.
+func (h *Helpers) IsSearching() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.active && !h.drawn && !h.lacking
 }
 
 // Lacking reports whether this entry needs helpers and the last draw found none.
@@ -132,11 +142,17 @@
 	}
 }
 
-// Record records the answer of an entry.
-func (h *Helpers) Record(e Helper, a Answer) {
+// Record records the answer of an entry, and for how long it still helps if it is stopping, 0 if it is not or does not help.
+func (h *Helpers) Record(e Helper, a Answer, left time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Now()
+	if left > 0 {
+		h.addLeaving([]leavingHelper{{e, now.Add(left)}})
+	}
+	if left > 0 && (a == AnswerConnected || a == AnswerStopping) {
+		return // it may have declined only since the connection is needed for longer
+	}
 	h.record(e.name, a, now)
 	if !h.isHeld(e.name, now) || a == AnswerFull { // one that is full helps again soon
 		return
--- a/core/bergamotdetour/helpers_test.go
+++ b/core/bergamotdetour/helpers_test.go
@@ -104,7 +104,7 @@
 		}
 		for _, name := range everyone {
 			if a, ok := c.answer[name]; ok {
-				h.Record(entryNamed(name), a)
+				h.Record(entryNamed(name), a, 0)
 			}
 		}
 		clock.Advance(c.wait)
@@ -113,7 +113,7 @@
 		}
 		got := map[string]bool{}
 		for range 50 {
-			if next, ok := h.Next(nil); ok {
+			if next, ok := h.Next(nil, 0); ok {
 				got[next.Name()] = true
 			}
 		}
@@ -130,10 +130,10 @@
 		h.Prepare(true)
 		h.Step(context.Background())
 		for range 2 {
-			h.Record(entryNamed("a1"), unreached)
+			h.Record(entryNamed("a1"), unreached, 0)
 		}
 		var asked []string
-		for next, ok := h.Next(asked); ok; next, ok = h.Next(asked) {
+		for next, ok := h.Next(asked, 0); ok; next, ok = h.Next(asked, 0) {
 			asked = append(asked, next.Name())
 		}
 		gomega.Expect(asked).To(gomega.HaveLen(len(everyone)))
@@ -155,7 +155,7 @@
 		gomega.Expect(d.queries.Load()).To(gomega.BeZero())
 		gomega.Expect(clock.PendingTimers()).To(gomega.BeZero())
 
-		_, ok := h.Next(nil)
+		_, ok := h.Next(nil, 0)
 		gomega.Expect(ok).To(gomega.BeTrue())
 		var r bergamotdetour.Draw
 		gomega.Eventually(drawn).Should(gomega.Receive(&r))
--- a/core/bergamotdetour/listing.go
+++ b/core/bergamotdetour/listing.go
@@ -1,5 +1,7 @@
 package bergamotdetour
 
+import "time"
+
 // Branch is an entry that others follow, with the number of entries that read through it, including itself.
 type Branch struct {
 	Helper
@@ -15,6 +17,7 @@
 // Listing is what an entry says about itself and the entries that it knows.
 type Listing struct {
 	answer    Answer
+	left      time.Duration
 	followers []Branch
 	hubs      []Branch
 	helpers   []Helper
@@ -26,9 +29,18 @@
 	return Listing{answer: a, followers: followers, hubs: hubs, helpers: helpers}
 }
 
+// WithLeft returns the listing of an entry that is stopping and helps for a time more.
+func (l Listing) WithLeft(left time.Duration) Listing {
+	l.left = left
+	return l
+}
+
 // Answer returns AnswerConnected if the entry opens connections for others, otherwise why not.
 func (l Listing) Answer() Answer { return l.answer }
 
+// Left returns for how long an entry that is stopping still helps, 0 if it does not.
+func (l Listing) Left() time.Duration { return l.left }
+
 // Followers returns the entries that follow the entry.
 func (l Listing) Followers() []Branch { return l.followers }
 
--- a/core/bergamotdetour/pool.go
+++ b/core/bergamotdetour/pool.go
@@ -66,7 +66,7 @@
 	h.mu.Lock()
 	now := h.Clock.Now()
 	if !h.wanted && now.Sub(h.lastUse) >= idleTime {
-		h.pool, h.hubs, h.tree, h.drawn, h.active, h.pause = nil, nil, nil, false, false, 0
+		h.pool, h.leaving, h.hubs, h.tree, h.drawn, h.active, h.pause = nil, nil, nil, nil, false, false, 0
 		clear(h.marks)
 		h.mu.Unlock()
 		return 0
@@ -196,6 +196,7 @@
 	if d.listed > 0 {
 		h.pool, h.drawn = d.found, true
 	}
+	h.addLeaving(d.leaving)
 	h.lacking = len(d.found) == 0
 	if h.ended != nil {
 		close(h.ended)
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -37,6 +37,8 @@
 	}
 	Exclusions *bergamotpath.Exclusions // runners that asked for no more requests
 	Gate       *LimitGate               // nil for none
+	// ExpectedTime returns how long a call may take, going by recent ones; nil for its deadline.
+	ExpectedTime func(x *Exchange) time.Duration
 
 	mu       sync.Mutex
 	inFlight map[string]int // calls in flight by runner
@@ -176,6 +178,12 @@
 		request: c.x.Request(), runner: instance.Name(), process: instance.Process(), address: instance.Address(), workspace: c.x.Workspace().Name(),
 		timeout: c.x.Deadline().Sub(h.Clock.Now()), resumeAfter: -1, priority: c.x.Priority(),
 	}
+	if !c.x.Route().IsRetryable() {
+		a.need = a.timeout
+		if h.ExpectedTime != nil {
+			a.need = min(a.need, h.ExpectedTime(c.x))
+		}
+	}
 	wasSuspect := c.trial.suspect.Load()
 	go func() {
 		result := h.sendAttempt(ctx, a, &c.answers)
--- a/core/bergamotrelay/shutdown.go
+++ b/core/bergamotrelay/shutdown.go
@@ -87,6 +87,13 @@
 	return err
 }
 
+// ExpectedTime returns how long a call may take, going by the recent ones of its route.
+func (f *ShutdownFilter) ExpectedTime(x *Exchange) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.expectedCallTime(x)
+}
+
 // accepts reports whether the entry can be expected to finish a request, whose answer or timeout must come before it exits.
 func (f *ShutdownFilter) accepts(x *Exchange) bool {
 	f.mu.Lock()
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -270,11 +270,15 @@
 func (s *streamState) attempt(o *opened, lastEvent int) Attempt {
 	p, first := o.plan, o.plan.Stages()[0]
 	runner, known := s.handler.Views.View().Fleet().Instance(first.Instance())
-	return Attempt{
+	a := Attempt{
 		request: s.x.Request(), runner: first.Instance(), process: processOf(runner, known), address: first.Address(), plan: p,
 		workspace: s.x.Workspace().Name(), timeout: s.x.Deadline().Sub(s.handler.Clock.Now()), resumeAfter: lastEvent,
 		priority: s.priority(), onDetour: func(helper string) { o.helper = helper },
 	}
+	if !s.x.Route().IsRetryable() {
+		a.need = a.timeout
+	}
+	return a
 }
 
 // runAttempt sends the request over a path, unless a response has begun there, and forwards the response until the stream ends or
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -23,6 +23,7 @@
 	priority    int
 	onDetour    func(helper string) // nil for none
 	helper      string              // address of the entry over which it went, empty for none
+	need        time.Duration       // for which the connection must not break, 0 if the request may be sent again
 }
 
 // Request returns the caller's request.
@@ -53,6 +54,9 @@
 // Priority returns the priority; 0 is the most urgent.
 func (a Attempt) Priority() int { return a.priority }
 
+// Need returns for how long the connection must not break, 0 if the request may be sent again.
+func (a Attempt) Need() time.Duration { return a.need }
+
 // Detoured records that the attempt went over another entry, the helper.
 func (a Attempt) Detoured(helper string) {
 	if a.onDetour != nil {
--- a/io/bergamotreplication/entries.go
+++ b/io/bergamotreplication/entries.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -21,6 +22,7 @@
 type entriesReply struct {
 	Entry     string                `json:"entry"`
 	Answer    bergamotdetour.Answer `json:"answer"`
+	Left      int64                 `json:"left,omitempty"` // ms for which an entry that is stopping still helps
 	Followers []listedEntry         `json:"followers"`
 	Hubs      []listedEntry         `json:"hubs,omitempty"`
 	Helpers   []listedEntry         `json:"helpers"`
@@ -42,7 +44,7 @@
 func NewEntriesHandler(entry string, lister Lister) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		l := lister.Listing()
-		out := entriesReply{Entry: entry, Answer: l.Answer()}
+		out := entriesReply{Entry: entry, Answer: l.Answer(), Left: l.Left().Milliseconds()}
 		out.Followers, out.Hubs = encodeBranches(l.Followers()), encodeBranches(l.Hubs())
 		for _, h := range l.Helpers() {
 			out.Helpers = append(out.Helpers, listedEntry{Name: h.Name(), Address: h.Address(), Centre: h.Centre()})
@@ -69,7 +71,8 @@
 	for _, e := range out.Helpers {
 		helpers = append(helpers, bergamotdetour.NewHelper(e.Name, e.Address, e.Centre))
 	}
-	return bergamotdetour.NewListing(out.Answer, decodeBranches(out.Followers), decodeBranches(out.Hubs), helpers), nil
+	listing := bergamotdetour.NewListing(out.Answer, decodeBranches(out.Followers), decodeBranches(out.Hubs), helpers)
+	return listing.WithLeft(time.Duration(max(out.Left, 0)) * time.Millisecond), nil
 }
 
 func encodeBranches(list []bergamotdetour.Branch) (out []listedEntry) {
--- a/io/bergamottunnel/client.go
+++ b/io/bergamottunnel/client.go
@@ -40,41 +40,45 @@
 	return n, c.frames.broken(err)
 }
 
-// ask asks a helper for a connection to the runner at an address. The connection is nil unless the answer is AnswerConnected.
-func (d *Dialer) ask(ctx context.Context, helper bergamotdetour.Helper, address string) (c *Conn, a bergamotdetour.Answer) {
+// ask asks a helper for a connection to the runner at an address that must not break for a time. The connection is nil unless the answer is
+// AnswerConnected; left is for how long a helper that is stopping still helps.
+func (d *Dialer) ask(ctx context.Context, helper bergamotdetour.Helper, address string, need time.Duration) (
+	c *Conn, a bergamotdetour.Answer, left time.Duration,
+) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(d.AskTimeout, askTimeout))
 	defer cancel()
 	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
 	raw, err := dialer.DialContext(ctx, "tcp", helper.Address())
 	if err != nil {
-		return nil, bergamotdetour.AnswerSilent
+		return nil, bergamotdetour.AnswerSilent, 0
 	}
-	if c, a = handshake(ctx, raw, helper, d.Entry, address); c == nil {
+	if c, a, left = handshake(ctx, raw, helper, Loan{Entry: d.Entry, Address: address, Need: need}); c == nil {
 		_ = raw.Close() // it is not used
 	}
-	return c, a
+	return c, a, left
 }
 
 // handshake requests a tunnel on a new connection to a helper.
-func handshake(ctx context.Context, raw net.Conn, helper bergamotdetour.Helper, entry, address string) (*Conn, bergamotdetour.Answer) {
+func handshake(ctx context.Context, raw net.Conn, helper bergamotdetour.Helper, l Loan) (*Conn, bergamotdetour.Answer, time.Duration) {
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	req := &http.Request{
-		Method: http.MethodGet, Host: helper.Address(), URL: &url.URL{Path: Path, RawQuery: "to=" + url.QueryEscape(address)}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, fieldEntry: {entry}, "User-Agent": {""}},
+		Method: http.MethodGet, Host: helper.Address(), URL: &url.URL{Path: Path, RawQuery: "to=" + url.QueryEscape(l.Address)}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, fieldEntry: {l.Entry}, fieldNeed: {formatMillis(l.Need)}, "User-Agent": {""}},
 	}
 	if err := req.Write(raw); err != nil {
-		return nil, bergamotdetour.AnswerSilent
+		return nil, bergamotdetour.AnswerSilent, 0
 	}
 	in := bufio.NewReaderSize(raw, readBufferSize)
 	resp, err := http.ReadResponse(in, req)
 	if err != nil || !stop() {
-		return nil, bergamotdetour.AnswerSilent
+		return nil, bergamotdetour.AnswerSilent, 0
 	}
+	left, _ := parseMillis(resp.Header.Get(fieldLeft))
 	defer func() { _ = resp.Body.Close() }() // it is empty
 	if resp.StatusCode != http.StatusSwitchingProtocols {
-		return nil, refusal(resp)
+		return nil, refusal(resp), left
 	}
-	return &Conn{Conn: raw, helper: helper, frames: frameReader{in: in}}, bergamotdetour.AnswerConnected
+	return &Conn{Conn: raw, helper: helper, frames: frameReader{in: in}}, bergamotdetour.AnswerConnected, left
 }
 
 // refusal returns why a helper opened no tunnel. An entry of an older build knows no tunnels.
--- a/io/bergamottunnel/dialer.go
+++ b/io/bergamottunnel/dialer.go
@@ -26,10 +26,11 @@
 
 // Helpers chooses the entries that are asked for connections.
 type Helpers interface {
-	// Next returns the entry to ask next, none of those that were asked before; ok is false if there is none.
-	Next(asked []string) (h bergamotdetour.Helper, ok bool)
-	// Record records the answer of an entry.
-	Record(h bergamotdetour.Helper, a bergamotdetour.Answer)
+	// Next returns the entry to ask next for a connection that must not break for a time, none of those that were asked before; ok is
+	// false if there is none.
+	Next(asked []string, need time.Duration) (h bergamotdetour.Helper, ok bool)
+	// Record records the answer of an entry, and for how long it still helps if it is stopping.
+	Record(h bergamotdetour.Helper, a bergamotdetour.Answer, left time.Duration)
 	// Wait waits until other entries may have been found, for at most a timeout.
 	Wait(ctx context.Context, timeout time.Duration)
 }
@@ -43,8 +44,8 @@
 	Helpers Helpers
 	// AskTimeout is how long a helper may take to answer, 0 for 100 ms.
 	AskTimeout time.Duration
-	// OnAnswer is called with each answer of a helper.
-	OnAnswer func(h bergamotdetour.Helper, address string, a bergamotdetour.Answer)
+	// OnAnswer is called with each answer of a helper, and for how long it still helps if it is stopping.
+	OnAnswer func(h bergamotdetour.Helper, address string, a bergamotdetour.Answer, left time.Duration)
 }
 
 // Dial opens a connection to the runner at an address. The error is ErrNoHelper if nothing is known about the runner.
@@ -161,9 +162,9 @@
 func (d *Dialer) detour(ctx context.Context, address string) (c *Conn, a bergamotdetour.Answer, sure bool) {
 	var asked []string
 	var verdict bergamotdetour.Answer
-	unreached, waited := 0, false
+	unreached, waited, need := 0, false, needOf(ctx)
 	for len(asked) < maxAsked && unreached < maxUnreached && ctx.Err() == nil {
-		h, ok := d.Helpers.Next(asked)
+		h, ok := d.Helpers.Next(asked, need)
 		if !ok && !waited {
 			waited = true
 			d.Helpers.Wait(ctx, findTimeout)
@@ -173,12 +174,13 @@
 			break
 		}
 		asked = append(asked, h.Name())
-		c, a = d.ask(ctx, h, address)
+		var left time.Duration
+		c, a, left = d.ask(ctx, h, address, need)
 		if c == nil && ctx.Err() != nil {
 			break // the connection is not needed any more; the helper is not at fault
 		}
-		d.Helpers.Record(h, a)
-		d.OnAnswer(h, address, a)
+		d.Helpers.Record(h, a, left)
+		d.OnAnswer(h, address, a, left)
 		if c != nil {
 			return c, a, true
 		}
@@ -190,6 +192,20 @@
 	return nil, verdict, unreached >= maxUnreached
 }
 
+// needKey is the key of the time for which a connection must not break in a context.
+type needKey struct{}
+
+// WithNeed returns a context in which Dial opens only connections that are expected to last for a time, since what is sent over them must
+// not be sent again.
+func WithNeed(ctx context.Context, need time.Duration) context.Context {
+	return context.WithValue(ctx, needKey{}, need)
+}
+
+func needOf(ctx context.Context) time.Duration {
+	need, _ := ctx.Value(needKey{}).(time.Duration)
+	return need
+}
+
 // viaKey is the key of a Via in a context.
 type viaKey struct{}
 
--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,8 +22,28 @@
 	protocol    = "bergamot-tunnel"
 	fieldAnswer = "Tunnel-Answer"
 	fieldEntry  = "Tunnel-Entry" // of a request: the entry that asks
+	fieldNeed   = "Tunnel-Need"  // of a request: ms for which the connection must not break; builds that know nothing of stops send none
+	fieldLeft   = "Tunnel-Left"  // of an answer: ms for which a helper that is stopping still helps
 )
 
+// Loan is a connection to a runner that another entry asks for.
+type Loan struct {
+	Entry   string        // that asks
+	Address string        // of the runner
+	Need    time.Duration // for which the connection must not break, since what is sent over it must not be sent again
+	Stays   bool          // the entry that asks takes no connection that ends with a stop
+	Holds   bool          // a stop of this entry waits for it
+}
+
+// formatMillis returns a time in milliseconds.
+func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// parseMillis returns the time that a text has in milliseconds; ok is false if it is none.
+func parseMillis(text string) (d time.Duration, ok bool) {
+	n, err := strconv.ParseInt(text, 10, 32)
+	return time.Duration(n) * time.Millisecond, err == nil && n >= 0
+}
+
 // tunnelBytes is the charge of the connection to a runner: its goroutine, both buffers, and what the kernel may hold for it.
 const tunnelBytes = 32 << 10
 
@@ -31,8 +52,9 @@
 
 // Lender decides whether this entry helps another one.
 type Lender interface {
-	// Lend returns AnswerConnected if a connection to the runner at an address may be opened for an entry, otherwise why not.
-	Lend(entry, address string) bergamotdetour.Answer
+	// Lend returns AnswerConnected if a connection may be opened, otherwise why not, and for how long this entry still helps if it is
+	// stopping.
+	Lend(l Loan) (a bergamotdetour.Answer, left time.Duration)
 }
 
 // Handler serves the tunnels of other entries. It opens only direct connections, so that no request takes two detours.
@@ -43,8 +65,8 @@
 	// Account is charged for the connections to runners; those of the entries are charged by their listener.
 	Account *bergamotaccount.Account
 	// OnEnd is called when a tunnel ends, with the number of bytes from the runner; OnAnswer after each answer. nil for none.
-	OnEnd    func(entry, address string, bytes int64)
-	OnAnswer func(entry, address string, a bergamotdetour.Answer)
+	OnEnd    func(l Loan, bytes int64)
+	OnAnswer func(l Loan, a bergamotdetour.Answer)
 
 	open atomic.Int64
 }
@@ -54,13 +76,19 @@
 
 // ServeHTTP answers a request for a tunnel, and carries it until one side closes it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	entry, address := r.Header.Get(fieldEntry), r.URL.Query().Get("to")
+	need, knowsStops := parseMillis(r.Header.Get(fieldNeed))
+	l := Loan{Entry: r.Header.Get(fieldEntry), Address: r.URL.Query().Get("to"), Need: need, Stays: !knowsStops}
 	// The connection counts before the answer, so that as many are lent as allowed when many entries ask at once.
 	h.open.Add(1)
 	defer h.open.Add(-1)
-	runner, charge, a := h.connect(r.Context(), entry, address)
+	runner, charge, a, left := h.connect(r.Context(), l)
+	// What is lent during a stop makes it no longer, unless the other entry was promised that it does not break.
+	l.Holds = left == 0 || l.Need > 0
 	if h.OnAnswer != nil {
-		h.OnAnswer(entry, address, a)
+		h.OnAnswer(l, a)
+	}
+	if left > 0 {
+		w.Header().Set(fieldLeft, formatMillis(left))
 	}
 	if a != bergamotdetour.AnswerConnected {
 		w.Header().Set(fieldAnswer, string(a))
@@ -71,18 +99,25 @@
 	defer func() { _ = runner.Close() }() // the tunnel has ended
 	n := carry(w, runner)
 	if h.OnEnd != nil {
-		h.OnEnd(entry, address, n)
+		h.OnEnd(l, n)
 	}
 }
 
-// connect returns a direct connection to a runner and its charge, or an answer that says why there is none.
-func (h *Handler) connect(ctx context.Context, entry, address string) (runner net.Conn, charge *bergamotaccount.Charge, a bergamotdetour.Answer) {
+// connect returns a direct connection to a runner and its charge, or an answer that says why there is none, and for how long this entry still
+// helps if it is stopping.
+func (h *Handler) connect(ctx context.Context, l Loan) (runner net.Conn, charge *bergamotaccount.Charge, a bergamotdetour.Answer, left time.Duration) {
 	if h.Links.AreLost() {
-		return nil, nil, bergamotdetour.AnswerCut
+		return nil, nil, bergamotdetour.AnswerCut, 0
 	}
-	if a = h.Lender.Lend(entry, address); a != bergamotdetour.AnswerConnected {
-		return nil, nil, a
+	if a, left = h.Lender.Lend(l); a != bergamotdetour.AnswerConnected {
+		return nil, nil, a, left
 	}
+	runner, charge, a = h.dial(ctx, l.Entry, l.Address)
+	return runner, charge, a, left
+}
+
+// dial is connect for a connection that may be lent.
+func (h *Handler) dial(ctx context.Context, entry, address string) (runner net.Conn, charge *bergamotaccount.Charge, a bergamotdetour.Answer) {
 	dialCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	runner, err := h.Dial(dialCtx, "tcp", address)
@@ -118,7 +153,11 @@
 		return 0 // the entry has gone away
 	}
 	defer func() { _ = entry.Close() }() // the tunnel has ended
-	head := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"
+	head := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n"
+	if left := w.Header().Get(fieldLeft); left != "" {
+		head += fieldLeft + ": " + left + "\r\n"
+	}
+	head += "\r\n"
 	if _, err = io.WriteString(entry, head); err != nil {
 		return 0
 	}
--- a/io/bergamottunnel/tunnel_bench_test.go
+++ b/io/bergamottunnel/tunnel_bench_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"bergamotspur/core/bergamotaccount"
 	"bergamotspur/core/bergamotclock"
@@ -26,7 +27,7 @@
 	b.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
 	h := &helpers{list: []bergamotdetour.Helper{bergamotdetour.NewHelper(address, address, "a")}}
-	ignore := func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}
+	ignore := func(bergamotdetour.Helper, string, bergamotdetour.Answer, time.Duration) {}
 	return map[string]*bergamottunnel.Dialer{
 		"direct": {Direct: (&net.Dialer{}).DialContext, Links: newLinks(), Helpers: h, OnAnswer: ignore},
 		"helper": {Direct: refuse, Links: lose(newLinks()), Helpers: h, OnAnswer: ignore},
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -58,7 +58,9 @@
 // lender gives the same answer to all.
 type lender bergamotdetour.Answer
 
-func (l lender) Lend(string, string) bergamotdetour.Answer { return bergamotdetour.Answer(l) }
+func (l lender) Lend(bergamottunnel.Loan) (bergamotdetour.Answer, time.Duration) {
+	return bergamotdetour.Answer(l), 0
+}
 
 // helpers are the entries of a spec, asked in their order.
 type helpers struct {
@@ -71,7 +73,7 @@
 	noMemory bool                   // the entries that are added have none
 }
 
-func (h *helpers) Next(asked []string) (bergamotdetour.Helper, bool) {
+func (h *helpers) Next(asked []string, _ time.Duration) (bergamotdetour.Helper, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := slices.IndexFunc(h.list, func(e bergamotdetour.Helper) bool { return !slices.Contains(asked, e.Name()) })
@@ -93,7 +95,7 @@
 	return &bergamotaccount.Account{Max: map[bool]int64{false: 1 << 20}[h.noMemory], Clock: bergamotclock.Real{}}
 }
 
-func (h *helpers) Record(_ bergamotdetour.Helper, a bergamotdetour.Answer) {
+func (h *helpers) Record(_ bergamotdetour.Helper, a bergamotdetour.Answer, _ time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.answers = append(h.answers, a)
@@ -118,7 +120,7 @@
 	case bergamotdetour.AnswerCut:
 		lose(handler.Links)
 	case bergamotdetour.AnswerSilent:
-		handler.OnAnswer = func(string, string, bergamotdetour.Answer) { panic(http.ErrAbortHandler) } // closes the connection
+		handler.OnAnswer = func(bergamottunnel.Loan, bergamotdetour.Answer) { panic(http.ErrAbortHandler) } // closes the connection
 	case bergamotdetour.AnswerRefused:
 		handler.Lender, handler.Dial = lender(bergamotdetour.AnswerConnected), refuse
 	case bergamotdetour.AnswerUnreached:
@@ -178,7 +180,7 @@
 		if c.lost {
 			lose(links)
 		}
-		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: c.direct, Links: links, Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: c.direct, Links: links, Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer, time.Duration) {}}
 		if d.Direct == nil {
 			d.Direct = (&net.Dialer{}).DialContext
 		}
@@ -246,7 +248,7 @@
 		clock := bergamotclock.NewVirtual(time.Unix(1000, 0))
 		h := &helpers{clock: clock}
 		h.add(bergamotdetour.AnswerRefused)
-		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: lose(newLinks()), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: lose(newLinks()), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer, time.Duration) {}}
 		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
 			clock.Advance(100 * time.Millisecond)
 			_, err := d.Dial(context.Background(), "tcp", address)
@@ -259,7 +261,7 @@
 	ginkgo.It("is tried again when only one helper did not reach the runner", func() {
 		h, links := &helpers{}, newLinks()
 		h.add(bergamotdetour.AnswerRefused)
-		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: links, Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: links, Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer, time.Duration) {}}
 		for range 2 {
 			_, err := d.Dial(context.Background(), "tcp", "127.0.0.1:1")
 			gomega.Expect(errors.Is(err, errRefused)).To(gomega.BeTrue(), "%v", err)
@@ -280,7 +282,7 @@
 	ginkgo.It("is not opened by a helper without memory", func() {
 		r, h := newRunner(), &helpers{noMemory: true}
 		h.add(bergamotdetour.AnswerConnected)
-		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: newLinks(), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: newLinks(), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer, time.Duration) {}}
 		_, err := d.Dial(context.Background(), "tcp", r.address())
 		gomega.Expect(errors.Is(err, errRefused)).To(gomega.BeTrue(), "%v", err)
 		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerFull}))
@@ -294,7 +296,7 @@
 			return hang(ctx, network, address)
 		}
 		handler := &bergamottunnel.Handler{Dial: wait, Lender: lender(bergamotdetour.AnswerConnected), Links: links, Account: (&helpers{}).account()}
-		handler.OnAnswer = func(_, _ string, a bergamotdetour.Answer) { ended <- a }
+		handler.OnAnswer = func(_ bergamottunnel.Loan, a bergamotdetour.Answer) { ended <- a }
 		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
 			ctx, leave := context.WithCancel(context.Background())
 			r := httptest.NewRequestWithContext(ctx, http.MethodGet, bergamottunnel.Path+"?to="+address, nil)
@@ -336,7 +338,7 @@
 
 // dialOver opens a connection to a runner over a helper.
 func dialOver(h *helpers, r *runner) net.Conn {
-	d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: newLinks(), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer) {}}
+	d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: newLinks(), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer, time.Duration) {}}
 	conn, err := d.Dial(context.Background(), "tcp", r.address())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return conn
