Try a call again that reached no runner while the links are in doubt

Change: if nothing was sent and several runners are missed and none reached since, the call is tried at all of them again after 60 ms, up to three times. Runners that are full, and attempts that may have run, are not concerned.

--- a/core/bergamotdetour/links.go
+++ b/core/bergamotdetour/links.go
@@ -253,6 +253,12 @@
 	return l.lost
 }
 
+// MayBeLost reports whether several runners were not reached and none since, however short ago that began.
+func (l *Links) MayBeLost() bool {
+	_, ok := l.DoubtfulAt()
+	return ok
+}
+
 // AreDoubtful reports whether the links are lost or may be: several runners were not reached, and none since.
 func (l *Links) AreDoubtful() bool {
 	at, ok := l.DoubtfulAt()
--- a/core/bergamotrate/book.go
+++ b/core/bergamotrate/book.go
@@ -47,7 +47,7 @@
 
 // named records that a process has named a limit in an answer, and returns it if that is new.
 func (b *Book) named(process string, rate float64) (news []Limit) {
-	return b.Learn([]Limit{NewLimit(process, rate, b.storeTime())}, true)
+	return b.Learn([]Limit{NewLimit(process, rate, b.timeOfAnswer(process))}, true)
 }
 
 // unnamed records that a process has named no limit in an answer, and returns the end of its limit if there was one.
@@ -55,14 +55,20 @@
 	if _, ok := b.Rate(process); !ok {
 		return nil
 	}
-	return b.Learn([]Limit{NewEnd(process, b.storeTime())}, true)
+	return b.Learn([]Limit{NewEnd(process, b.timeOfAnswer(process))}, true)
 }
 
-// storeTime returns the time of the store's clock, 0 if it is not known: such a limit gives way to any with a time, and the next
-// answer of the runner says it again.
-func (b *Book) storeTime() time.Duration {
-	t, _ := b.StoreTime()
-	return t
+// timeOfAnswer returns the time of the store's clock for an answer of a process, 0 if that clock is not known: such a limit gives way to any
+// with a time, and the next answer says it again. An answer to this entry always counts, also if the store's clock has gone back in a restore,
+// or another entry has a later estimate of it.
+func (b *Book) timeOfAnswer(process string) time.Duration {
+	now, _ := b.StoreTime()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r, known := b.records[process]; known {
+		return max(now, r.limit.at+1)
+	}
+	return now
 }
 
 // Learn records limits and returns those that change what the book says. If own is set, they come from the runners themselves, or from
--- a/core/bergamotrate/rate_test.go
+++ b/core/bergamotrate/rate_test.go
@@ -54,6 +54,17 @@
 		gomega.Expect(news).To(gomega.Equal(c.news))
 	})
 
+	// Guards against a limit that never ends because the store's clock has gone back in a restore.
+	ginkgo.It("follow each answer to this entry", func() {
+		b, _ := newBook()
+		b.Learn([]Limit{limit(2, 1000000)}, false)
+		b.named("r@1", 3)
+		rate, _ := b.Rate("r@1")
+		gomega.Expect(rate).To(gomega.Equal(3.0))
+		gomega.Expect(b.unnamed("r@1")).To(gomega.HaveLen(1))
+		gomega.Expect(b.Any()).To(gomega.BeFalse())
+	})
+
 	// Guards against limits of runners that are gone for good.
 	ginkgo.It("are forgotten with their process, and their ends after a while", func() {
 		b, clock := newBook()
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -20,6 +20,10 @@
 	// remotePenalty is added to the number of calls in flight of a runner in another data centre, so that a local
 	// runner is preferred at a similar load.
 	remotePenalty = 0.5
+	// maxLinkRounds is how often a call that reached no runner is tried at all of them again while the links of the entry are in doubt, and
+	// linkRoundDelay the time before that. By then the entry has found others over which it reaches them, or knows that there are none.
+	maxLinkRounds  = 3
+	linkRoundDelay = 60 * time.Millisecond
 )
 
 // CallHandler is the handler for requests to services without a model engine.
@@ -37,6 +41,9 @@
 	}
 	Exclusions *bergamotpath.Exclusions // runners that asked for no more requests
 	Gate       *LimitGate               // nil for none
+	// MayLackLinks reports whether this entry may have lost its links to all runners, as far as it can know within milliseconds; nil for
+	// never.
+	MayLackLinks func() bool
 	// ExpectedTime returns how long a call may take, going by recent ones; nil for its deadline.
 	ExpectedTime func(x *Exchange) time.Duration
 
@@ -92,6 +99,7 @@
 	attempts     int             // attempts so far
 	results      chan attemptResult
 	failure      *Failure // failure of the last attempt
+	linkRounds   int      // how often all runners were tried again because of the links
 	trial        *trial
 	answers      answers
 	fallback     *attemptResult // 5xx response of an attempt, returned if no later attempt gives a better one
@@ -138,7 +146,7 @@
 			if c.inFlight == 0 && c.fallback != nil {
 				return c.reply(*c.fallback)
 			}
-			if c.inFlight == 0 {
+			if c.inFlight == 0 && (!c.awaitLinks(ctx) || !c.startAttempt(ctx)) {
 				return c.refuse(ctx)
 			}
 		case <-hedge:
@@ -263,6 +271,25 @@
 	return true
 }
 
+// awaitLinks waits for a moment if the call has reached no runner although they may all be well, and reports whether it may be tried at all of
+// them again. Nothing was sent to any of them.
+func (c *callState) awaitLinks(ctx context.Context) bool {
+	h := c.handler
+	isUnreached := c.possibleRuns == 0 && c.failure.runState == bergamotrequest.RunNo && c.failure.reason == bergamotrequest.ReasonTarget
+	if !isUnreached || h.MayLackLinks == nil || !h.MayLackLinks() || c.linkRounds >= maxLinkRounds {
+		return false
+	}
+	c.linkRounds++
+	select {
+	case <-ctx.Done():
+		return false
+	case <-h.Clock.After(linkRoundDelay):
+	}
+	c.x.Trace().AddStep("tried again, since the links are in doubt")
+	c.tried, c.attempts = map[string]bool{}, 0
+	return true
+}
+
 // refuse returns a refusal that states why there is no response.
 func (c *callState) refuse(ctx context.Context) error {
 	runState := bergamotrequest.RunNo
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -303,12 +303,13 @@
 	return h.Handle(ctx, g.x)
 }
 
-func (g *rig) call(ctx context.Context) error {
-	h := &CallHandler{
+func (g *rig) call(ctx context.Context) error { return g.callHandler().Handle(ctx, g.x) }
+
+func (g *rig) callHandler() *CallHandler {
+	return &CallHandler{
 		Clock: g.clock, Upstream: g.upstream, Views: g.views, Budget: g.budget, Observer: g.observer, Centre: "a", Avoid: g.router, Quarantine: g.quarantine(), Exclusions: &bergamotpath.Exclusions{Clock: g.clock},
 		Gate: g.gate,
 	}
-	return h.Handle(ctx, g.x)
 }
 
 func (g *rig) quarantine() *Quarantine {
--- a/core/bergamotrelay/link_test.go
+++ b/core/bergamotrelay/link_test.go
@@ -21,6 +21,13 @@
 	wantSends int
 }
 
+type doubtCase struct {
+	doubt     bool
+	replies   []reply
+	want      string
+	wantSends int
+}
+
 type lateCase struct {
 	reply reply
 	want  string
@@ -29,6 +36,7 @@
 var _ = ginkgo.Describe("a request of an entry without links to the runners", func() {
 	const once, many, stream = bergamotconfig.RouteNonIdempotent, bergamotconfig.RouteIdempotent, bergamotconfig.RouteStreaming
 	noHelper := reply{failure: NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonLink, errors.New("no helper"))}
+	unreached := reply{failure: NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonTarget, errors.New("connection reset"))}
 	broken := reply{failure: NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonLink, errors.New("the tunnel broke off"))}
 	ok := reply{body: "ok", events: 3}
 	// Guards against runners that are marked as failed and retries that are used up because the own links or a helper failed, and
@@ -58,6 +66,23 @@
 		}
 	})
 
+	// Guards against calls that are refused within milliseconds of the loss of the links, before others are found that reach the runners, and
+	// against calls that are tried again although a runner may have got them, or the links work.
+	bergamottest.Cases(map[string]doubtCase{
+		"reaches a runner a moment later":         {doubt: true, replies: []reply{unreached, unreached, unreached, ok}, want: "answered", wantSends: 4},
+		"ends when no runner is reached":          {doubt: true, replies: []reply{unreached}, want: "target no", wantSends: 12},
+		"is refused at once while the links work": {replies: []reply{unreached}, want: "target no", wantSends: 3},
+		"is not repeated once it may have run":    {doubt: true, replies: []reply{{failure: reset()}, ok}, want: "target unknown", wantSends: 1},
+		"is not repeated where runners are full":  {doubt: true, replies: []reply{{failure: rejected()}}, want: "full no", wantSends: 3},
+	}, func(c doubtCase) {
+		g := newRig(route(bergamotconfig.RouteSpec{Type: once, MaxAttempts: 1}), plain, c.replies...)
+		g.budget.left = 100
+		h := g.callHandler()
+		h.Clock, h.MayLackLinks = instantClock{g.clock}, func() bool { return c.doubt }
+		gomega.Expect(outcomeOf(h.Handle(context.Background(), g.x))).To(gomega.Equal(c.want))
+		gomega.Expect(g.upstream.attempts).To(gomega.HaveLen(c.wantSends))
+	})
+
 	// Guards against a stream whose outcome is left open although its connection was never opened.
 	bergamottest.Cases(map[string]lateCase{
 		"has not run when its time passes before it is sent":  {reply{unsent: true}, "deadline no"},
