Let the soak check a limit during its cuts, and say what permits cost

The soak names a limit at one runner while entries are cut off, and fails if it gets more in any span of 4 s than the platform allows.

--- a/core/bergamotrate/sharing_test.go
+++ b/core/bergamotrate/sharing_test.go
@@ -58,6 +58,7 @@
 	stop   context.CancelFunc
 
 	mu     sync.Mutex
+	asked  int           // queries of other entries
 	away   bool          // cut off from the other entries, or frozen
 	back   chan struct{} // closed at the end of that
 	frozen bool
@@ -100,6 +101,9 @@
 		}
 		time.Sleep(simHop)
 	}
+	other.mu.Lock()
+	other.asked++
+	other.mu.Unlock()
 	given, err := other.broker.Answer(ctx, wants, hops)
 	if err == nil {
 		err = other.reach(ctx)
@@ -327,7 +331,11 @@
 	}
 	allowed := (1+c.extra*s.unreached)*rate*simSpan.Seconds() + slack
 	used := float64(all) / (rate * length.Seconds())
-	t.Logf("%d in %v, at most %.1f; %.2f of the limit used", most, simSpan, allowed, used)
+	busiest := 0
+	for _, e := range s.entries {
+		busiest = max(busiest, e.asked)
+	}
+	t.Logf("%d in %v, at most %.1f; %.2f of the limit used; the busiest entry answers %.0f queries a second", most, simSpan, allowed, used, float64(busiest)/(simWarmup+length).Seconds())
 	if float64(most) > allowed || allowed > 1.5*rate*simSpan.Seconds()+5 {
 		t.Errorf("%d requests in %v, more than %.1f", most, simSpan, allowed)
 	}
--- a/io/bergamotsoak/harness_test.go
+++ b/io/bergamotsoak/harness_test.go
@@ -42,6 +42,8 @@
 	version atomic.Int64
 	revoked sync.Map // time at which the store confirmed the revocation, by key
 	cuts    []cut    // that no other fault overlapped
+	// limitFrom and limitTo are the time in which the last target had a limit that all entries knew.
+	limitFrom, limitTo time.Time
 }
 
 // newHarness starts entries in the data centres of the soak.
@@ -163,8 +165,21 @@
 	return out
 }
 
+// limitViolations returns the spans of time in which the runner with a limit got more than the platform allows.
+func (h *harness) limitViolations() (out []string) {
+	const span = 4 * time.Second
+	limited := h.targets[len(h.targets)-1].runner
+	for from := h.limitFrom; !from.Add(span).After(h.limitTo); from = from.Add(100 * time.Millisecond) {
+		if n := limited.RunsIn(from, from.Add(span)); float64(n) > 1.5*cutLimit*span.Seconds()+5 {
+			out = append(out, fmt.Sprintf("%s got %d requests in %s at a limit of %v a second", limited.ID, n, span, cutLimit))
+		}
+	}
+	return out
+}
+
 // violations returns a sorted list of the guarantees that were broken, with the request that shows each.
 func (h *harness) violations() (out []string) {
+	out = h.limitViolations()
 	runsByID := h.runsByID()
 	for _, v := range h.results.all() {
 		n := len(runsByID[v.id])
--- a/io/bergamotsoak/soak_test.go
+++ b/io/bergamotsoak/soak_test.go
@@ -23,7 +23,7 @@
 	"bergamotspur/io/bergamotfake"
 )
 
-// Guards against bookings that run twice, refusals marked as not run for requests that did run, answers that are truncated
+// Guards against a runner that gets more than it names, bookings that run twice, refusals marked as not run for requests that did run, answers that are truncated
 // or belong to another request, keys that work after their revocation, entries that do not recover, and requests that an entry
 // which is cut off from the runners does not serve while another one could help.
 var _ = ginkgo.Describe("the guarantees under overlapping faults", func() {
@@ -36,6 +36,9 @@
 	callers         = 4
 	cutsAlone       = 3                       // cuts after the other faults
 	cutTime         = 1200 * time.Millisecond // of each
+	// cutLimit is the number of requests a second that a runner names meanwhile, and limitLearned how long entries have to learn it.
+	cutLimit     = 5.0
+	limitLearned = time.Second
 )
 
 // faultScript injects overlapping faults drawn from a seed.
@@ -181,6 +184,10 @@
 		gomega.Eventually(e.knowsOthers).WithTimeout(maxRecoveryTime).
 			Should(gomega.BeTrue(), func() string { return fmt.Sprintf("%s does not learn of the other entries\n%s", e.name, e.log) })
 	}
+	limited := h.targets[len(h.targets)-1].runner
+	limited.SetRateLimit(fmt.Sprint(cutLimit))
+	defer limited.SetRateLimit("")
+	h.limitFrom = time.Now().Add(limitLearned)
 	for range cutsAlone {
 		c := cut{kind: cutKinds[s.random.IntN(len(cutKinds))], entries: s.someEntries(1 + s.random.IntN(len(h.entries)-1))}
 		setCut(c.entries, c.kind)
@@ -192,6 +199,7 @@
 		steps = append(steps, fmt.Sprint(len(c.entries), " entries cut off by ", c.kind))
 		<-time.After(cutTime)
 	}
+	h.limitTo = time.Now()
 	return steps
 }
 
