--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -264,6 +264,8 @@
 	case c.handler.Quarantine.isConfirmed(c.x):
 		c.x.Trace().AddStep("not sent again, since runners crashed")
 		return false
+	case c.failure.unsent && c.handler.mayLackLinks():
+		return true // nothing has reached a runner, and the links are at fault
 	case !c.handler.Budget.Take(c.x.Service().Name()):
 		c.x.Trace().AddStep("no retry budget")
 		return false
@@ -271,12 +273,14 @@
 	return true
 }
 
+func (h *CallHandler) mayLackLinks() bool { return h.MayLackLinks != nil && h.MayLackLinks() }
+
 // awaitLinks waits for a moment if the call has reached no runner although they may all be well, and reports whether it may be tried at all of
 // them again. Nothing was sent to any of them.
 func (c *callState) awaitLinks(ctx context.Context) bool {
 	h := c.handler
 	isUnreached := c.possibleRuns == 0 && c.failure.runState == bergamotrequest.RunNo && c.failure.reason == bergamotrequest.ReasonTarget
-	if !isUnreached || h.MayLackLinks == nil || !h.MayLackLinks() || c.linkRounds >= maxLinkRounds {
+	if !isUnreached || !h.mayLackLinks() || c.linkRounds >= maxLinkRounds {
 		return false
 	}
 	c.linkRounds++
--- a/core/bergamotrelay/link_test.go
+++ b/core/bergamotrelay/link_test.go
@@ -23,6 +23,7 @@
 
 type doubtCase struct {
 	doubt     bool
+	noBudget  bool // there is no retry left
 	replies   []reply
 	want      string
 	wantSends int
@@ -37,6 +38,7 @@
 	const once, many, stream = bergamotconfig.RouteNonIdempotent, bergamotconfig.RouteIdempotent, bergamotconfig.RouteStreaming
 	noHelper := reply{failure: NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonLink, errors.New("no helper"))}
 	unreached := reply{failure: NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonTarget, errors.New("connection reset"))}
+	unsent := reply{failure: unreached.failure.Unsent()}
 	broken := reply{failure: NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonLink, errors.New("the tunnel broke off"))}
 	ok := reply{body: "ok", events: 3}
 	// Guards against runners that are marked as failed and retries that are used up because the own links or a helper failed, and
@@ -71,12 +73,14 @@
 	bergamottest.Cases(map[string]doubtCase{
 		"reaches a runner a moment later":         {doubt: true, replies: []reply{unreached, unreached, unreached, ok}, want: "answered", wantSends: 4},
 		"ends when no runner is reached":          {doubt: true, replies: []reply{unreached}, want: "target no", wantSends: 12},
+		"needs no budget for retries":             {doubt: true, noBudget: true, replies: []reply{unsent, unsent, unsent, ok}, want: "answered", wantSends: 4},
+		"needs some after a rejection":            {noBudget: true, replies: []reply{{failure: rejected()}, ok}, want: "full no", wantSends: 1},
 		"is refused at once while the links work": {replies: []reply{unreached}, want: "target no", wantSends: 3},
 		"is not repeated once it may have run":    {doubt: true, replies: []reply{{failure: reset()}, ok}, want: "target unknown", wantSends: 1},
 		"is not repeated where runners are full":  {doubt: true, replies: []reply{{failure: rejected()}}, want: "full no", wantSends: 3},
 	}, func(c doubtCase) {
 		g := newRig(route(bergamotconfig.RouteSpec{Type: once, MaxAttempts: 1}), plain, c.replies...)
-		g.budget.left = 100
+		g.budget.left = map[bool]int{false: 100}[c.noBudget]
 		h := g.callHandler()
 		h.Clock, h.MayLackLinks = instantClock{g.clock}, func() bool { return c.doubt }
 		gomega.Expect(outcomeOf(h.Handle(context.Background(), g.x))).To(gomega.Equal(c.want))
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -135,6 +135,8 @@
 		return false
 	case f.retryTaken:
 		return true
+	case f.unsent && s.handler.MayLackLinks != nil && s.handler.MayLackLinks():
+		return true // nothing has reached a runner, and the links are at fault
 	case !s.handler.Budget.TakeWithin(s.x.Service().Name(), s.budgetShare()):
 		s.x.Trace().AddStep("no retry budget")
 		return false
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -71,6 +71,8 @@
 	Quarantine    *Quarantine
 	Links         Links
 	Gate          *LimitGate // nil for none
+	// MayLackLinks is that of CallHandler.
+	MayLackLinks func() bool
 }
 
 // Links tells what is known of the links of this entry to the runners.
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -96,6 +96,8 @@
 	reason       bergamotrequest.Reason
 	faultAddress string
 	cause        error
+	// unsent is set if there was no connection on which anything could be sent, so that no runner has got the request.
+	unsent bool
 	// retryTaken is set when the next attempt has already been taken from the retry budget.
 	retryTaken bool
 }
@@ -111,6 +113,12 @@
 	return &f
 }
 
+// Unsent returns a copy for an attempt that got no connection, so that no runner has got the request.
+func (f Failure) Unsent() *Failure {
+	f.unsent = true
+	return &f
+}
+
 // withRun returns a copy with whether the request was run.
 func (f Failure) withRun(s bergamotrequest.RunState) *Failure {
 	f.runState = s
