--- a/core/bergamotrelay/limitgate.go
+++ b/core/bergamotrelay/limitgate.go
@@ -144,8 +144,15 @@
 	return g.lines[service]
 }
 
-// Waiting returns how many requests for a service wait.
-func (g *LimitGate) Waiting(service string) int { return g.line(service).Len() }
+// Waiting returns how many requests wait, for all services.
+func (g *LimitGate) Waiting() (n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.lines {
+		n += l.Len()
+	}
+	return n
+}
 
 // pace returns how many requests a second the runners of a service take from callers. It is not known if one of them has no limit.
 func (g *LimitGate) pace(x *Exchange) (p bergamotrate.Pace) {
