Let entries ask for the permits of many runners at once

Found by reading: the server for other entries took bodies of 4 KB only, about 45 runners in a query for permits; a longer one was refused with 413, and the entry went on with half of the limits as if no owner were there. Change: the server takes the 128 KB that the handler takes, and a query names at most 256 runners. The account is charged for the length that arrives, as before.

--- a/core/bergamotrate/broker.go
+++ b/core/bergamotrate/broker.go
@@ -22,7 +22,7 @@
 	// maxHops is the largest number of entries that a query passes: three followers, their hub, another hub and the owner.
 	maxHops = 6
 	// maxWants is the largest number of processes in one query; further ones wait for the next.
-	maxWants = 512
+	maxWants = 256
 	// tidyInterval is the time between two removals of what belongs to limits that have ended.
 	tidyInterval = 5 * time.Second
 )
--- a/io/bergamotreplication/handler.go
+++ b/io/bergamotreplication/handler.go
@@ -12,12 +12,11 @@
 	"bergamotspur/io/bergamotwire"
 )
 
-const (
-	// maxQueryBytes is the maximum size of a query; one has about 200 bytes.
-	maxQueryBytes = 4 << 10
-	// maxPermitQueryBytes is the same for permits, of which one query wants those of up to 512 processes with about 90 bytes each.
-	maxPermitQueryBytes = 128 << 10
-)
+// maxQueryBytes is the maximum size of a query; one has about 200 bytes.
+const maxQueryBytes = 4 << 10
+
+// MaxQueryBytes is the maximum size of a query for permits, the longest of all: it may want those of 256 processes with up to 300 bytes each.
+const MaxQueryBytes = 128 << 10
 
 // Source answers queries.
 type Source interface {
@@ -87,7 +86,7 @@
 	})
 	mux.HandleFunc("POST "+pathPermit, func(w http.ResponseWriter, r *http.Request) {
 		var in permitQuery
-		if !decodeWithin(w, r, &in, maxPermitQueryBytes) {
+		if !decodeWithin(w, r, &in, MaxQueryBytes) {
 			return
 		}
 		var wants []bergamotrate.Want
