--- a/core/bergamotload/exchange.go
+++ b/core/bergamotload/exchange.go
@@ -20,7 +20,7 @@
 // Query asks an entry for what is new about the runners.
 type Query struct {
 	Reports int64         // version of the board up to which the reports are known
-	Limits  int64         // version of the book up to which the limits are known
+	Limits  int64         // version of the registry up to which the limits are known
 	Own     bool          // only what the entry has from the runners themselves, or from entries that follow it
 	Wait    time.Duration // how long the answer may wait for news
 }
--- a/core/bergamotload/load_test.go
+++ b/core/bergamotload/load_test.go
@@ -135,7 +135,7 @@
 		peers.SetHubs(hubs)
 		m.known[name] = map[string]float64{}
 		m.entries[name] = &bergamotload.Exchange{
-			Clock: bergamotclock.Real{}, Network: m, Peers: peers, Board: bergamotload.NewBoard(), Limits: &bergamotrate.Book{Clock: bergamotclock.Real{}},
+			Clock: bergamotclock.Real{}, Network: m, Peers: peers, Board: bergamotload.NewBoard(), Limits: &bergamotrate.Registry{Clock: bergamotclock.Real{}},
 			OnFailure: func(peer string, _ error) {
 				m.mu.Lock()
 				defer m.mu.Unlock()
@@ -189,7 +189,7 @@
 	// Guards against entries that go on at the old pace because the limit was named to another one.
 	ginkgo.It("brings the limit of a runner, and its end, to all entries of all data centres", func() {
 		m := newMesh()
-		limits := func(name string) *bergamotrate.Book { return m.entries[name].Limits.(*bergamotrate.Book) }
+		limits := func(name string) *bergamotrate.Registry { return m.entries[name].Limits.(*bergamotrate.Registry) }
 		for _, l := range []bergamotrate.Limit{bergamotrate.NewLimit("r@1", 1.5, time.Second), bergamotrate.NewEnd("r@1", 2*time.Second)} {
 			limits("e3").Learn([]bergamotrate.Limit{l}, true)
 			m.step(context.Background())
--- a/core/bergamotrate/broker.go
+++ b/core/bergamotrate/broker.go
@@ -51,8 +51,8 @@
 // Broker gets permits for this entry and for those that ask it, and gives them out while this entry is the owner.
 type Broker struct {
 	Clock     Clock
-	Book      *Book
-	Purse     *Purse
+	Registry  *Registry
+	Pool      *Pool
 	Network   Network
 	Directory Directory
 	Random    func(n int) int // returns a number from 0 to n-1
@@ -84,26 +84,26 @@
 	done  chan struct{}
 }
 
-// Init prepares the broker, its book and its purse for use.
+// Init prepares the broker, its registry and its pool for use.
 func (b *Broker) Init() {
 	b.wake = make(chan struct{}, 1)
-	b.Book.onChange, b.Purse.onWant = b.changed, b.Wake
+	b.Registry.onChange, b.Pool.onWant = b.changed, b.Wake
 }
 
 // Named records that a process has named a limit of rate requests a second in an answer.
-func (b *Broker) Named(process string, rate float64) { b.announce(b.Book.named(process, rate)) }
+func (b *Broker) Named(process string, rate float64) { b.announce(b.Registry.named(process, rate)) }
 
 // Unnamed records that a process has named no limit in an answer.
 func (b *Broker) Unnamed(process string) {
-	if b.Book.Any() {
-		b.announce(b.Book.unnamed(process))
+	if b.Registry.Any() {
+		b.announce(b.Registry.unnamed(process))
 	}
 }
 
-// changed applies a limit that is new to the book.
+// changed applies a limit that is new to the registry.
 func (b *Broker) changed(l, before Limit) {
 	if !l.ended && !before.ended && l.rate < before.rate {
-		b.Purse.reduce(l.process, l.rate)
+		b.Pool.reduce(l.process, l.rate)
 	}
 	b.OnChange(l, before)
 }
@@ -153,7 +153,7 @@
 		limits = append(limits, w.limit)
 		wanted = wanted || w.number > 0
 	}
-	b.announce(b.Book.Learn(limits, true))
+	b.announce(b.Registry.Learn(limits, true))
 	if !wanted {
 		return Permits{}, nil
 	}
@@ -180,7 +180,7 @@
 	queries, news := b.queries, b.news
 	b.queries, b.news = nil, nil
 	b.mu.Unlock()
-	own, waiting := b.Purse.wants()
+	own, waiting := b.Pool.wants()
 	defer func() {
 		for _, c := range waiting {
 			close(c)
@@ -241,7 +241,7 @@
 			}
 		}
 	}
-	b.Purse.put(sent, own, mine)
+	b.Pool.put(sent, own, mine)
 }
 
 // wanted returns how many permits of a process a query is for.
@@ -270,7 +270,7 @@
 	given, now, sum, all := Permits{}, b.Clock.Now(), 0, 0
 	for process, n := range wanted {
 		all += n
-		rate, limited := b.Book.Rate(process)
+		rate, limited := b.Registry.Rate(process)
 		if !limited {
 			given[process] = n // its limit has ended, which the others are about to learn
 		} else if rate > 0 {
@@ -317,7 +317,7 @@
 // encode returns the wants for a number of permits of each process, in the order of their names.
 func (b *Broker) encode(wanted map[string]int) (wants []Want) {
 	for process, n := range wanted {
-		if l, _, ok := b.Book.Limit(process); ok {
+		if l, _, ok := b.Registry.Limit(process); ok {
 			wants = append(wants, NewWant(l, n))
 		}
 	}
@@ -366,9 +366,9 @@
 		return
 	}
 	b.tidied = now
-	b.Book.Retain(b.IsKnown)
-	b.Purse.retain()
-	b.issuer.retain(func(process string) bool { _, ok := b.Book.Rate(process); return ok })
+	b.Registry.Retain(b.IsKnown)
+	b.Pool.retain()
+	b.issuer.retain(func(process string) bool { _, ok := b.Registry.Rate(process); return ok })
 	for name, until := range b.avoid {
 		if !now.Before(until) {
 			delete(b.avoid, name)
--- a/core/bergamotrate/purse.go
+++ b/core/bergamotrate/pool.go
@@ -11,8 +11,8 @@
 	// permitTTL is how long after it was asked for a permit may be used. It is as long as the margin by which an owner stops before
 	// the next one can begin, so that their permits do not add up.
 	permitTTL = 300 * time.Millisecond
-	// minDryTime is the shortest time in which requests take other runners after the owner had no permit; the longest is twice that.
-	minDryTime = 60 * time.Millisecond
+	// minExhaustedTime is the shortest time in which requests take other runners after the owner had no permit; the longest is twice that.
+	minExhaustedTime = 60 * time.Millisecond
 	// ownerTimeout is how long no owner must have answered before this entry uses its part of the limits without one. The next owner
 	// begins two seconds after the end of the one before.
 	ownerTimeout = 3 * time.Second
@@ -24,11 +24,11 @@
 	statSlots = 5 // seconds for which usage is counted, the current one included
 )
 
-// Purse holds the permits of this entry. It may be used concurrently.
-type Purse struct {
-	Clock  Clock
-	Book   *Book
-	Random func() float64 // from 0 (included) to 1 (excluded); may be called concurrently
+// Pool holds the permits of this entry. It may be used concurrently.
+type Pool struct {
+	Clock    Clock
+	Registry *Registry
+	Random   func() float64 // from 0 (included) to 1 (excluded); may be called concurrently
 	// Entries returns the number of entries that share the limits, 0 if it is not known.
 	Entries func() int
 	// OnUnowned is called for each request that was allowed without an owner.
@@ -40,17 +40,17 @@
 	heard    time.Time           // last answer of an owner
 }
 
-// account is what a purse has of one process.
+// account is what a pool has of one process.
 type account struct {
-	permits  []permits
-	wanted   int           // by requests that wait
-	answered chan struct{} // closed at the next answer of the owner
-	dryUntil time.Time
-	unowned  float64 // part of a permit without an owner
-	filledAt time.Time
-	used     [statSlots]int
-	lacked   [statSlots]int
-	second   int64 // of the newest slot
+	permits        []permits
+	wanted         int           // by requests that wait
+	answered       chan struct{} // closed at the next answer of the owner
+	exhaustedUntil time.Time
+	unowned        float64 // part of a permit without an owner
+	filledAt       time.Time
+	used           [statSlots]int
+	lacked         [statSlots]int
+	second         int64 // of the newest slot
 }
 
 // permits are permits that expire at the same time.
@@ -60,20 +60,20 @@
 }
 
 // Any reports whether any runner has a limit.
-func (p *Purse) Any() bool { return p.Book.Any() }
+func (p *Pool) Any() bool { return p.Registry.Any() }
 
 // IsLimited reports whether a process names a limit.
-func (p *Purse) IsLimited(process string) bool {
-	_, limited := p.Book.Rate(process)
+func (p *Pool) IsLimited(process string) bool {
+	_, limited := p.Registry.Rate(process)
 	return limited
 }
 
 // Rate returns the limit of a process in requests a second; ok is false if it has none.
-func (p *Purse) Rate(process string) (rate float64, ok bool) { return p.Book.Rate(process) }
+func (p *Pool) Rate(process string) (rate float64, ok bool) { return p.Registry.Rate(process) }
 
 // MayTake reports whether a process has no limit, or there is a permit for it.
-func (p *Purse) MayTake(process string) bool {
-	rate, limited := p.Book.Rate(process)
+func (p *Pool) MayTake(process string) bool {
+	rate, limited := p.Registry.Rate(process)
 	if !limited {
 		return true
 	}
@@ -83,8 +83,8 @@
 }
 
 // Take takes a permit of a process and reports whether there was one, or the process has no limit.
-func (p *Purse) Take(process string) bool {
-	rate, limited := p.Book.Rate(process)
+func (p *Pool) Take(process string) bool {
+	rate, limited := p.Registry.Rate(process)
 	if !limited {
 		return true
 	}
@@ -108,8 +108,8 @@
 }
 
 // Return gives back a permit with which nothing was sent.
-func (p *Purse) Return(process string) {
-	if _, limited := p.Book.Rate(process); !limited {
+func (p *Pool) Return(process string) {
+	if _, limited := p.Registry.Rate(process); !limited {
 		return
 	}
 	p.mu.Lock()
@@ -119,12 +119,12 @@
 	if i := a.second % statSlots; a.used[i] > 0 {
 		a.used[i]--
 	}
-	a.permits = append(a.permits, permits{number: 1, expires: now.Add(minDryTime)})
+	a.permits = append(a.permits, permits{number: 1, expires: now.Add(minExhaustedTime)})
 }
 
-// IsDry reports whether the owner had no permit of a process a moment ago, so that asking again is of no use yet.
-func (p *Purse) IsDry(process string) bool {
-	rate, limited := p.Book.Rate(process)
+// IsExhausted reports whether the owner had no permit of a process a moment ago, so that asking again is of no use yet.
+func (p *Pool) IsExhausted(process string) bool {
+	rate, limited := p.Registry.Rate(process)
 	if !limited {
 		return false
 	}
@@ -133,13 +133,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.Clock.Now().Before(p.account(process).dryUntil)
+	return p.Clock.Now().Before(p.account(process).exhaustedUntil)
 }
 
 // Await asks the owner for a permit of a process and waits for its answer, at most for a timeout. It reports whether there is a
 // permit, which another request may still take first.
-func (p *Purse) Await(ctx context.Context, process string, timeout time.Duration) bool {
-	if rate, limited := p.Book.Rate(process); !limited || rate <= 0 {
+func (p *Pool) Await(ctx context.Context, process string, timeout time.Duration) bool {
+	if rate, limited := p.Registry.Rate(process); !limited || rate <= 0 {
 		return !limited
 	}
 	p.mu.Lock()
@@ -164,7 +164,7 @@
 }
 
 // wants returns the permits that requests wait for, and begins to count anew.
-func (p *Purse) wants() (out map[string]int, answered []chan struct{}) {
+func (p *Pool) wants() (out map[string]int, answered []chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out = map[string]int{}
@@ -181,7 +181,7 @@
 }
 
 // put records the answer of an owner to a query that was sent at a time: of the wanted permits it gave some.
-func (p *Purse) put(sent time.Time, wanted map[string]int, given Permits) {
+func (p *Pool) put(sent time.Time, wanted map[string]int, given Permits) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
@@ -193,7 +193,7 @@
 			a.unowned = 0
 		}
 		if got < n {
-			a.dryUntil = now.Add(minDryTime + time.Duration(p.Random()*float64(minDryTime)))
+			a.exhaustedUntil = now.Add(minExhaustedTime + time.Duration(p.Random()*float64(minExhaustedTime)))
 			for range n - got {
 				a.count(&a.lacked, now)
 			}
@@ -202,7 +202,7 @@
 }
 
 // reduce gives up the permits beyond what a lower limit allows.
-func (p *Purse) reduce(process string, rate float64) {
+func (p *Pool) reduce(process string, rate float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := p.account(process)
@@ -214,7 +214,7 @@
 }
 
 // Usage returns how many requests this entry has sent to a process and how many permits it has lacked in the last four seconds.
-func (p *Purse) Usage(process string) (used, lacked int) {
+func (p *Pool) Usage(process string) (used, lacked int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a, known := p.accounts[process]
@@ -229,25 +229,25 @@
 }
 
 // Heard returns how long ago an owner has answered last; ok is false if none has.
-func (p *Purse) Heard() (age time.Duration, ok bool) {
+func (p *Pool) Heard() (age time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.Clock.Now().Sub(p.heard), !p.heard.IsZero()
 }
 
 // retain forgets the accounts of processes without a limit.
-func (p *Purse) retain() {
+func (p *Pool) retain() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for process, a := range p.accounts {
-		if _, limited := p.Book.Rate(process); !limited && a.answered == nil {
+		if _, limited := p.Registry.Rate(process); !limited && a.answered == nil {
 			delete(p.accounts, process)
 		}
 	}
 }
 
 // account returns the account of a process. The caller holds the lock.
-func (p *Purse) account(process string) *account {
+func (p *Pool) account(process string) *account {
 	if p.accounts == nil {
 		p.accounts = map[string]*account{}
 	}
@@ -261,7 +261,7 @@
 
 // fillUnowned returns how much of a permit this entry has saved of its part of the limit of a process since no owner answers. It begins at
 // a random point, so that not all entries send at the same time, and keeps none for later. The caller holds the lock.
-func (p *Purse) fillUnowned(process string, rate float64) float64 {
+func (p *Pool) fillUnowned(process string, rate float64) float64 {
 	a, now, n := p.account(process), p.Clock.Now(), p.Entries()
 	since := a.filledAt
 	a.filledAt = now
--- a/core/bergamotrate/line.go
+++ b/core/bergamotrate/queue.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// paceWindow is the time over which the requests that leave a line with a runner are counted.
+// paceWindow is the time over which the requests that leave a queue with a runner are counted.
 const paceWindow = 2 * time.Second
 
-// Urgency orders the requests in a line: those that go on with an answer first, then by priority, then by arrival.
+// Urgency orders the requests in a queue: those that go on with an answer first, then by priority, then by arrival.
 type Urgency struct {
 	Resumes  bool
 	Priority int // 0 is the most urgent
@@ -27,39 +27,39 @@
 	}
 }
 
-// Line holds the requests of one service that wait because all runners that could serve them are at their limits. Only the first one tries
+// Queue holds the requests of one service that wait because all runners that could serve them are at their limits. Only the first one tries
 // to get a runner, so that none goes before a more urgent one. It may be used concurrently.
-type Line struct {
+type Queue struct {
 	Clock Clock
 
 	mu       sync.Mutex
-	places   []*Place // most urgent first
+	tickets  []*Ticket // most urgent first
 	served   []time.Time
 	returnAt time.Time // when the last request that was refused has been told to return
 }
 
-// Place is that of one request in a line.
-type Place struct {
-	line    *Line
+// Ticket is the place of one request in a queue.
+type Ticket struct {
+	queue   *Queue
 	urgency Urgency
-	turn    chan struct{} // receives when the place becomes the first
+	turn    chan struct{} // receives when the request becomes the first
 }
 
 // IsEmpty reports whether no request waits.
-func (l *Line) IsEmpty() bool {
+func (l *Queue) IsEmpty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.places) == 0
+	return len(l.tickets) == 0
 }
 
 // Len returns how many requests wait.
-func (l *Line) Len() int {
+func (l *Queue) Len() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.places)
+	return len(l.tickets)
 }
 
-// Pace is how many requests a second the runners of a line take.
+// Pace is how many requests a second the runners of a queue take.
 type Pace struct {
 	Known bool
 	All   float64 // from all entries together
@@ -68,11 +68,11 @@
 
 // Join adds a request unless it is expected to wait for longer than a bound. Then ok is false, and returnIn is the time after which it may
 // return, behind all that wait and those that were told to return before it. While the pace is not known, the request is added.
-func (l *Line) Join(u Urgency, bound time.Duration, given Pace) (p *Place, returnIn time.Duration, ok bool) {
+func (l *Queue) Join(u Urgency, bound time.Duration, given Pace) (p *Ticket, returnIn time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	pace := l.pace(given)
-	i, _ := slices.BinarySearchFunc(l.places, u, func(p *Place, u Urgency) int {
+	i, _ := slices.BinarySearchFunc(l.tickets, u, func(p *Ticket, u Urgency) int {
 		if u.isBefore(p.urgency) {
 			return 1
 		}
@@ -85,8 +85,8 @@
 	if given.Known && float64(i+1) > next*bound.Seconds() {
 		return nil, l.returnIn(pace), false
 	}
-	p = &Place{line: l, urgency: u, turn: make(chan struct{}, 1)}
-	l.places = slices.Insert(l.places, i, p)
+	p = &Ticket{queue: l, urgency: u, turn: make(chan struct{}, 1)}
+	l.tickets = slices.Insert(l.tickets, i, p)
 	if i == 0 {
 		p.turn <- struct{}{}
 	}
@@ -94,19 +94,19 @@
 }
 
 // ReturnIn returns the time after which a request that has waited in vain may return.
-func (l *Line) ReturnIn(given Pace) time.Duration {
+func (l *Queue) ReturnIn(given Pace) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.returnIn(l.pace(given))
 }
 
 // returnIn gives the next request that returns a time of its own. The caller holds the lock.
-func (l *Line) returnIn(pace float64) time.Duration {
+func (l *Queue) returnIn(pace float64) time.Duration {
 	if pace <= 0 {
 		return 0
 	}
 	now, each := l.Clock.Now(), time.Duration(float64(time.Second)/pace)
-	first := now.Add(time.Duration(len(l.places)) * each)
+	first := now.Add(time.Duration(len(l.tickets)) * each)
 	if first.After(l.returnAt) {
 		l.returnAt = first
 	}
@@ -114,39 +114,39 @@
 	return l.returnAt.Sub(now)
 }
 
-// pace returns how many requests a second leave the line with a runner. The caller holds the lock.
-func (l *Line) pace(given Pace) float64 {
+// pace returns how many requests a second leave the queue with a runner. The caller holds the lock.
+func (l *Queue) pace(given Pace) float64 {
 	now := l.Clock.Now()
 	l.served = slices.DeleteFunc(l.served, func(t time.Time) bool { return now.Sub(t) > paceWindow })
 	return max(float64(len(l.served))/paceWindow.Seconds(), given.Part)
 }
 
 // Turn returns a channel that receives when the request becomes the first.
-func (p *Place) Turn() <-chan struct{} { return p.turn }
+func (p *Ticket) Turn() <-chan struct{} { return p.turn }
 
 // IsFirst reports whether no other request goes before this one.
-func (p *Place) IsFirst() bool {
-	p.line.mu.Lock()
-	defer p.line.mu.Unlock()
-	return len(p.line.places) > 0 && p.line.places[0] == p
+func (p *Ticket) IsFirst() bool {
+	p.queue.mu.Lock()
+	defer p.queue.mu.Unlock()
+	return len(p.queue.tickets) > 0 && p.queue.tickets[0] == p
 }
 
-// Leave removes the request from the line; served says whether it has got a runner.
-func (p *Place) Leave(served bool) {
-	l := p.line
+// Leave removes the request from the queue; served says whether it has got a runner.
+func (p *Ticket) Leave(served bool) {
+	l := p.queue
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	i := slices.Index(l.places, p)
+	i := slices.Index(l.tickets, p)
 	if i < 0 {
 		return
 	}
-	l.places = slices.Delete(l.places, i, i+1)
+	l.tickets = slices.Delete(l.tickets, i, i+1)
 	if served {
 		l.served = append(l.served, l.Clock.Now())
 	}
-	if i == 0 && len(l.places) > 0 {
+	if i == 0 && len(l.tickets) > 0 {
 		select {
-		case l.places[0].turn <- struct{}{}:
+		case l.tickets[0].turn <- struct{}{}:
 		default: // it has been told before
 		}
 	}
--- a/core/bergamotrate/rate_test.go
+++ b/core/bergamotrate/rate_test.go
@@ -15,22 +15,22 @@
 
 var testStart = time.Unix(1000, 0)
 
-func newBook() (*Book, *bergamotclock.Virtual) {
+func newRegistry() (*Registry, *bergamotclock.Virtual) {
 	clock := bergamotclock.NewVirtual(testStart)
-	return &Book{Clock: clock, StoreTime: func() (time.Duration, bool) { return clock.Now().Sub(testStart) + time.Hour, true }}, clock
+	return &Registry{Clock: clock, StoreTime: func() (time.Duration, bool) { return clock.Now().Sub(testStart) + time.Hour, true }}, clock
 }
 
-type bookCase struct {
+type registryCase struct {
 	limits []Limit
 	rate   float64 // in the end
 	ended  bool
-	news   int // limits that changed what the book says
+	news   int // limits that changed what the registry says
 }
 
 var _ = ginkgo.Describe("the limits of runners", func() {
 	limit := func(rate float64, at int) Limit { return NewLimit("r@1", rate, time.Duration(at)*time.Second) }
 	// Guards against an old word of a runner that replaces a newer one because it took a longer way, and against news that are none.
-	bergamottest.Cases(map[string]bookCase{
+	bergamottest.Cases(map[string]registryCase{
 		"begin with the first":                     {limits: []Limit{limit(2, 1)}, rate: 2, news: 1},
 		"rise and fall with later ones":            {limits: []Limit{limit(2, 1), limit(0.5, 2), limit(9, 3)}, rate: 9, news: 3},
 		"may be nothing":                           {limits: []Limit{limit(0, 1)}, news: 1},
@@ -42,8 +42,8 @@
 		"do not end before they begin":             {limits: []Limit{NewEnd("r@1", time.Second)}, ended: true},
 		"give way to one with a time":              {limits: []Limit{limit(9, 0), limit(2, 1)}, rate: 2, news: 2},
 		"are those of a process":                   {limits: []Limit{NewLimit("r@2", 2, time.Second)}, ended: true, news: 1},
-	}, func(c bookCase) {
-		b, _ := newBook()
+	}, func(c registryCase) {
+		b, _ := newRegistry()
 		news := 0
 		for _, l := range c.limits {
 			news += len(b.Learn([]Limit{l}, false))
@@ -56,7 +56,7 @@
 
 	// Guards against a limit that never ends because the store's clock has gone back in a restore.
 	ginkgo.It("follow each answer to this entry", func() {
-		b, _ := newBook()
+		b, _ := newRegistry()
 		b.Learn([]Limit{limit(2, 1000000)}, false)
 		b.named("r@1", 3)
 		rate, _ := b.Rate("r@1")
@@ -67,7 +67,7 @@
 
 	// Guards against limits of runners that are gone for good.
 	ginkgo.It("are forgotten with their process, and their ends after a while", func() {
-		b, clock := newBook()
+		b, clock := newRegistry()
 		b.named("r@1", 2)
 		b.named("r@2", 2)
 		b.unnamed("r@2")
@@ -79,7 +79,7 @@
 	})
 })
 
-type purseCase struct {
+type poolCase struct {
 	rate    float64
 	given   int
 	wait    time.Duration // after the permits were given
@@ -92,7 +92,7 @@
 var _ = ginkgo.Describe("the permits of an entry", func() {
 	// Guards against permits that are used long after the owner gave them out, beyond a limit that has fallen, and against entries without an
 	// owner that each use a permit at once.
-	bergamottest.Cases(map[string]purseCase{
+	bergamottest.Cases(map[string]poolCase{
 		"are used once each":                              {rate: 10, given: 3, want: 3},
 		"expire":                                          {rate: 10, given: 3, wait: permitTTL},
 		"are fewer after the limit has fallen":            {rate: 100, given: 20, lowered: 10, want: 3},
@@ -101,10 +101,10 @@
 		"are none without an owner or a count of entries": {rate: 10, silent: time.Minute},
 		"are a part without an owner":                     {rate: 8, silent: ownerTimeout + 10*time.Second, entries: 4, want: 10},
 		"are rare for one of many without an owner":       {rate: 8, silent: ownerTimeout + 10*time.Second, entries: 840},
-	}, func(c purseCase) {
-		b, clock := newBook()
+	}, func(c poolCase) {
+		b, clock := newRegistry()
 		taken := 0
-		p := &Purse{Clock: clock, Book: b, Random: func() float64 { return 0 }, Entries: func() int { return c.entries }, OnUnowned: func(string) {}, onWant: func() {}}
+		p := &Pool{Clock: clock, Registry: b, Random: func() float64 { return 0 }, Entries: func() int { return c.entries }, OnUnowned: func(string) {}, onWant: func() {}}
 		b.named("r@1", c.rate)
 		p.put(clock.Now(), map[string]int{"r@1": c.given}, Permits{"r@1": c.given})
 		clock.Advance(c.wait)
@@ -135,7 +135,7 @@
 	})
 })
 
-type lineCase struct {
+type queueCase struct {
 	before  []Urgency
 	joins   Urgency
 	pace    Pace
@@ -145,14 +145,14 @@
 	after   time.Duration
 }
 
-var _ = ginkgo.Describe("the line of requests at the limits of runners", func() {
+var _ = ginkgo.Describe("the queue of requests at the limits of runners", func() {
 	at := func(priority, second int) Urgency {
 		return Urgency{Priority: priority, Arrived: testStart.Add(time.Duration(second) * time.Second)}
 	}
 	two := Pace{Known: true, All: 8, Part: 2}
 	// Guards against a request that waits although its turn comes too late, one that is told to return before that, and against a less
 	// urgent one that goes first.
-	bergamottest.Cases(map[string]lineCase{
+	bergamottest.Cases(map[string]queueCase{
 		"begins with the first request":           {joins: at(5, 1), pace: two, bound: time.Second, first: true},
 		"is joined in the order of arrival":       {before: []Urgency{at(5, 1)}, joins: at(5, 2), pace: two, bound: time.Second},
 		"lets urgent requests go first":           {before: []Urgency{at(5, 1), at(5, 2)}, joins: at(0, 3), pace: two, bound: time.Second, first: true},
@@ -161,13 +161,13 @@
 		"refuses the first one only at a trickle": {joins: at(5, 1), pace: Pace{Known: true, All: 0.5, Part: 0.25}, bound: time.Second, refused: true, after: 4 * time.Second},
 		"refuses all where runners take nothing":  {joins: at(5, 1), pace: Pace{Known: true}, bound: time.Second, refused: true},
 		"is joined while the pace is not known":   {before: []Urgency{at(5, 1), at(5, 2)}, joins: at(5, 3), bound: time.Second},
-	}, func(c lineCase) {
-		l := &Line{Clock: bergamotclock.NewVirtual(testStart)}
-		var places []*Place
+	}, func(c queueCase) {
+		l := &Queue{Clock: bergamotclock.NewVirtual(testStart)}
+		var tickets []*Ticket
 		for _, u := range c.before {
 			p, _, ok := l.Join(u, time.Hour, Pace{})
 			gomega.Expect(ok).To(gomega.BeTrue())
-			places = append(places, p)
+			tickets = append(tickets, p)
 		}
 		p, after, ok := l.Join(c.joins, c.bound, c.pace)
 		gomega.Expect(ok).To(gomega.Equal(!c.refused))
@@ -181,7 +181,7 @@
 			return
 		}
 		gomega.Expect(p.IsFirst()).To(gomega.Equal(c.first))
-		for _, other := range places {
+		for _, other := range tickets {
 			other.Leave(true)
 		}
 		gomega.Expect(p.IsFirst()).To(gomega.BeTrue())
@@ -215,10 +215,10 @@
 var _ = ginkgo.Describe("a query for permits", func() {
 	// Guards against an entry that stays without permits because the one that it follows is of an older build, or does not answer.
 	ginkgo.It("goes another way where one does not lead to the owner", func() {
-		b, clock := newBook()
-		n, p := &deafNetwork{}, &Purse{Clock: clock, Book: b, Random: func() float64 { return 0 }, Entries: func() int { return 4 }}
+		b, clock := newRegistry()
+		n, p := &deafNetwork{}, &Pool{Clock: clock, Registry: b, Random: func() float64 { return 0 }, Entries: func() int { return 4 }}
 		broker := &Broker{
-			Clock: clock, Book: b, Purse: p, Network: n, Directory: n, Random: func(int) int { return 0 }, IsKnown: func(string) bool { return true },
+			Clock: clock, Registry: b, Pool: p, Network: n, Directory: n, Random: func(int) int { return 0 }, IsKnown: func(string) bool { return true },
 			OnAsk: func(string, int, int, error) {}, OnOwner: func(bool) {}, OnChange: func(Limit, Limit) {},
 		}
 		broker.Init()
--- a/core/bergamotrate/book.go
+++ b/core/bergamotrate/registry.go
@@ -21,8 +21,8 @@
 	After(d time.Duration) <-chan time.Time
 }
 
-// Book holds the latest limit of each process. It may be used concurrently.
-type Book struct {
+// Registry holds the latest limit of each process. It may be used concurrently.
+type Registry struct {
 	Clock     Clock
 	StoreTime func() (t time.Duration, ok bool) // current time of the store's clock
 
@@ -34,24 +34,24 @@
 	changed  chan struct{} // closed and replaced at each change
 }
 
-// record is a limit in a book.
+// record is a limit in a registry.
 type record struct {
 	limit   Limit
 	own     bool // this entry has it from the runner, or from an entry that follows this one
 	version int64
-	since   time.Time // when it was put into the book
+	since   time.Time // when it was put into the registry
 }
 
 // Any reports whether any limit is in force.
-func (b *Book) Any() bool { return b.active.Load() > 0 }
+func (b *Registry) Any() bool { return b.active.Load() > 0 }
 
 // named records that a process has named a limit in an answer, and returns it if that is new.
-func (b *Book) named(process string, rate float64) (news []Limit) {
+func (b *Registry) named(process string, rate float64) (news []Limit) {
 	return b.Learn([]Limit{NewLimit(process, rate, b.timeOfAnswer(process))}, true)
 }
 
 // unnamed records that a process has named no limit in an answer, and returns the end of its limit if there was one.
-func (b *Book) unnamed(process string) (news []Limit) {
+func (b *Registry) unnamed(process string) (news []Limit) {
 	if _, ok := b.Rate(process); !ok {
 		return nil
 	}
@@ -61,7 +61,7 @@
 // timeOfAnswer returns the time of the store's clock for an answer of a process, 0 if that clock is not known: such a limit gives way to any
 // with a time, and the next answer says it again. An answer to this entry always counts, also if the store's clock has gone back in a restore,
 // or another entry has a later estimate of it.
-func (b *Book) timeOfAnswer(process string) time.Duration {
+func (b *Registry) timeOfAnswer(process string) time.Duration {
 	now, _ := b.StoreTime()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -71,9 +71,9 @@
 	return now
 }
 
-// Learn records limits and returns those that change what the book says. If own is set, they come from the runners themselves, or from
+// Learn records limits and returns those that change what the registry says. If own is set, they come from the runners themselves, or from
 // entries that follow this one.
-func (b *Book) Learn(limits []Limit, own bool) (news []Limit) {
+func (b *Registry) Learn(limits []Limit, own bool) (news []Limit) {
 	b.mu.Lock()
 	if b.records == nil {
 		b.records = map[string]record{}
@@ -101,7 +101,7 @@
 }
 
 // put records one limit, and returns the one before if that said otherwise. The caller holds the lock.
-func (b *Book) put(l Limit, own bool) (before Limit, changes bool) {
+func (b *Registry) put(l Limit, own bool) (before Limit, changes bool) {
 	old, known := b.records[l.process]
 	if l.process == "" || !known && (l.ended || len(b.records) >= maxLimits) || known && !l.isNewer(old.limit) {
 		return before, false
@@ -129,7 +129,7 @@
 }
 
 // expire removes the ends that all entries have learned by now. The caller holds the lock.
-func (b *Book) expire() {
+func (b *Registry) expire() {
 	for process, r := range b.records {
 		if r.limit.ended && b.Clock.Now().Sub(r.since) > endTTL {
 			delete(b.records, process)
@@ -138,7 +138,7 @@
 }
 
 // Retain removes the limits of processes that are gone for longer than endTTL.
-func (b *Book) Retain(isKnown func(process string) bool) {
+func (b *Registry) Retain(isKnown func(process string) bool) {
 	if !b.Any() {
 		return
 	}
@@ -153,7 +153,7 @@
 }
 
 // Rate returns the limit of a process in requests a second; ok is false if it has none.
-func (b *Book) Rate(process string) (rate float64, ok bool) {
+func (b *Registry) Rate(process string) (rate float64, ok bool) {
 	if !b.Any() {
 		return 0, false
 	}
@@ -164,7 +164,7 @@
 }
 
 // Limit returns the limit of a process and for how long it has said so; ok is false if it has none.
-func (b *Book) Limit(process string) (l Limit, age time.Duration, ok bool) {
+func (b *Registry) Limit(process string) (l Limit, age time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, known := b.records[process]
@@ -172,7 +172,7 @@
 }
 
 // Limits returns all limits in force, by process.
-func (b *Book) Limits() (out []Limit) {
+func (b *Registry) Limits() (out []Limit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range b.records {
@@ -184,9 +184,9 @@
 	return out
 }
 
-// Since returns the limits that have changed after a version of the book, the new version, and a channel that is closed at the next
+// Since returns the limits that have changed after a version of the registry, the new version, and a channel that is closed at the next
 // change. If own is set, it returns only those that this entry has from the runners or from entries that follow it.
-func (b *Book) Since(version int64, own bool) (limits []Limit, now int64, changed <-chan struct{}) {
+func (b *Registry) Since(version int64, own bool) (limits []Limit, now int64, changed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if version > b.version {
--- a/core/bergamotrate/sharing_test.go
+++ b/core/bergamotrate/sharing_test.go
@@ -52,7 +52,7 @@
 	sim    *shareSim
 	number int
 	broker *Broker
-	purse  *Purse
+	pool   *Pool
 	random *rand.Rand
 	ctx    context.Context
 	stop   context.CancelFunc
@@ -165,12 +165,12 @@
 // start starts a process of the entry, which learns the limit after a while.
 func (e *simEntry) start(learns time.Duration) {
 	s := e.sim
-	book := &Book{Clock: simClock{}, StoreTime: func() (time.Duration, bool) { return time.Since(s.begin) + time.Hour, true }}
+	registry := &Registry{Clock: simClock{}, StoreTime: func() (time.Duration, bool) { return time.Since(s.begin) + time.Hour, true }}
 	var mu sync.Mutex
 	random := func() float64 { mu.Lock(); defer mu.Unlock(); return e.random.Float64() }
-	e.purse = &Purse{Clock: simClock{}, Book: book, Random: random, Entries: func() int { return len(s.entries) }, OnUnowned: func(string) {}}
+	e.pool = &Pool{Clock: simClock{}, Registry: registry, Random: random, Entries: func() int { return len(s.entries) }, OnUnowned: func(string) {}}
 	e.broker = &Broker{
-		Clock: simClock{}, Book: book, Purse: e.purse, Network: e, Directory: e, Random: func(n int) int { return int(random() * float64(n)) },
+		Clock: simClock{}, Registry: registry, Pool: e.pool, Network: e, Directory: e, Random: func(n int) int { return int(random() * float64(n)) },
 		IsKnown: func(string) bool { return true },
 		OnAsk:   func(string, int, int, error) {}, OnOwner: func(bool) {}, OnChange: func(Limit, Limit) {},
 	}
@@ -192,14 +192,14 @@
 			continue
 		}
 		go func() {
-			purse := e.purse
-			if !purse.Book.Any() {
+			pool := e.pool
+			if !pool.Registry.Any() {
 				return // the requests of an entry that does not know the limit do not count
 			}
-			if !purse.MayTake(simRunner) && !purse.IsDry(simRunner) {
-				purse.Await(e.ctx, simRunner, 40*time.Millisecond)
+			if !pool.MayTake(simRunner) && !pool.IsExhausted(simRunner) {
+				pool.Await(e.ctx, simRunner, 40*time.Millisecond)
 			}
-			if !e.isFrozen() && e.ctx.Err() == nil && purse.Take(simRunner) {
+			if !e.isFrozen() && e.ctx.Err() == nil && pool.Take(simRunner) {
 				e.sim.mu.Lock()
 				defer e.sim.mu.Unlock()
 				e.sim.sent = append(e.sim.sent, time.Since(e.sim.begin))
--- a/core/bergamotrelay/limitgate.go
+++ b/core/bergamotrelay/limitgate.go
@@ -30,8 +30,8 @@
 	MayTake(process string) bool
 	// Take takes a permit of a process and reports whether there was one, or the process has no limit.
 	Take(process string) bool
-	// IsDry reports whether there was no permit of a process a moment ago.
-	IsDry(process string) bool
+	// IsExhausted reports whether there was no permit of a process a moment ago.
+	IsExhausted(process string) bool
 	// Await asks for a permit of a process, waits for the answer, at most for a timeout, and reports whether there is one.
 	Await(ctx context.Context, process string, timeout time.Duration) bool
 	// Rate returns the limit of a process in requests a second; ok is false if it has none.
@@ -47,8 +47,8 @@
 	// OnHeld is called for each request that has waited, or was refused.
 	OnHeld func(x *Exchange, waited time.Duration, refused bool)
 
-	mu    sync.Mutex
-	lines map[string]*bergamotrate.Line // by service
+	mu     sync.Mutex
+	queues map[string]*bergamotrate.Queue // by service
 }
 
 // runnerSearch looks for a runner for one request.
@@ -66,12 +66,12 @@
 	if g == nil || !g.Permits.Any() {
 		return s.take(), nil
 	}
-	line := g.line(x.Service().Name())
+	queue := g.queue(x.Service().Name())
 	process, limited := s.atLimit()
-	if limited && line.IsEmpty() && !g.Permits.IsDry(process) {
+	if limited && queue.IsEmpty() && !g.Permits.IsExhausted(process) {
 		g.Permits.Await(ctx, process, preferTime)
 	}
-	if line.IsEmpty() || !limited {
+	if queue.IsEmpty() || !limited {
 		if s.take() {
 			return true, nil
 		}
@@ -79,35 +79,35 @@
 			return false, nil
 		}
 	}
-	return g.wait(ctx, x, s, line)
+	return g.wait(ctx, x, s, queue)
 }
 
-// wait lets the request wait in line.
-func (g *LimitGate) wait(ctx context.Context, x *Exchange, s runnerSearch, line *bergamotrate.Line) (ok bool, err error) {
+// wait lets the request wait in a queue.
+func (g *LimitGate) wait(ctx context.Context, x *Exchange, s runnerSearch, queue *bergamotrate.Queue) (ok bool, err error) {
 	began, pace := g.Clock.Now(), g.pace(x)
 	bound := min(maxLimitWait, time.Duration(limitWaitShare*float64(x.Deadline().Sub(began))))
 	urgency := bergamotrate.Urgency{Resumes: s.resumes, Priority: x.Priority(), Arrived: x.Request().ArrivedAt()}
-	place, returnIn, joined := line.Join(urgency, bound, pace)
+	ticket, returnIn, joined := queue.Join(urgency, bound, pace)
 	if !joined {
 		g.OnHeld(x, 0, true)
 		return false, g.refusal(x, returnIn)
 	}
 	served := false
-	defer func() { place.Leave(served) }()
+	defer func() { ticket.Leave(served) }()
 	timeout := g.Clock.After(bound)
 	retry := (<-chan time.Time)(nil)
 	for {
 		select {
-		case <-place.Turn():
+		case <-ticket.Turn():
 		case <-retry:
 		case <-ctx.Done():
 			return false, refuseEnded(ctx)
 		case <-timeout:
 			g.OnHeld(x, g.Clock.Now().Sub(began), true)
-			return false, g.refusal(x, line.ReturnIn(pace))
+			return false, g.refusal(x, queue.ReturnIn(pace))
 		}
 		retry = nil
-		if !place.IsFirst() {
+		if !ticket.IsFirst() {
 			continue
 		}
 		process, limited := s.atLimit()
@@ -132,23 +132,23 @@
 	return bergamotrequest.Refuse(bergamotrequest.ReasonLimit, "all runners that could serve the request are at their limits").WithRetryAfter(returnIn)
 }
 
-func (g *LimitGate) line(service string) *bergamotrate.Line {
+func (g *LimitGate) queue(service string) *bergamotrate.Queue {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.lines == nil {
-		g.lines = map[string]*bergamotrate.Line{}
+	if g.queues == nil {
+		g.queues = map[string]*bergamotrate.Queue{}
 	}
-	if g.lines[service] == nil {
-		g.lines[service] = &bergamotrate.Line{Clock: g.Clock}
+	if g.queues[service] == nil {
+		g.queues[service] = &bergamotrate.Queue{Clock: g.Clock}
 	}
-	return g.lines[service]
+	return g.queues[service]
 }
 
 // Waiting returns how many requests wait, for all services.
 func (g *LimitGate) Waiting() (n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, l := range g.lines {
+	for _, l := range g.queues {
 		n += l.Len()
 	}
 	return n
--- a/core/bergamotrelay/limitgate_test.go
+++ b/core/bergamotrelay/limitgate_test.go
@@ -28,7 +28,7 @@
 }
 
 func (m *meteredPermits) Any() bool                     { return true }
-func (m *meteredPermits) IsDry(string) bool             { return false }
+func (m *meteredPermits) IsExhausted(string) bool       { return false }
 func (m *meteredPermits) IsLimited(process string) bool { _, ok := m.Rate(process); return ok }
 func (m *meteredPermits) Return(string)                 {}
 
