Choose ports for the entries of the soak that no other process can get first

Its log says "listen tcp 127.0.0.1:41355: bind: address already in use": the soak closed a port that the system had given out, and before the entry opened it, another process had it.

Change: random ports below those that systems give out by themselves, checked to be free. No wait or bound is changed.

--- a/io/bergamotsoak/entry_test.go
+++ b/io/bergamotsoak/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -48,12 +49,24 @@
 	return b.text.String()
 }
 
+// firstPort and lastPort are below the ports that systems give out by themselves, so that no connection of another process takes one before the
+// entry listens there.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
 // freeAddress returns a loopback address whose port is free.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer func() { must(l.Close()) }()
-	return l.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue // it is in use
+		}
+		must(l.Close())
+		return address
+	}
 }
 
 // must panics on an error of the test environment, without which the soak cannot run.
