Show that an encoded slash leads a request to a service that no version allows

Claim: once a route below another one is added, a request whose path has %2F where the prefix has a slash is run by the service of the added route, although its path does not begin with that prefix (ROUTE).

The case: two entries, two services with two runners each, one new version of the desired state, 150 requests 3 s after its ack.

--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -28,6 +28,8 @@
 	Runner   string `json:"runner"`
 	What     string `json:"what"` // "run", "piece" or "end"
 	ID       string `json:"id"`
+	Service  string `json:"service,omitempty"`
+	Target   string `json:"target,omitempty"` // path and query as they arrived
 	Piece    int    `json:"piece,omitempty"`
 	Unframed bool   `json:"unframed,omitempty"`
 }
@@ -197,10 +199,10 @@
 		defer r.mu.Unlock()
 		r.running--
 	}()
-	r.print(event{What: "run", ID: id, Unframed: unframed})
+	r.print(event{What: "run", ID: id, Service: r.service, Target: req.RequestURI, Unframed: unframed})
 	w.Header().Set("X-Bergamotspur-Attempt-Id", id)
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp."+r.id+"."+id)
-	if strings.HasPrefix(req.URL.Path, "/once/") {
+	if r.service != "llm" {
 		<-time.After(60 * time.Millisecond)
 		_, _ = w.Write([]byte(onceBody(id))) // a caller that has gone away misses nothing
 		r.print(event{What: "end", ID: id})
