Show that a failure after a run is passed on as the promise that nothing has run

Claim: a runner's 503 without X-Bergamotspur-Not-Executed reaches the caller of a request that may run once as 503, although the request has run (REFUSED).

The callers send a booking again when they get 503.

--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -46,6 +46,7 @@
 	running  int
 	answers  int
 	unframed bool // one answer in twenty has no length and ends with its connection
+	grey     bool // two requests in five fail after they have run, with 503 and without the field that says that they have not
 	out      *bufio.Writer
 }
 
@@ -64,7 +65,12 @@
 	go func() {
 		for in := bufio.NewScanner(os.Stdin); in.Scan(); {
 			r.mu.Lock()
-			r.unframed = in.Text() == "unframed on"
+			switch in.Text() {
+			case "unframed on", "unframed off":
+				r.unframed = in.Text() == "unframed on"
+			case "grey on", "grey off":
+				r.grey = in.Text() == "grey on"
+			}
 			r.mu.Unlock()
 		}
 		os.Exit(0) // the case has ended
@@ -192,7 +198,7 @@
 	r.mu.Lock()
 	r.running++
 	r.answers++
-	unframed := r.unframed && r.answers%20 == 0
+	unframed, fails := r.unframed && r.answers%20 == 0, r.grey && r.answers%5 < 2
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -204,7 +210,12 @@
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp."+r.id+"."+id)
 	if r.service != "llm" {
 		<-time.After(60 * time.Millisecond)
-		_, _ = w.Write([]byte(onceBody(id))) // a caller that has gone away misses nothing
+		if fails {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write([]byte("it is booked, but the confirmation could not be made\n")) // a caller that has gone away misses nothing
+		} else {
+			_, _ = w.Write([]byte(onceBody(id))) // the same
+		}
 		r.print(event{What: "end", ID: id})
 		return
 	}
