--- a/review/stand2/caller.go
+++ b/review/stand2/caller.go
@@ -36,6 +36,11 @@
 
 // send sends a request and reads its answer. Nothing is sent twice.
 func (c *caller) send(path string, deadline time.Duration) outcome {
+	return c.sendAfter(path, deadline, -1)
+}
+
+// sendAfter is send for a stream that goes on after an event that the caller has, -1 for none.
+func (c *caller) sendAfter(path string, deadline time.Duration, last int) outcome {
 	o := outcome{id: fmt.Sprintf("%016x", time.Now().UnixNano()+requests.Add(1))}
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.front+path, struct{ io.Reader }{strings.NewReader("which oil for beech?")})
 	if err != nil {
@@ -51,6 +56,9 @@
 		req.Header.Set("X-Bergamotspur-Token-Count", "100,60")
 		req.Header.Set("X-Bergamotspur-Prompt-Prefix", "5c1e07a2:40,"+o.id+":60")
 	}
+	if last >= 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(last))
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		o.err = err
--- a/review/stand2/encodedslash.go
+++ b/review/stand2/encodedslash.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -57,34 +55,10 @@
 			ran <- e
 		}
 	}
-	for n, service := range []string{"files", "files", "ledger", "ledger"} {
-		free, err := freeAddresses(fmt.Sprintf("127.0.2.%d", n+1))
-		if err != nil {
-			return err
-		}
-		if _, err = s.startRunner(fmt.Sprintf("i-%04d", n), service, free[0]); err != nil {
-			return err
-		}
-	}
-	var entries []*entry
-	for n := range 2 {
-		e, err := s.addEntry(fmt.Sprintf("edge-%d", n+1), fmt.Sprintf("127.0.1.%d", n+1))
-		if err != nil {
-			return err
-		}
-		if err = s.startEntry(e); err != nil {
-			return err
-		}
-		entries = append(entries, e)
+	if _, _, err = s.startRunners("files", "files", "ledger", "ledger"); err != nil {
+		return err
 	}
-	err = await(20*time.Second, func() bool {
-		for _, e := range entries {
-			if o := newCaller(e.front).send(plainPath, 1500*time.Millisecond); !e.isReady() || o.status != http.StatusOK {
-				return false
-			}
-		}
-		return true
-	})
+	entries, err := s.startEntries(2, plainPath)
 	if err != nil {
 		return err
 	}
--- a/review/stand2/falsepromise.go
+++ b/review/stand2/falsepromise.go
@@ -49,35 +49,12 @@
 			mu.Unlock()
 		}
 	}
-	var grey *machine
-	for n := range 3 {
-		free, err := freeAddresses(fmt.Sprintf("127.0.2.%d", n+1))
-		if err != nil {
-			return err
-		}
-		if grey, err = s.startRunner(fmt.Sprintf("i-%04d", n), "app", free[0]); err != nil {
-			return err
-		}
-	}
-	var entries []*entry
-	for n := range 2 {
-		e, err := s.addEntry(fmt.Sprintf("edge-%d", n+1), fmt.Sprintf("127.0.1.%d", n+1))
-		if err != nil {
-			return err
-		}
-		if err = s.startEntry(e); err != nil {
-			return err
-		}
-		entries = append(entries, e)
+	runners, _, err := s.startRunners("app", "app", "app")
+	if err != nil {
+		return err
 	}
-	err = await(20*time.Second, func() bool {
-		for _, e := range entries {
-			if o := newCaller(e.front).send("/once/ready", 1500*time.Millisecond); !e.isReady() || o.status != http.StatusOK {
-				return false
-			}
-		}
-		return true
-	})
+	grey := runners[2]
+	entries, err := s.startEntries(2, "/once/ready")
 	if err != nil {
 		return err
 	}
--- a/review/stand2/machine.go
+++ b/review/stand2/machine.go
@@ -28,6 +28,7 @@
 // start starts a process whose output goes to read, line by line.
 func start(name string, env []string, read func(line []byte), program string, args ...string) (*machine, error) {
 	m := &machine{name: name, command: exec.Command(program, args...), done: make(chan struct{})}
+	m.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing stays if the case is ended
 	m.command.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}, env...)
 	out, err := m.command.StdoutPipe()
 	if err != nil {
@@ -224,6 +225,51 @@
 	return s.add(m), nil
 }
 
+// startRunners starts a runner of each service, and returns them with their addresses in the same order.
+func (s *site) startRunners(services ...string) (runners []*machine, addresses []string, err error) {
+	for n, service := range services {
+		free, err := freeAddresses(fmt.Sprintf("127.0.2.%d", n+1))
+		if err != nil {
+			return nil, nil, err
+		}
+		m, err := s.startRunner(fmt.Sprintf("i-%04d", n), service, free[0])
+		if err != nil {
+			return nil, nil, err
+		}
+		runners, addresses = append(runners, m), append(addresses, free[0])
+	}
+	return runners, addresses, nil
+}
+
+// startEntries starts entries and waits until each is ready and serves the given paths.
+func (s *site) startEntries(n int, paths ...string) (entries []*entry, err error) {
+	for n := range n {
+		e, err := s.addEntry(fmt.Sprintf("edge-%d", n+1), fmt.Sprintf("127.0.1.%d", n+1))
+		if err != nil {
+			return nil, err
+		}
+		if err = s.startEntry(e); err != nil {
+			return nil, err
+		}
+		entries = append(entries, e)
+	}
+	err = await(30*time.Second, func() bool {
+		for _, e := range entries {
+			c := newCaller(e.front)
+			if !e.isReady() {
+				return false
+			}
+			for _, path := range paths {
+				if o := c.send(path, 20*time.Second); o.status != http.StatusOK || o.err != nil {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	return entries, err
+}
+
 // tell sends a line to the input of a runner.
 func (m *machine) tell(line string) error {
 	_, err := io.WriteString(m.input, line+"\n")
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -12,7 +12,10 @@
 var errBroken = errors.New("the rule was broken")
 
 // cases has the cases by name; each gets the name of its record, and whether the disruption comes.
-var cases = map[string]func(record string, trouble bool) error{"short-stream": shortStream, "encoded-slash": encodedSlash, "false-promise": falsePromise}
+var cases = map[string]func(record string, trouble bool) error{
+	"short-stream": shortStream, "encoded-slash": encodedSlash, "false-promise": falsePromise, "lost-place": lostPlace,
+	"plain-answer": plainAnswer,
+}
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -30,6 +30,7 @@
 	ID       string `json:"id"`
 	Service  string `json:"service,omitempty"`
 	Target   string `json:"target,omitempty"` // path and query as they arrived
+	After    string `json:"after,omitempty"`  // event that the caller has
 	Piece    int    `json:"piece,omitempty"`
 	Unframed bool   `json:"unframed,omitempty"`
 }
@@ -205,10 +206,10 @@
 		defer r.mu.Unlock()
 		r.running--
 	}()
-	r.print(event{What: "run", ID: id, Service: r.service, Target: req.RequestURI, Unframed: unframed})
+	r.print(event{What: "run", ID: id, Service: r.service, Target: req.RequestURI, After: req.Header.Get("Last-Event-Id"), Unframed: unframed})
 	w.Header().Set("X-Bergamotspur-Attempt-Id", id)
 	w.Header().Set("X-Bergamotspur-Server-Stamp", "stamp."+r.id+"."+id)
-	if r.service != "llm" {
+	if !strings.HasPrefix(req.URL.Path, "/advice/") {
 		<-time.After(60 * time.Millisecond)
 		if fails {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/review/stand2/shortstream.go
+++ b/review/stand2/shortstream.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -46,37 +46,11 @@
 			}
 		}
 	}
-	runners, addresses := map[string]*machine{}, map[string]string{}
-	for n := range streamRunners {
-		id, ip := fmt.Sprintf("i-%04d", n), fmt.Sprintf("127.0.2.%d", n+1)
-		free, err := freeAddresses(ip)
-		if err != nil {
-			return err
-		}
-		addresses[id] = free[0]
-		if runners[id], err = s.startRunner(id, "llm", free[0]); err != nil {
-			return err
-		}
-	}
-	var entries []*entry
-	for n := range 2 {
-		e, err := s.addEntry(fmt.Sprintf("edge-%d", n+1), fmt.Sprintf("127.0.1.%d", n+1))
-		if err != nil {
-			return err
-		}
-		if err = s.startEntry(e); err != nil {
-			return err
-		}
-		entries = append(entries, e)
+	runners, addresses, err := s.startRunners(slices.Repeat([]string{"llm"}, streamRunners)...)
+	if err != nil {
+		return err
 	}
-	err = await(20*time.Second, func() bool {
-		for _, e := range entries {
-			if o := newCaller(e.front).send("/advice/1", 20*time.Second); !e.isReady() || o.status != 200 || o.isShort() {
-				return false
-			}
-		}
-		return true
-	})
+	entries, err := s.startEntries(2, "/advice/1")
 	if err != nil {
 		return err
 	}
@@ -100,40 +74,42 @@
 		})
 	}
 	<-time.After(oddFrom)
-	for n := range oddRunners {
-		if err = runners[fmt.Sprintf("i-%04d", n)].tell("unframed on"); err != nil {
+	for _, m := range runners[:oddRunners] {
+		if err = m.tell("unframed on"); err != nil {
 			return err
 		}
 	}
-	crashed := ""
+	crashed := -1
 	select {
-	case crashed = <-crash:
+	case name := <-crash:
+		crashed = slices.IndexFunc(runners, func(m *machine) bool { return m.name == name })
 		if trouble {
 			runners[crashed].kill()
-			s.note("runner %s crashes", crashed)
+			s.note("runner %s crashes", name)
 		}
 	case <-time.After(oddTime):
 	}
 	<-time.After(time.Until(began.Add(oddFrom + oddTime)))
-	for n := range oddRunners {
-		if id := fmt.Sprintf("i-%04d", n); !trouble || id != crashed {
-			if err = runners[id].tell("unframed off"); err != nil {
-				return err
-			}
+	for n, m := range runners[:oddRunners] {
+		if trouble && n == crashed {
+			continue
+		}
+		if err = m.tell("unframed off"); err != nil {
+			return err
 		}
 	}
-	if trouble && crashed != "" {
+	if trouble && crashed >= 0 {
 		<-time.After(crashTime)
-		if _, err = s.startRunner(crashed+"b", "llm", addresses[crashed]); err != nil {
+		if _, err = s.startRunner(runners[crashed].name+"b", "llm", addresses[crashed]); err != nil {
 			return err
 		}
 	}
 	callers.Wait()
-	return judgeStreams(s, outcomes, crashed)
+	return judgeStreams(s, outcomes, crashed >= 0)
 }
 
 // judgeStreams writes what the callers have seen to the record.
-func judgeStreams(s *site, outcomes []outcome, crashed string) error {
+func judgeStreams(s *site, outcomes []outcome, crashed bool) error {
 	whole, failed, short := 0, 0, 0
 	for _, o := range outcomes {
 		switch {
@@ -151,7 +127,7 @@
 	switch {
 	case short > 0:
 		return errBroken
-	case crashed == "":
+	case !crashed:
 		return errNoCrash
 	}
 	return nil
