Show that a plain answer of a service with an engine never arrives

Claim: once a version moves a call to a service with an engine, each of these calls is run and its kept connection closed with a status and no byte of the body (LOST).

The case: one entry, three runners with an engine and two of a plain service, eight callers; one new version, 4 s after the start.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-exec target/review/stand2 encoded-slash "$here/record.txt"
+exec target/review/stand2 plain-answer "$here/record.txt"
