Fail answers that are reset while their request is still being sent

Cause: the kernel reports the reset of a connection to one call only. If the write of the upload gets it, the next read returns the same as after an orderly end, and without a length the end of the connection is the end of the body.

Ruled out: to count an end only if the request was written whole. That would fail sound answers that end before the upload was read.

--- a/io/bergamotfake/pause.go
+++ b/io/bergamotfake/pause.go
@@ -103,6 +103,11 @@
 	return nil
 }
 
+// SetLinger sets how the connection ends when it is closed, as net.TCPConn does.
+func (c *pauseConn) SetLinger(sec int) error {
+	return c.Conn.(*net.TCPConn).SetLinger(sec)
+}
+
 // Close closes the connection, also in a pause.
 func (c *pauseConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
--- /dev/null
+++ b/io/bergamotfake/rawanswer.go
@@ -0,0 +1,50 @@
+package bergamotfake
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"bergamotspur/io/bergamotlimit"
+)
+
+// A RawAnswer is an answer that a runner sends byte by byte as it stands, before it has read the body of the request.
+type RawAnswer struct {
+	Status string // code and reason, such as "200 OK"
+	Fields string // lines of the header besides the ID of the request and the stamp, each with its line end
+	Body   string // with its framing
+	// Wait is called between the answer and the end of its connection; nil for none.
+	Wait func()
+	// Reset makes the runner reset the connection. Otherwise it ends in order: the runner ends its side and reads what still arrives.
+	Reset bool
+}
+
+// SendRaw makes the runner answer all requests with a; nil ends that.
+func (f *RelayRunner) SendRaw(a *RawAnswer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.raw = a
+}
+
+// sendRaw sends a raw answer.
+func (f *RelayRunner) sendRaw(w http.ResponseWriter, a RawAnswer) {
+	c, in, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the server of the fake supports it
+	}
+	defer func() { _ = c.Close() }() // failed writes are ignored: the caller may have gone away
+	_, _ = fmt.Fprintf(in, "HTTP/1.1 %s\r\n", a.Status)
+	_ = w.Header().Write(in)
+	_, _ = in.WriteString(a.Fields + "\r\n" + a.Body)
+	_ = in.Flush()
+	if a.Wait != nil {
+		a.Wait()
+	}
+	limited := c.(*bergamotlimit.Conn)
+	if a.Reset {
+		_ = limited.Conn.(*pauseConn).SetLinger(0)
+		return
+	}
+	_ = limited.CloseWrite()
+	_, _ = io.Copy(io.Discard, c)
+}
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -40,6 +40,7 @@
 	crash       func()      // ends the process and its connections
 	endless     EndlessPart // part of answers that never ends, empty for none
 	endlessSent int64       // bytes of endless parts that were sent
+	raw         *RawAnswer  // that all requests get, nil for none
 }
 
 // An EndlessPart is the part of an answer that a runner in trouble sends until its caller closes the connection.
@@ -296,13 +297,15 @@
 	}
 	// A missing deadline is recorded as 0.
 	run.Deadline, _ = strconv.Atoi(h.Get("X-Bergamotspur-Deadline-Ms"))
-	run.Body = readAll(r)
+	if f.raw == nil {
+		run.Body = readAll(r)
+	}
 	f.runs = append(f.runs, run)
 	breaks := f.breaks > 0
 	if breaks {
 		f.breaks--
 	}
-	after, pause, endless, crash, crashEarly, unframed := f.after, f.EventInterval, f.endless, f.crash, f.crashEarly, f.unframed
+	after, pause, endless, crash, crashEarly, unframed, raw := f.after, f.EventInterval, f.endless, f.crash, f.crashEarly, f.unframed, f.raw
 	if f.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -320,6 +323,10 @@
 		crash()
 		return
 	}
+	if raw != nil {
+		f.sendRaw(w, *raw)
+		return
+	}
 	if endless != "" {
 		f.sendEndless(w, endless)
 		return
--- a/io/bergamotwire/transport.go
+++ b/io/bergamotwire/transport.go
@@ -1,6 +1,7 @@
 package bergamotwire
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -13,9 +14,18 @@
 func NewTransport() *http.Transport {
 	return &http.Transport{
 		Proxy:                  nil,
-		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        30 * time.Second,
 		MaxResponseHeaderBytes: maxHeader,
 	}
 }
+
+// dial opens a Conn.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(c), nil
+}
