Take the rest of a request before a tunnel is closed

Closing a connection with bytes that were not read resets it; the write of the request met that reset, and the transport then closed the connection before the answer was read.

--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -50,6 +50,9 @@
 // reachTimeout is how long a helper tries to reach a runner. A connection within a region is established in about a millisecond.
 const reachTimeout = 60 * time.Millisecond
 
+// discardTimeout is how long a helper waits at the end of the connection to a runner for the entry to close the tunnel.
+const discardTimeout = time.Second
+
 // Lender decides whether this entry helps another one.
 type Lender interface {
 	// Lend returns AnswerConnected if a connection may be opened, otherwise why not, and for how long this entry still helps if it is
@@ -166,12 +169,15 @@
 		defer close(sent)
 		// The entry closes the tunnel when its caller has left, or when it has the whole answer.
 		// The other direction shows how the connection ended. The plain reader and writer keep the buffer at its size.
-		_, _ = io.CopyBuffer(struct{ io.Writer }{runner}, struct{ io.Reader }{buffered}, make([]byte, maxFrame))
+		from, buffer := struct{ io.Reader }{buffered}, make([]byte, maxFrame)
+		_, _ = io.CopyBuffer(struct{ io.Writer }{runner}, from, buffer)
 		_ = runner.Close()
+		// Closing a connection with bytes that were not read resets it, and the entry would lose the rest of an answer that came early.
+		_, _ = io.CopyBuffer(struct{ io.Writer }{io.Discard}, from, buffer)
 	}()
-	n, _ = writeFrames(entry, runner) // the entry sees the last frame, or that there is none
-	_ = entry.Close()
-	_ = runner.Close() // a runner that reads nothing more holds up the other direction
+	n, _ = writeFrames(entry, runner)                         // the entry sees the last frame, or that there is none
+	_ = runner.Close()                                        // a runner that reads nothing more holds up the other direction
+	_ = entry.SetReadDeadline(time.Now().Add(discardTimeout)) // a connection that has ended needs none
 	<-sent
 	return n
 }
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -323,6 +323,28 @@
 		gomega.Eventually(handler.Open).WithTimeout(5 * time.Second).Should(gomega.BeZero())
 	})
 
+	// Guards against a helper that closes the tunnel while the request still arrives: that resets it, and the entry loses an answer that came
+	// early and whole.
+	ginkgo.It("takes the rest of the request when the runner has ended in order", func() {
+		r, h := newRunner(), &helpers{}
+		h.add(bergamotdetour.AnswerConnected)
+		conn := dialOver(h, r)
+		peer := <-r.accepted
+		ginkgo.DeferCleanup(func() { _ = peer.Close() })
+		written := make(chan error, 1)
+		go func() {
+			_, err := conn.Write(make([]byte, 4<<20)) // does not fit into the buffers of connections that are not read
+			written <- err
+		}()
+		_, err := io.ReadFull(peer, make([]byte, 1))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(peer.CloseWrite()).To(gomega.Succeed())
+		_, err = conn.Read(make([]byte, 1))
+		gomega.Expect(err).To(gomega.MatchError(io.EOF))
+		gomega.Eventually(written).WithTimeout(10 * time.Second).Should(gomega.Receive(gomega.BeNil()))
+		gomega.Expect(conn.Close()).To(gomega.Succeed())
+	})
+
 	// Guards against a runner that goes on for a caller that has left.
 	ginkgo.It("is closed at the runner when the entry closes it", func() {
 		r, h := newRunner(), &helpers{}
