Reject answers with a status that no final answer has

Callers saw: a runner sent status 000, 042 or 099. The program took it for the answer; the server's WriteHeader panicked on it, so that the caller's connection was closed without an answer and the log had a stack. Status 600 to 999 reached the caller. Where the program reads answers itself, any status other than 200 of the store counted as a rejection, so that a write that may have taken effect counted as not done.

Cause: net/http accepts three digits of any value.

Change: bergamotwire.Transport fails with a MalformedError on a status below 200 or above 599; interim answers are skipped before. All HTTP clients of the program use it: requests, reports, orders and health checks of runners, the store, other entries, and the first front end with its services, engines and stores. The request may have run, so that a call that may run once is not sent again and gets 502; the runner counts as failed like any other.

Held before: a status that is no number, 101 and an interim answer in place of the final one gave 502; their specs are kept.

--- a/io/bergamotwire/client.go
+++ b/io/bergamotwire/client.go
@@ -66,7 +66,7 @@
 
 func newClient(t *http.Transport, maxReplyBytes int64) *Client {
 	return &Client{maxReplyBytes: maxReplyBytes, client: &http.Client{
-		Transport: t,
+		Transport: &Transport{Next: t},
 		// Following a 307 would send the body a second time, to another server.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
--- a/io/bergamotwire/client_test.go
+++ b/io/bergamotwire/client_test.go
@@ -54,7 +54,7 @@
 		}()
 		client := bergamotwire.NewClientWithoutKeepAlive()
 		client.Wrap(func(t http.RoundTripper) http.RoundTripper {
-			next := t.(*http.Transport)
+			next := t.(*bergamotwire.Transport).Next.(*http.Transport)
 			gate.Dial, next.DialContext = next.DialContext, gate.DialContext
 			return t
 		})
