Reject answers with a field name that is not a token

Callers saw: the head of an answer, a 404 or a stream too, had "X Odd: 1" or "X-Odd : 1", and they got it with that line. With "Content-Length : 5" they got 700 bytes, with "Transfer-Encoding : chunked" the encoding of the chunks as the body, with a blank after the name of the request's ID an answer whose ID nobody had compared. A 503 with such a line passed on its promise that nothing had run. An answer with such a line in its trailer passed for whole.

Cause: net/http takes a name with a blank, also before the colon, for a field of that very name, so that it frames nothing and names nothing. RFC 9112, section 5.1, lets a proxy remove a blank before the colon and pass the answer on; here its body has been read with another framing by then, so that the answer is rejected.

--- a/io/bergamottunnel/client.go
+++ b/io/bergamottunnel/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bergamotspur/core/bergamotdetour"
+	"bergamotspur/io/bergamotwire"
 )
 
 // askTimeout is how long a helper may take to answer: it may need reachTimeout for the runner.
@@ -70,7 +71,7 @@
 	}
 	in := bufio.NewReaderSize(raw, readBufferSize)
 	resp, err := http.ReadResponse(in, req)
-	if err != nil || !stop() {
+	if err != nil || !stop() || bergamotwire.CheckFields(resp.Header) != nil {
 		return nil, bergamotdetour.AnswerSilent, 0
 	}
 	left, _ := parseMillis(resp.Header.Get(fieldLeft))
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -278,6 +278,27 @@
 		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerCut, bergamotdetour.AnswerConnected}))
 	})
 
+	// Guards against an answer of another entry that is none in HTTP and passes for one.
+	ginkgo.It("is not opened by an entry whose answer is malformed", func() {
+		r, h := newRunner(), &helpers{}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, out, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }() // the entry that asks sees a failure
+			_, _ = out.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: bergamot-tunnel\r\nTunnel-Left : 1\r\n\r\n")
+			_ = out.Flush()
+		}))
+		ginkgo.DeferCleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		h.list = append(h.list, bergamotdetour.NewHelper(address, address, "a"))
+		d := &bergamottunnel.Dialer{Entry: "me", AskTimeout: time.Hour, Direct: refuse, Links: newLinks(), Helpers: h, OnAnswer: func(bergamotdetour.Helper, string, bergamotdetour.Answer, time.Duration) {}}
+		_, err := d.Dial(context.Background(), "tcp", r.address())
+		gomega.Expect(errors.Is(err, errRefused)).To(gomega.BeTrue(), "%v", err)
+		gomega.Expect(h.answers).To(gomega.Equal([]bergamotdetour.Answer{bergamotdetour.AnswerSilent}))
+	})
+
 	// Guards against a helper that ends because it carries more than its memory allows.
 	ginkgo.It("is not opened by a helper without memory", func() {
 		r, h := newRunner(), &helpers{noMemory: true}
