Keep the connection of a gate's dialer out of its results

Cause: the function that runs when the context ends used the named result, which the return of nil overwrote while that function was still to run. A fault of the stand-in alone.

Change: the connection is a variable of its own.

Tests: "fails a connection whose context ends as it is opened" ends the context between the handshake and its answer.

--- a/io/bergamotfake/gate.go
+++ b/io/bergamotfake/gate.go
@@ -200,9 +200,10 @@
 
 // GateDialer returns a function that opens connections through the gate at an address. It fails as an ordinary connect does.
 func GateDialer(gate string) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (c net.Conn, err error) {
-		var d net.Dialer
-		if c, err = d.DialContext(ctx, network, gate); err != nil {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		// The function that runs when ctx ends may do so after the return, so that c must not be a result.
+		c, err := (&net.Dialer{}).DialContext(ctx, network, gate)
+		if err != nil {
 			return nil, err
 		}
 		stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
--- a/io/bergamotfake/gate_test.go
+++ b/io/bergamotfake/gate_test.go
@@ -84,4 +84,30 @@
 			gomega.Expect(string(text) + string(rest)).To(gomega.Equal("line\n"))
 		}
 	})
+
+	// Guards against a race between a dial that returns and the end of its context.
+	ginkgo.It("fails a connection whose context ends as it is opened", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = l.Close() }() // it is not used again
+		dial := bergamotfake.GateDialer(l.Addr().String())
+		for range 100 {
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }() // the other side has given it up
+				_, _ = bufio.NewReader(c).ReadString('\n')
+				cancel()
+				_, _ = c.Write([]byte("c"))
+			}()
+			_, err := dial(ctx, "tcp", "127.0.0.1:1")
+			gomega.Expect(err).To(gomega.MatchError(context.Canceled))
+			<-ended
+		}
+	})
 })
