--- a/io/bergamotfake/uploadgate.go
+++ b/io/bergamotfake/uploadgate.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"slices"
 	"sync"
 )
 
@@ -15,6 +16,9 @@
 
 	once   sync.Once
 	wanted chan struct{}
+
+	mu   sync.Mutex
+	only []string // addresses of the servers, empty for all
 }
 
 // maxGated is the number of connections that an UploadGate can order without AwaitRead.
@@ -29,12 +33,25 @@
 	<-g.wanted
 }
 
+// Order makes the gate order the connections to some addresses only, to all if there are none.
+func (g *UploadGate) Order(addresses ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.only = addresses
+}
+
+func (g *UploadGate) orders(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.only) == 0 || slices.Contains(g.only, address)
+}
+
 // DialContext opens a connection with Dial.
 func (g *UploadGate) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	g.init()
 	c, err := g.Dial(ctx, network, address)
-	if err != nil {
-		return nil, err
+	if err != nil || !g.orders(address) {
+		return c, err
 	}
 	return &gatedUpload{Conn: c, gate: g, failed: make(chan struct{}), read: make(chan struct{}), closed: make(chan struct{})}, nil
 }
