--- a/io/bergamotfake/rawanswer.go
+++ b/io/bergamotfake/rawanswer.go
@@ -48,3 +48,17 @@
 	_ = limited.CloseWrite()
 	_, _ = io.Copy(io.Discard, c)
 }
+
+// NewRawHandler returns a handler that reads each request, answers it with text as it stands, and closes the connection.
+func NewRawHandler(text string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // a client that has gone away needs no answer
+		c, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err) // the server of a test supports it
+		}
+		defer func() { _ = c.Close() }() // the client sees a failure
+		_, _ = out.WriteString(text)
+		_ = out.Flush()
+	})
+}
--- a/io/bergamottunnel/tunnel_test.go
+++ b/io/bergamottunnel/tunnel_test.go
@@ -21,6 +21,7 @@
 	"bergamotspur/core/bergamotclock"
 	"bergamotspur/core/bergamotdetour"
 	"bergamotspur/core/bergamottest"
+	"bergamotspur/io/bergamotfake"
 	"bergamotspur/io/bergamottunnel"
 )
 
@@ -281,15 +282,7 @@
 	// Guards against an answer of another entry that is none in HTTP and passes for one.
 	ginkgo.It("is not opened by an entry whose answer is malformed", func() {
 		r, h := newRunner(), &helpers{}
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			c, out, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }() // the entry that asks sees a failure
-			_, _ = out.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: bergamot-tunnel\r\nTunnel-Left : 1\r\n\r\n")
-			_ = out.Flush()
-		}))
+		server := httptest.NewServer(bergamotfake.NewRawHandler("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: bergamot-tunnel\r\nTunnel-Left : 1\r\n\r\n"))
 		ginkgo.DeferCleanup(server.Close)
 		address := strings.TrimPrefix(server.URL, "http://")
 		h.list = append(h.list, bergamotdetour.NewHelper(address, address, "a"))
--- a/io/bergamotwire/answer_test.go
+++ b/io/bergamotwire/answer_test.go
@@ -1,17 +1,17 @@
 package bergamotwire_test
 
 import (
-	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"bergamotspur/core/bergamottest"
+	"bergamotspur/io/bergamotfake"
 	"bergamotspur/io/bergamotwire"
 )
 
@@ -64,22 +64,11 @@
 		"is malformed with an interim one in its place":  {text: "HTTP/1.1 150 Odd\r\n\r\n", what: "EOF", other: true},
 		"is malformed with letters in place of a status": {text: status("2x0"), what: `"2x0"`, other: true},
 	}, func(c answerCase) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		defer func() { _ = l.Close() }() // ends the accepting goroutine if it still waits
-		go func() {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = conn.Close() }() // the caller sees a failure
-			if _, err = http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, c.text)
-			}
-		}()
+		server := httptest.NewServer(bergamotfake.NewRawHandler(c.text))
+		defer server.Close()
 		next := bergamotwire.NewTransport()
 		next.DisableKeepAlives = true
-		req, err := http.NewRequest(c.method, "http://"+l.Addr().String()+"/", nil)
+		req, err := http.NewRequest(c.method, server.URL, nil)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		var body []byte
 		resp, err := (&bergamotwire.Transport{Next: next}).RoundTrip(req)
