Close a tunnel after its time also when its connection was evicted

A timer closes the connection instead. Not shown by a test; the specs of tunnels and detours pass. go test -race ./io/bergamottunnel; go test ./platform -ginkgo.focus 'early answer|reaches them over another'

--- a/io/bergamotfake/rawanswer.go
+++ b/io/bergamotfake/rawanswer.go
@@ -28,15 +28,15 @@
 
 // sendRaw sends a raw answer.
 func (f *RelayRunner) sendRaw(w http.ResponseWriter, a RawAnswer) {
-	c, in, err := http.NewResponseController(w).Hijack()
+	c, out, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // the server of the fake supports it
 	}
 	defer func() { _ = c.Close() }() // failed writes are ignored: the caller may have gone away
-	_, _ = fmt.Fprintf(in, "HTTP/1.1 %s\r\n", a.Status)
-	_ = w.Header().Write(in)
-	_, _ = in.WriteString(a.Fields + "\r\n" + a.Body)
-	_ = in.Flush()
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 %s\r\n", a.Status)
+	_ = w.Header().Write(out)
+	_, _ = out.WriteString(a.Fields + "\r\n" + a.Body)
+	_ = out.Flush()
 	if a.Wait != nil {
 		a.Wait()
 	}
--- a/io/bergamottunnel/handler.go
+++ b/io/bergamottunnel/handler.go
@@ -175,9 +175,10 @@
 		// Closing a connection with bytes that were not read resets it, and the entry would lose the rest of an answer that came early.
 		_, _ = io.CopyBuffer(struct{ io.Writer }{io.Discard}, from, buffer)
 	}()
-	n, _ = writeFrames(entry, runner)                         // the entry sees the last frame, or that there is none
-	_ = runner.Close()                                        // a runner that reads nothing more holds up the other direction
-	_ = entry.SetReadDeadline(time.Now().Add(discardTimeout)) // a connection that has ended needs none
+	n, _ = writeFrames(entry, runner) // the entry sees the last frame, or that there is none
+	_ = runner.Close()                // a runner that reads nothing more holds up the other direction
+	// A read deadline would not do: connections that were evicted ignore it.
+	defer time.AfterFunc(discardTimeout, func() { _ = entry.Close() }).Stop()
 	<-sent
 	return n
 }
