Break the first answer in the specs, whichever runner gives it

Which runner a call or a stream reaches first is the router's choice, so that a spec in which one given runner sends a broken answer could pass by it. Now the first answer is broken and further ones are sound; the gate orders as many connections.

--- a/io/bergamotfake/rawanswer.go
+++ b/io/bergamotfake/rawanswer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"bergamotspur/io/bergamotlimit"
 )
@@ -17,15 +18,25 @@
 	Wait func()
 	// Reset makes the runner reset the connection. Otherwise it ends in order: the runner ends its side and reads what still arrives.
 	Reset bool
+	// Left is the number of answers that are left, of all runners that send this one; nil for no limit.
+	Left *atomic.Int32
 }
 
-// SendRaw makes the runner answer all requests with a; nil ends that.
+// SendRaw makes the runner answer requests with a; nil ends that.
 func (f *RelayRunner) SendRaw(a *RawAnswer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.raw = a
 }
 
+// takeRaw returns the raw answer for the next request, nil for none. The caller holds the lock.
+func (f *RelayRunner) takeRaw() *RawAnswer {
+	if f.raw != nil && f.raw.Left != nil && f.raw.Left.Add(-1) < 0 {
+		return nil
+	}
+	return f.raw
+}
+
 // sendRaw sends a raw answer.
 func (f *RelayRunner) sendRaw(w http.ResponseWriter, a RawAnswer) {
 	c, out, err := http.NewResponseController(w).Hijack()
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -40,7 +40,7 @@
 	crash       func()      // ends the process and its connections
 	endless     EndlessPart // part of answers that never ends, empty for none
 	endlessSent int64       // bytes of endless parts that were sent
-	raw         *RawAnswer  // that all requests get, nil for none
+	raw         *RawAnswer  // that requests get, nil for none
 }
 
 // An EndlessPart is the part of an answer that a runner in trouble sends until its caller closes the connection.
@@ -297,7 +297,8 @@
 	}
 	// A missing deadline is recorded as 0.
 	run.Deadline, _ = strconv.Atoi(h.Get("X-Bergamotspur-Deadline-Ms"))
-	if f.raw == nil {
+	raw := f.takeRaw()
+	if raw == nil {
 		run.Body = readAll(r)
 	}
 	f.runs = append(f.runs, run)
@@ -305,7 +306,7 @@
 	if breaks {
 		f.breaks--
 	}
-	after, pause, endless, crash, crashEarly, unframed, raw := f.after, f.EventInterval, f.endless, f.crash, f.crashEarly, f.unframed, f.raw
+	after, pause, endless, crash, crashEarly, unframed := f.after, f.EventInterval, f.endless, f.crash, f.crashEarly, f.unframed
 	if f.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
--- a/io/bergamotfake/uploadgate.go
+++ b/io/bergamotfake/uploadgate.go
@@ -4,12 +4,11 @@
 	"bytes"
 	"context"
 	"net"
-	"slices"
 	"sync"
 )
 
 // An UploadGate makes certain in which order a client meets the reset of a connection on which it still sends a request: its Write gets the
-// reset, then the Read after the first bytes of the answer returns, then the Write.
+// reset, then the Read after the first bytes of the answer returns, then the Write. It orders none until Limit.
 type UploadGate struct {
 	Text string // in the first bytes of the requests whose connections the gate orders
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -18,7 +17,7 @@
 	wanted chan struct{}
 
 	mu   sync.Mutex
-	only []string // addresses of the servers, empty for all
+	left int // connections that are still to be ordered, negative for all
 }
 
 // maxGated is the number of connections that an UploadGate can order without AwaitRead.
@@ -33,25 +32,30 @@
 	<-g.wanted
 }
 
-// Order makes the gate order the connections to some addresses only, to all if there are none.
-func (g *UploadGate) Order(addresses ...string) {
+// Limit makes the gate order the connections of the next n requests only; a negative number is no limit.
+func (g *UploadGate) Limit(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.only = addresses
+	g.left = n
 }
 
-func (g *UploadGate) orders(address string) bool {
+// take reports whether another connection is to be ordered.
+func (g *UploadGate) take() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.only) == 0 || slices.Contains(g.only, address)
+	if g.left > 0 {
+		g.left--
+		return true
+	}
+	return g.left < 0
 }
 
 // DialContext opens a connection with Dial.
 func (g *UploadGate) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	g.init()
 	c, err := g.Dial(ctx, network, address)
-	if err != nil || !g.orders(address) {
-		return c, err
+	if err != nil {
+		return nil, err
 	}
 	return &gatedUpload{Conn: c, gate: g, failed: make(chan struct{}), read: make(chan struct{}), closed: make(chan struct{})}, nil
 }
@@ -100,7 +104,7 @@
 // Write writes, and returns an error after the next Read.
 func (c *gatedUpload) Write(p []byte) (n int, err error) {
 	c.mu.Lock()
-	c.ordered = c.ordered || !c.written && bytes.Contains(p, []byte(c.gate.Text))
+	c.ordered = c.ordered || !c.written && bytes.Contains(p, []byte(c.gate.Text)) && c.gate.take()
 	c.written = true
 	ordered := c.ordered
 	c.mu.Unlock()
--- a/io/bergamotwire/client_test.go
+++ b/io/bergamotwire/client_test.go
@@ -33,6 +33,7 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		defer func() { _ = l.Close() }() // ends the accepting goroutine if it still waits
 		gate := &bergamotfake.UploadGate{Text: "/reset"}
+		gate.Limit(1)
 		go func() {
 			conn, err := l.Accept()
 			if err != nil {
