Let NewTransport return a Transport

bergamotwire.NewTransport returned an http.Transport without the checks that bergamotwire.Transport makes, so that its name misled and a new user of it would have gone without them. Clients set the fields of the http.Transport before they wrap it, as before. go test -race ./io/bergamotwire ./io/bergamotservice ./io/bergamotengine

--- a/io/bergamotwire/answer_test.go
+++ b/io/bergamotwire/answer_test.go
@@ -66,12 +66,12 @@
 	}, func(c answerCase) {
 		server := httptest.NewServer(bergamotfake.NewRawHandler(c.text))
 		defer server.Close()
-		next := bergamotwire.NewTransport()
-		next.DisableKeepAlives = true
+		transport := bergamotwire.NewTransport()
+		transport.Next.(*http.Transport).DisableKeepAlives = true
 		req, err := http.NewRequest(c.method, server.URL, nil)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		var body []byte
-		resp, err := (&bergamotwire.Transport{Next: next}).RoundTrip(req)
+		resp, err := transport.RoundTrip(req)
 		if err == nil {
 			body, err = io.ReadAll(resp.Body)
 			gomega.Expect(resp.Body.Close()).To(gomega.Succeed())
--- a/io/bergamotwire/client.go
+++ b/io/bergamotwire/client.go
@@ -44,11 +44,11 @@
 }
 
 // NewClient returns a client that keeps idle connections and reads replies of up to 64 MiB.
-func NewClient() *Client { return newClient(NewTransport(), maxBodyBytes) }
+func NewClient() *Client { return newClient(newHTTPTransport(), maxBodyBytes) }
 
 // NewClientWithoutKeepAlive returns a client that opens a new connection for each request.
 func NewClientWithoutKeepAlive() *Client {
-	t := NewTransport()
+	t := newHTTPTransport()
 	t.DisableKeepAlives = true
 	return newClient(t, maxBodyBytes)
 }
@@ -56,7 +56,7 @@
 // NewPollClient returns a client that polls many servers with short requests. It rejects replies of more than
 // maxReplyBytes and closes connections that are idle for idleTimeout: each one holds two goroutines and two buffers.
 func NewPollClient(idleTimeout time.Duration, maxReplyBytes int64) *Client {
-	t := NewTransport()
+	t := newHTTPTransport()
 	t.IdleConnTimeout = idleTimeout
 	t.MaxIdleConnsPerHost = 1
 	// The request and the reply fit into one packet each, so the Accept-Encoding header would only add bytes.
--- a/io/bergamotwire/transport.go
+++ b/io/bergamotwire/transport.go
@@ -11,7 +11,10 @@
 const maxHeader = 64 << 10
 
 // NewTransport returns a transport that connects directly to the address of each request, never through a proxy.
-func NewTransport() *http.Transport {
+func NewTransport() *Transport { return &Transport{Next: newHTTPTransport()} }
+
+// newHTTPTransport returns the transport of NewTransport without the checks of answers.
+func newHTTPTransport() *http.Transport {
 	return &http.Transport{
 		Proxy:                  nil,
 		DialContext:            dial,
