--- a/io/bergamotfake/rawanswer.go
+++ b/io/bergamotfake/rawanswer.go
@@ -18,6 +18,8 @@
 	Wait func()
 	// Reset makes the runner reset the connection. Otherwise it ends in order: the runner ends its side and reads what still arrives.
 	Reset bool
+	// Unread makes the runner close the connection after it has ended its side in order, without reading what still arrives.
+	Unread bool
 	// Left is the number of answers that are left, of all runners that send this one; nil for no limit.
 	Left *atomic.Int32
 }
@@ -56,6 +58,10 @@
 		_ = limited.Conn.(*pauseConn).SetLinger(0)
 		return
 	}
+	if a.Unread {
+		_ = limited.Conn.(*pauseConn).CloseWrite()
+		return
+	}
 	_ = limited.CloseWrite()
 	_, _ = io.Copy(io.Discard, c)
 }
