Fail answers whose status promises that nothing has run, without proof

Callers saw: a runner that fails after a run answers with 503 and its signature; the entry passed that on, and the caller took it for the promise that the request has not run and never will.

Cause: the runner client took each answer with a signature for the answer, whatever its status. Evidence: the line of such a request has the outcome answered, one send and no failed step, so that neither a second send nor a refusal of the entry is at work.

Change: 408, 421, 429 and 503 count only with the runner's word, the field or 421. Otherwise the attempt has failed with the reason promise and an unknown outcome. All attempts pass through this check, and refusals with an unknown outcome are 502 already. A Retry-After of a runner reaches no caller. A request that may be repeated goes to another runner, within its attempts and the budget.

--- a/core/bergamotrelay/call_test.go
+++ b/core/bergamotrelay/call_test.go
@@ -28,16 +28,20 @@
 	// lookup that fails although another runner could answer it.
 	bergamottest.Cases(map[string]callCase{
 		"is answered": {once, 9, []reply{ok}, "answered", 200, 1},
-		"that must not run twice is not retried after a reset": {once, 9, []reply{{failure: reset()}, ok}, "target unknown", 0, 1},
-		"that must not run twice is retried after a rejection": {once, 9, []reply{{failure: rejected()}, ok}, "answered", 200, 2},
-		"that all runners reject is refused as not run":        {once, 9, []reply{{failure: rejected()}}, "full no", 0, 3},
-		"is not retried without a retry budget":                {once, 0, []reply{{failure: rejected()}, ok}, "full no", 0, 1},
-		"that may be repeated is retried after a reset":        {many, 9, []reply{{failure: reset()}, ok}, "answered", 200, 2},
-		"that may be repeated is retried after a status 500":   {many, 9, []reply{{status: 500}, ok}, "answered", 200, 2},
-		"returns a runner's status 500 when all attempts fail": {many, 9, []reply{{status: 500}}, "answered", 500, 2},
-		"that must not run twice returns a status 500":         {once, 9, []reply{{status: 500}, ok}, "answered", 500, 1},
-		"runs at no more runners than the route allows":        {many, 9, []reply{{failure: reset()}, {failure: reset()}, ok}, "target unknown", 0, 2},
-		"that may be repeated returns a status 404 at once":    {many, 9, []reply{{status: 404}, ok}, "answered", 404, 1},
+		"that must not run twice is not retried after a reset":             {once, 9, []reply{{failure: reset()}, ok}, "target unknown", 0, 1},
+		"that must not run twice is retried after a rejection":             {once, 9, []reply{{failure: rejected()}, ok}, "answered", 200, 2},
+		"that all runners reject is refused as not run":                    {once, 9, []reply{{failure: rejected()}}, "full no", 0, 3},
+		"is not retried without a retry budget":                            {once, 0, []reply{{failure: rejected()}, ok}, "full no", 0, 1},
+		"that must not run twice is not retried after an unproven promise": {once, 9, []reply{{failure: unproven()}, ok}, "promise unknown", 0, 1},
+		"that may be repeated is retried after an unproven promise":        {many, 9, []reply{{failure: unproven()}, ok}, "answered", 200, 2},
+		"returns a status 500 kept before an unproven promise":             {many, 9, []reply{{status: 500}, {failure: unproven()}}, "answered", 500, 2},
+		"is no promise if another runner may have run it":                  {many, 9, []reply{{failure: unproven()}, {failure: rejected()}}, "full unknown", 0, 3},
+		"that may be repeated is retried after a reset":                    {many, 9, []reply{{failure: reset()}, ok}, "answered", 200, 2},
+		"that may be repeated is retried after a status 500":               {many, 9, []reply{{status: 500}, ok}, "answered", 200, 2},
+		"returns a runner's status 500 when all attempts fail":             {many, 9, []reply{{status: 500}}, "answered", 500, 2},
+		"that must not run twice returns a status 500":                     {once, 9, []reply{{status: 500}, ok}, "answered", 500, 1},
+		"runs at no more runners than the route allows":                    {many, 9, []reply{{failure: reset()}, {failure: reset()}, ok}, "target unknown", 0, 2},
+		"that may be repeated returns a status 404 at once":                {many, 9, []reply{{status: 404}, ok}, "answered", 404, 1},
 	}, func(c callCase) {
 		attempts := 1
 		if c.repeat == many {
--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -330,6 +330,11 @@
 	return NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonFull, errors.New("status 503"))
 }
 
+// unproven is the failure of an attempt whose answer promises that the request was not run, without proof.
+func unproven() *Failure {
+	return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonPromise, errors.New("status 503"))
+}
+
 func reset() *Failure {
 	return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonTarget, errors.New("reset"))
 }
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -32,6 +32,8 @@
 		"runs at no more runners than the route allows":        {true, 9, []reply{broken, broken, broken}, "target yes", "0 1 2 3 4 5 ", 2},
 		"is retried when a runner rejects it":                  {false, 9, []reply{{failure: rejected()}, {events: 2}}, "answered", "0 1 ", 2},
 		"is retried after a reset when resumable":              {true, 9, []reply{{failure: reset()}, {events: 2}}, "answered", "0 1 ", 2},
+		"is not retried after an unproven promise otherwise":   {false, 9, []reply{{failure: unproven()}, {events: 2}}, "promise unknown", "", 1},
+		"may have run after an unproven promise":               {true, 9, []reply{{failure: unproven()}, {failure: rejected()}}, "full unknown", "", 5},
 		"is not retried after a reset otherwise":               {false, 9, []reply{{failure: reset()}, {events: 2}}, "target unknown", "", 1},
 		"is refused as not run when all runners reject it":     {true, 9, []reply{{failure: rejected()}}, "full no", "", 5},
 		"ends with a failure when a runner sends events again": {true, 9, []reply{broken, {events: 5, again: true}}, "target yes", "0 1 2 ", 2},
--- a/core/bergamotrequest/reason.go
+++ b/core/bergamotrequest/reason.go
@@ -30,6 +30,7 @@
 	ReasonObject      Reason = "object"   // the object store does not respond
 	ReasonPath        Reason = "path"     // no path covers all layers of the model
 	ReasonTarget      Reason = "target"   // a target failed
+	ReasonPromise     Reason = "promise"  // a target answered with a status that promises that the request was not run, without proof
 	ReasonStall       Reason = "stall"    // a target or connection stopped sending
 	ReasonLink        Reason = "link"     // the way to the targets failed, not a target
 	ReasonProof       Reason = "proof"    // a token lacks the proof that its layers ran once and in order
@@ -45,7 +46,7 @@
 	return []Reason{
 		ReasonBody, ReasonSize, ReasonRoute, ReasonKey, ReasonAccess, ReasonModel, ReasonService, ReasonIdempotency, ReasonBundle, ReasonStale,
 		ReasonDrain, ReasonDeadline, ReasonRate, ReasonTokens, ReasonFull, ReasonLimit, ReasonRoom, ReasonSuspect, ReasonDigest,
-		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonStall, ReasonLink,
+		ReasonProgress, ReasonUnknown, ReasonTable, ReasonObject, ReasonPath, ReasonTarget, ReasonPromise, ReasonStall, ReasonLink,
 		ReasonProof, ReasonBudget, ReasonMemory, ReasonUpload, ReasonCancel, ReasonInternal,
 	}
 }
--- a/io/bergamotfront/errors.go
+++ b/io/bergamotfront/errors.go
@@ -46,7 +46,7 @@
 		return http.StatusTooManyRequests
 	case bergamotrequest.ReasonDeadline, bergamotrequest.ReasonStall:
 		return http.StatusGatewayTimeout
-	case bergamotrequest.ReasonTarget, bergamotrequest.ReasonProof, bergamotrequest.ReasonUnknown:
+	case bergamotrequest.ReasonTarget, bergamotrequest.ReasonPromise, bergamotrequest.ReasonProof, bergamotrequest.ReasonUnknown:
 		return http.StatusBadGateway
 	case bergamotrequest.ReasonInternal:
 		return http.StatusInternalServerError
--- a/io/bergamotfront/refusal_test.go
+++ b/io/bergamotfront/refusal_test.go
@@ -54,6 +54,7 @@
 		"object":   {status: 503, retryAfter: "1", errType: server},
 		"path":     {status: 503, retryAfter: "1", errType: server},
 		"target":   {status: 502, errType: server},
+		"promise":  {status: 502, errType: server},
 		"stall":    {status: 504, errType: server},
 		"link":     {status: 503, retryAfter: "1", errType: server},
 		"proof":    {status: 502, errType: server},
