Let handlers of answers take their runners from an interface

The handler of streams knew only runners with the layers of a model, and the handler of calls only those without, so that a route decided neither. Who picks the runners becomes the interface Runners with two implementations, LayeredRunners and PlainRunners, moved out of the handlers; who passes the answer on stays with StreamHandler and CallHandler. The dispatcher chooses as before.

--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"bergamotspur/core/bergamotfleet"
-	"bergamotspur/core/bergamotpath"
 	"bergamotspur/core/bergamotrequest"
+	"bergamotspur/core/bergamotroute"
 )
 
 const (
@@ -17,48 +17,40 @@
 	// also sent to a second runner. It is late enough that few calls of normal duration are hedged, and early enough
 	// that the second response arrives within the objective.
 	hedgeDelayRatio = 0.5
-	// remotePenalty is added to the number of calls in flight of a runner in another data centre, so that a local
-	// runner is preferred at a similar load.
-	remotePenalty = 0.5
 	// maxLinkRounds is how often a call that reached no runner is tried at all of them again while the links of the entry are in doubt, and
 	// linkRoundDelay the time before that. By then the entry has found others over which it reaches them, or knows that there are none.
 	maxLinkRounds  = 3
 	linkRoundDelay = 60 * time.Millisecond
 )
 
-// CallHandler is the handler for requests to services without a model engine.
+// CallHandler is the handler for requests that are answered as a whole.
 type CallHandler struct {
 	Clock      Clock
 	Upstream   Upstream
+	Runners    Runners
 	Views      Views
 	Budget     Budget
-	Observer   Observer
 	Quarantine *Quarantine
-	Centre     string      // data centre of this entry
-	Avoid      interface { // records the runners to avoid for a while
-		Avoid(runner string, d time.Duration)
-		IsAvoided(runner string) bool
-	}
-	Exclusions *bergamotpath.Exclusions // runners that asked for no more requests
-	Gate       *LimitGate               // nil for none
+	Gate       *LimitGate // nil for none
 	// MayLackLinks reports whether this entry may have lost its links to all runners, as far as it can know within milliseconds; nil for
 	// never.
 	MayLackLinks func() bool
 	// ExpectedTime returns how long a call may take, going by recent ones; nil for its deadline.
 	ExpectedTime func(x *Exchange) time.Duration
-
-	mu       sync.Mutex
-	inFlight map[string]int // calls in flight by runner
 }
 
 // attemptResult is the response or the failure of one attempt.
 type attemptResult struct {
-	runner  string
-	helper  string // the entry over which the attempt went, empty for none
-	status  int
-	fields  Fields
-	body    []byte
-	failure *Failure
+	plan     bergamotroute.Plan
+	helper   string // the entry over which the attempt went, empty for none
+	hasBegun bool   // the header of a response has arrived
+	status   int
+	fields   Fields
+	body     []byte
+	failure  *Failure
+	step     string // what the failure shows of its runner, empty for nothing
+	// unstarted is the process that crashed before it began to answer a request which may only have waited there; empty for none.
+	unstarted string
 }
 
 // answers holds the responses of a call until its reply has been sent, since their bodies need memory until then.
@@ -93,12 +85,13 @@
 type callState struct {
 	handler      *CallHandler
 	x            *Exchange
-	tried        map[string]bool // runners that an attempt was sent to
+	tried        map[string]bool // runners that got an attempt as the first of its plan, or that failed one
 	inFlight     int             // attempts without a result
 	possibleRuns int             // attempts that may have run the call to completion
 	attempts     int             // attempts so far
 	results      chan attemptResult
 	failure      *Failure // failure of the last attempt
+	heldBack     error    // refusal of a retry because of the limits of runners, nil for none
 	linkRounds   int      // how often all runners were tried again because of the links
 	trial        *trial
 	answers      answers
@@ -119,16 +112,16 @@
 		return err
 	}
 	c.trial = t
-	defer t.end()
-	started, err := h.Gate.pass(ctx, x, runnerSearch{
-		atLimit: func() (process string, ok bool) { return h.atLimit(x, c.tried) },
-		take:    func() bool { return c.startAttempt(ctx) },
-	})
+	defer t.finish()
+	started, err := c.awaitAttempt(ctx)
 	if err != nil {
 		return err
 	}
+	if !started && ctx.Err() != nil {
+		return refuseEnded(ctx)
+	}
 	if !started {
-		return bergamotrequest.Refuse(bergamotrequest.ReasonTarget, "no runner of the service is usable").WithRetryAfter(c.retryAfter())
+		return refuseUnavailable(h.Runners, x)
 	}
 	var hedge <-chan time.Time
 	if x.Route().IsRetryable() && x.Route().MaxAttempts() > 1 {
@@ -140,7 +133,7 @@
 			if c.recordResult(result) {
 				return c.reply(result)
 			}
-			if ctx.Err() == nil && c.takeRetry() && c.startAttempt(ctx) {
+			if ctx.Err() == nil && c.takeRetry() && c.retry(ctx) {
 				continue
 			}
 			if c.inFlight == 0 && c.fallback != nil {
@@ -151,7 +144,8 @@
 			}
 		case <-hedge:
 			hedge = nil
-			if c.attempts < x.Route().MaxAttempts() && h.Budget.Take(x.Service().Name()) {
+			// A suspect may make the second runner crash too.
+			if c.attempts < x.Route().MaxAttempts() && !t.suspect.Load() && h.Budget.Take(x.Service().Name()) {
 				c.startAttempt(ctx)
 			}
 		case <-ctx.Done():
@@ -168,50 +162,94 @@
 	return c.x.Sink().Reply(result.status, result.fields, result.body)
 }
 
-// startAttempt starts an attempt at the least loaded runner and reports whether a runner was available.
+// awaitAttempt starts an attempt, waiting for runners and for their limits, and reports whether it has started one. It returns a refusal if
+// it would have to wait for too long because of limits.
+func (c *callState) awaitAttempt(ctx context.Context) (started bool, err error) {
+	h := c.handler
+	return awaitRunners(ctx, h.Clock, h.Gate, c.x, runnerSearch{
+		atLimit: func() (process string, ok bool) { return h.Runners.atLimit(c.x, c.tried) },
+		take:    func() bool { return c.startAttempt(ctx) },
+	}, h.Runners.maxWait(), func() {
+		// A runner that failed this call may be the only one left with its layers.
+		c.tried = map[string]bool{}
+	})
+}
+
+// retry starts another attempt and reports whether it has. It waits for runners only while there is nothing else to wait for or to return.
+func (c *callState) retry(ctx context.Context) (started bool) {
+	if c.startAttempt(ctx) {
+		return true
+	}
+	if c.inFlight > 0 || c.fallback != nil || c.handler.Runners.maxWait() == 0 || c.attempts >= cap(c.results) {
+		return false
+	}
+	started, c.heldBack = c.awaitAttempt(ctx)
+	return started
+}
+
+// startAttempt starts an attempt at runners that no other attempt has tried, and reports whether there were any.
 func (c *callState) startAttempt(ctx context.Context) bool {
 	h := c.handler
 	if c.attempts >= cap(c.results) {
 		return false
 	}
-	instance, ok := h.acquireRunner(c.x, c.tried)
+	p, ok := h.Runners.reserve(c.x, c.tried)
 	if !ok {
 		return false
 	}
-	c.tried[instance.Name()] = true
+	v := h.Views.View()
+	if c.hasLayers() {
+		p = isolate(h.Runners, v, c.trial, p, c.tried)
+	}
+	c.tried[p.Stages()[0].Instance()] = true
 	c.attempts++
 	c.inFlight++
-	c.x.Trace().RecordAttempt(instance.Name())
-	a := Attempt{
-		request: c.x.Request(), runner: instance.Name(), process: instance.Process(), address: instance.Address(), workspace: c.x.Workspace().Name(),
-		timeout: c.x.Deadline().Sub(h.Clock.Now()), resumeAfter: -1, priority: c.x.Priority(),
-	}
-	if !c.x.Route().IsRetryable() {
-		a.need = a.timeout
-		if h.ExpectedTime != nil {
-			a.need = min(a.need, h.ExpectedTime(c.x))
-		}
+	c.x.Trace().RecordAttempt(formatPlan(p))
+	a := newAttempt(c.x, p, v, h.Clock.Now())
+	if a.need > 0 && h.ExpectedTime != nil {
+		a.need = min(a.need, h.ExpectedTime(c.x))
 	}
+	runner, known := firstRunner(v, p)
 	wasSuspect := c.trial.suspect.Load()
 	go func() {
 		result := h.sendAttempt(ctx, a, &c.answers)
-		h.releaseRunner(instance.Name())
-		if f := result.failure; f != nil && ctx.Err() == nil && f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo {
-			c.trial.checkCrash(ctx, instance, wasSuspect)
+		result.plan = p
+		h.Runners.release(c.x, p)
+		f := result.failure
+		if f != nil && f.isOfRunner() && f.reason != bergamotrequest.ReasonSuspect {
+			result.step = h.Runners.recordFailure(p, f)
+		}
+		if f != nil && known && ctx.Err() == nil && f.reason == bergamotrequest.ReasonTarget && f.runState != bergamotrequest.RunNo {
+			c.checkCrash(ctx, runner, wasSuspect, &result)
 		}
 		c.results <- result
 	}()
 	return true
 }
 
+// hasLayers reports whether the runners of the call hold layers of a model. They run many requests together, so that the crash of one
+// breaks off calls that only waited there.
+func (c *callState) hasLayers() bool { return c.x.Service().Engine() != nil }
+
+// checkCrash checks whether a runner that broke off the call has crashed.
+func (c *callState) checkCrash(ctx context.Context, i bergamotfleet.Instance, wasSuspect bool, result *attemptResult) {
+	if !c.hasLayers() || result.hasBegun {
+		c.trial.checkCrash(ctx, i, wasSuspect)
+		return
+	}
+	if c.handler.Quarantine.hasCrashed(ctx, i) {
+		result.unstarted = i.Process()
+	}
+}
+
 func (h *CallHandler) sendAttempt(ctx context.Context, a Attempt, open *answers) (result attemptResult) {
-	result.runner = a.runner
 	a.onDetour = func(helper string) { result.helper = helper }
 	response, err := h.Upstream.Send(ctx, a)
 	if err != nil {
 		result.failure = asFailure(failureCause(ctx, err))
 		return result
 	}
+	result.hasBegun = true
 	if result.body, err = response.Body(); err != nil {
 		response.Close()
 		result.failure = asFailure(failureCause(ctx, err))
@@ -236,20 +274,24 @@
 		// The runner failed a call that may be repeated, so another runner is tried first.
 		c.fallback, c.possibleRuns = &result, c.possibleRuns+1
 		c.failure = NewFailure(bergamotrequest.RunYes, bergamotrequest.ReasonTarget, fmt.Errorf("status %d", result.status))
-		c.x.Trace().RecordFailure(result.runner, c.failure)
+		c.x.Trace().RecordFailure(runnerAt(result.plan, ""), c.failure)
 		return false
 	}
 	f := result.failure
 	c.failure = f
-	c.x.Trace().RecordFailure(result.runner, f)
+	name := runnerAt(result.plan, f.faultAddress)
+	c.x.Trace().RecordFailure(name, f)
 	if f.runState != bergamotrequest.RunNo {
 		c.possibleRuns++
 	}
-	if !f.isEnd() && !f.isOfLink() {
-		c.handler.Avoid.Avoid(result.runner, avoidDuration)
-		if f.reason != bergamotrequest.ReasonFull {
-			c.handler.Observer.RunnerFailed(result.runner, f.Error())
-		}
+	if f.isOfRunner() {
+		c.tried[name] = true
+	}
+	if result.step != "" {
+		c.x.Trace().AddStep(result.step)
+	}
+	if result.unstarted != "" {
+		c.trial.addUnstarted(result.unstarted)
 	}
 	return false
 }
@@ -303,85 +345,8 @@
 	if ctx.Err() != nil {
 		return refuseEnded(ctx).WithRun(runState)
 	}
-	return bergamotrequest.Refuse(c.failure.reason, "%s", c.failure.Error()).WithRun(runState).WithRetryAfter(c.retryAfter())
-}
-
-// retryAfter returns the Retry-After time of a refusal: when all runners asked for a pause, the time until the first one
-// takes requests again.
-func (c *callState) retryAfter() time.Duration {
-	h := c.handler
-	first, paused := time.Duration(0), false
-	for _, instance := range h.Views.View().Fleet().ByRole(c.x.Service().Name()) {
-		if instance.Leaving() {
-			continue
-		}
-		free := h.Exclusions.FreeIn(instance.Process())
-		if free == 0 {
-			return retryDelay(c.x, h.Clock.Now())
-		}
-		if !paused || free < first {
-			first, paused = free, true
-		}
-	}
-	return max(first, retryDelay(c.x, h.Clock.Now()))
-}
-
-// acquireRunner returns the usable runner with the fewest calls in flight per slot and counts one more call for it. It takes a permit if the
-// runner has a limit.
-func (h *CallHandler) acquireRunner(x *Exchange, tried map[string]bool) (best bergamotfleet.Instance, ok bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if best, ok = h.chooseRunner(x, tried, true); !ok || !h.Gate.take(best.Process()) {
-		return best, false
-	}
-	if h.inFlight == nil {
-		h.inFlight = map[string]int{}
-	}
-	h.inFlight[best.Name()]++
-	return best, true
-}
-
-// atLimit returns the process of the runner that acquireRunner would return without limits, if that is at its limit.
-func (h *CallHandler) atLimit(x *Exchange, tried map[string]bool) (process string, ok bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	best, found := h.chooseRunner(x, tried, false)
-	return best.Process(), found && !h.Gate.mayTake(best.Process())
-}
-
-// chooseRunner returns the usable runner with the fewest calls in flight per slot. Unless heed is set, it takes no account of the limits of
-// runners. The caller holds the lock.
-func (h *CallHandler) chooseRunner(x *Exchange, tried map[string]bool, heed bool) (best bergamotfleet.Instance, ok bool) {
-	minCost := 0.0
-	for _, includeSuspects := range []bool{false, true} {
-		for _, instance := range h.Views.View().Fleet().ByRole(x.Service().Name()) {
-			if h.Exclusions.IsExcluded(instance.Process()) || heed && !h.Gate.mayTake(instance.Process()) {
-				continue
-			}
-			// The second pass includes runners that failed recently: a call that they reject costs little.
-			if tried[instance.Name()] || instance.Leaving() || !includeSuspects && (instance.Failed() || h.Avoid.IsAvoided(instance.Name())) {
-				continue
-			}
-			cost := float64(h.inFlight[instance.Name()]) / float64(max(instance.Slots(), 1))
-			if instance.DataCentre() != h.Centre {
-				cost += remotePenalty / float64(max(instance.Slots(), 1))
-			}
-			if !ok || cost < minCost {
-				best, minCost, ok = instance, cost, true
-			}
-		}
-		if ok {
-			return best, true
-		}
-	}
-	return best, false
-}
-
-// releaseRunner ends a call that acquireRunner has counted.
-func (h *CallHandler) releaseRunner(runner string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.inFlight[runner]--; h.inFlight[runner] <= 0 {
-		delete(h.inFlight, runner)
+	if c.heldBack != nil {
+		return bergamotrequest.AsRefusal(c.heldBack).WithRun(runState)
 	}
+	return bergamotrequest.Refuse(c.failure.reason, "%s", c.failure.Error()).WithRun(runState).WithRetryAfter(c.handler.Runners.returnIn(c.x))
 }
--- a/core/bergamotrelay/limitgate.go
+++ b/core/bergamotrelay/limitgate.go
@@ -171,9 +171,3 @@
 	p.Part = p.All / float64(max(v.EntryCount(), 1))
 	return p
 }
-
-// mayTake reports whether a process may get a request.
-func (g *LimitGate) mayTake(process string) bool { return g == nil || g.Permits.MayTake(process) }
-
-// take takes a permit of a process, if it has a limit.
-func (g *LimitGate) take(process string) bool { return g == nil || g.Permits.Take(process) }
--- a/core/bergamotrelay/quarantine.go
+++ b/core/bergamotrelay/quarantine.go
@@ -192,11 +192,15 @@
 // checkUnstarted checks whether a runner that broke off before it began to answer has crashed. If so, and if the request is
 // not answered by another runner, the crash is attributed to the request as one that may only have waited there.
 func (t *trial) checkUnstarted(ctx context.Context, i bergamotfleet.Instance) {
-	if !t.quarantine.hasCrashed(ctx, i) {
-		return
+	if t.quarantine.hasCrashed(ctx, i) {
+		t.addUnstarted(i.Process())
 	}
+}
+
+// addUnstarted attributes the crash of a process before it began to answer.
+func (t *trial) addUnstarted(process string) {
 	wasSuspect := t.suspect.Swap(true)
-	t.unstarted = append(t.unstarted, unstartedCrash{process: i.Process(), alone: wasSuspect && t.isAlone(i.Process())})
+	t.unstarted = append(t.unstarted, unstartedCrash{process: process, alone: wasSuspect && t.isAlone(process)})
 	if wasSuspect {
 		t.recordUnstarted() // before the next attempt
 	}
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -5,11 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
-	"bergamotspur/core/bergamotfleet"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 )
@@ -31,7 +29,7 @@
 	avoidDuration = 300 * time.Millisecond
 )
 
-// recordFailure reports a failed attempt to the router and the observer.
+// recordFailure records a failed attempt.
 func (s *streamState) recordFailure(p bergamotroute.Plan) {
 	f := s.failure
 	name := runnerAt(p, f.faultAddress)
@@ -46,8 +44,8 @@
 		return // the runner is not at fault
 	}
 	s.avoid[name] = true
-	if used, ok := s.reportFailed(p, name, f); ok {
-		s.x.Trace().AddStep(fmt.Sprintf("%s holds %.0f token-layers", name, used))
+	if step := s.handler.Runners.recordFailure(p, f); step != "" {
+		s.x.Trace().AddStep(step)
 	}
 }
 
@@ -69,54 +67,6 @@
 	}
 }
 
-// reportFailed reports a runner that failed an attempt to the router and the observer. One that rejected it because its memory is full is
-// not at fault: then ok is true, and used is the memory in use by all entries, in tokens times layers.
-func (s *streamState) reportFailed(p bergamotroute.Plan, name string, f *Failure) (used float64, ok bool) {
-	if !f.isOfRunner() {
-		return 0, false
-	}
-	if f.reason == bergamotrequest.ReasonFull {
-		if used, ok = s.checkMemoryFull(p, name); ok {
-			return used, true
-		}
-	}
-	s.handler.Router.Avoid(name, avoidDuration)
-	s.handler.Observer.RunnerFailed(name, f.Error())
-	return 0, false
-}
-
-// runnerAt returns the name of the runner of a path at an address, or that of the first runner if none has it.
-func runnerAt(p bergamotroute.Plan, address string) string {
-	for _, stage := range p.Stages() {
-		if stage.Address() == address {
-			return stage.Instance()
-		}
-	}
-	return p.Stages()[0].Instance()
-}
-
-// checkMemoryFull reports whether a runner rejected the request because its memory is full. If so, it returns the memory in use by all
-// entries and passes it to the router. Any other cause of a rejection calls for a health check of the runner.
-func (s *streamState) checkMemoryFull(p bergamotroute.Plan, name string) (used float64, ok bool) {
-	for _, stage := range p.Stages() {
-		if stage.Instance() != name {
-			continue
-		}
-		r, err := s.handler.StallDetector.fetchReport(stage.Address())
-		if err != nil || !coversStage(r.Holdings(), stage) || !r.Full() {
-			return 0, false
-		}
-		s.handler.Router.RecordUsage(name, r.UsedMemory())
-		return r.UsedMemory(), true
-	}
-	return 0, false
-}
-
-// coversStage reports whether the holdings include all layers of a stage.
-func coversStage(holdings []bergamotfleet.Holding, s bergamotroute.Stage) bool {
-	return slices.ContainsFunc(holdings, func(h bergamotfleet.Holding) bool { return h.From() <= s.From() && s.To() <= h.To() })
-}
-
 // takeRetry reports whether the request may be sent over another path, and takes the retry from the budget unless that
 // has already been done.
 func (s *streamState) takeRetry() bool {
@@ -172,13 +122,13 @@
 		return bergamotrequest.AsRefusal(s.heldBack).WithRun(s.runState())
 	}
 	if s.failure == nil {
-		return bergamotrequest.Refuse(bergamotrequest.ReasonPath, "no path covers all layers").WithRetryAfter(retryDelay(s.x, s.handler.Clock.Now()))
+		return refuseUnavailable(s.handler.Runners, s.x)
 	}
 	r := bergamotrequest.Refuse(s.failure.reason, "%s", s.failure.Error()).WithRun(s.runState())
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r = bergamotrequest.Refuse(bergamotrequest.ReasonDeadline, "the time is over").WithRun(s.runState())
 	}
-	return r.WithRetryAfter(retryDelay(s.x, s.handler.Clock.Now()))
+	return r.WithRetryAfter(s.handler.Runners.returnIn(s.x))
 }
 
 // refuseConfirmed returns the refusal of a request that was found to make runners crash after it was admitted.
@@ -227,9 +177,14 @@
 	}
 }
 
+// formatPlan returns the runners of a plan, each with its layers if it has any.
 func formatPlan(p bergamotroute.Plan) string {
 	var b strings.Builder
 	for _, s := range p.Stages() {
+		if s.To() == s.From() {
+			b.WriteString(s.Instance() + " ")
+			continue
+		}
 		fmt.Fprintf(&b, "%s=%d-%d ", s.Instance(), s.From(), s.To())
 	}
 	return strings.TrimSpace(b.String())
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -4,24 +4,16 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"bergamotspur/core/bergamotcluster"
-	"bergamotspur/core/bergamotfleet"
-	"bergamotspur/core/bergamotpath"
 	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamotroute"
 )
 
 const (
-	// maxPathWait is how long a request waits for a path. Repairing the layers takes about a second, and callers give
-	// up on a stream that is silent for two.
-	maxPathWait = 1200 * time.Millisecond
-	// pathPollInterval is the time between two searches for a path; a search takes a few microseconds.
-	pathPollInterval = 40 * time.Millisecond
 	// maxIsolationPaths is how many paths a suspect tries in search of a first runner without another suspect.
 	maxIsolationPaths = 4
 	minTimedEvents    = 10 // fewest events of an attempt from which the time per event is measured
@@ -58,21 +50,24 @@
 	View() *bergamotcluster.View
 }
 
-// StreamHandler is the handler for requests that a model answers with a stream. Where the route allows it, an
-// interrupted stream is resumed on another path after the last event that the caller received.
+// StreamHandler is the handler for requests that are answered with a series of events. Where the route allows it, an
+// interrupted stream is resumed over another plan after the last event that the caller received.
 type StreamHandler struct {
 	Clock         Clock
 	Upstream      Upstream
-	Router        *bergamotpath.Router
+	Runners       Runners
 	Views         Views
 	Budget        Budget
-	Observer      Observer
 	StallDetector *StallDetector
 	Quarantine    *Quarantine
 	Links         Links
 	Gate          *LimitGate // nil for none
 	// MayLackLinks is that of CallHandler.
 	MayLackLinks func() bool
+	// EventTimes records the mean time per event of a stream, by the data centre of its first runner; nil for none.
+	EventTimes interface {
+		RecordEventTime(centre string, event time.Duration)
+	}
 }
 
 // Links tells what is known of the links of this entry to the runners.
@@ -123,7 +118,7 @@
 			return s.refuseConfirmed()
 		}
 		if next == nil {
-			o.plan = s.isolate(o.plan)
+			o.plan = isolate(h.Runners, h.Views.View(), t, o.plan, s.avoid)
 			s.attempts++
 		}
 		x.Trace().RecordAttempt(formatPlan(o.plan))
@@ -163,123 +158,42 @@
 	if o.response != nil {
 		o.response.Close()
 	}
-	s.handler.Router.Release(o.plan, s.x.Request().Tokens())
+	s.handler.Runners.release(s.x, o.plan)
 }
 
-// plan returns a path, waiting up to maxPathWait for one, and for the limits of runners; ok is false if there is none.
+// plan returns a plan, waiting for one, and for the limits of runners; ok is false if there is none.
 func (s *streamState) plan(ctx context.Context) (p bergamotroute.Plan, ok bool) {
-	h := s.handler
-	deadline := h.Clock.Now().Add(maxPathWait)
+	r := s.handler.Runners
 	search := runnerSearch{
 		resumes: s.started.Load(),
-		atLimit: func() (process string, ok bool) { return h.Router.AtLimit(s.pathQuery(h.Views.View())) },
+		atLimit: func() (process string, ok bool) { return r.atLimit(s.x, s.avoid) },
 		take: func() (found bool) {
-			p, found = s.route(s.pathQuery(h.Views.View()))
+			p, found = r.reserve(s.x, s.avoid)
 			return found
 		},
 	}
-	for {
-		if ok, s.heldBack = h.Gate.pass(ctx, s.x, search); ok || s.heldBack != nil || !h.Clock.Now().Before(deadline) {
-			return p, ok
-		}
+	ok, s.heldBack = awaitRunners(ctx, s.handler.Clock, s.handler.Gate, s.x, search, r.maxWait(), func() {
 		// A runner that failed this request may be the only one left with its layers.
 		s.avoid = map[string]bool{}
-		select {
-		case <-ctx.Done():
-			return p, false
-		case <-h.Clock.After(pathPollInterval):
-		}
-	}
-}
-
-// route returns a path, which it reserves.
-func (s *streamState) route(q bergamotpath.Query) (p bergamotroute.Plan, ok bool) {
-	r := s.handler.Router
-	p, ok = r.Route(q)
-	if ok && s.probeFullestRunner(p, q) {
-		// A runner of the path is at or near its memory limit, possibly because of other entries: search again with its current report.
-		r.Withdraw(p, q)
-		p, ok = r.Route(q)
-	}
+	})
 	return p, ok
 }
 
-// isolate returns a path whose first runner has no other suspect, if the request is one and there is such a path, and the
-// given path otherwise. Without that, a request that waits at two runners while another one makes them crash would look
-// like the cause.
-func (s *streamState) isolate(p bergamotroute.Plan) bergamotroute.Plan {
-	if !s.trial.suspect.Load() {
-		return p
-	}
-	h, v := s.handler, s.handler.Views.View()
-	query := s.pathQuery(v)
-	query.Avoid = maps.Clone(s.avoid)
-	for range maxIsolationPaths {
-		i, ok := v.Fleet().Instance(p.Stages()[0].Instance())
-		if !ok || s.trial.enter(i.Process(), true) {
-			return p
-		}
-		query.Avoid[i.Name()] = true
-		other, ok := h.Router.Route(query)
-		if !ok {
-			break
-		}
-		h.Router.Withdraw(p, query)
-		p = other
-	}
-	if i, ok := v.Fleet().Instance(p.Stages()[0].Instance()); ok {
-		s.trial.enter(i.Process(), false)
-	}
-	return p
-}
-
-// recordEventTime passes the mean time per event of an attempt to the router. Short attempts are left out, since their
+// recordEventTime records the mean time per event of an attempt. Short attempts are left out, since their
 // time depends more on how they ended than on the path.
 func (s *streamState) recordEventTime(p bergamotroute.Plan, events int, elapsed time.Duration) {
-	if events < minTimedEvents {
+	if events < minTimedEvents || s.handler.EventTimes == nil {
 		return
 	}
-	if i, ok := s.handler.Views.View().Fleet().Instance(p.Stages()[0].Instance()); ok {
-		s.handler.Router.RecordEventTime(i.DataCentre(), elapsed/time.Duration(events))
+	if i, ok := firstRunner(s.handler.Views.View(), p); ok {
+		s.handler.EventTimes.RecordEventTime(i.DataCentre(), elapsed/time.Duration(events))
 	}
 }
 
-// pathQuery returns the query for a path that suits the request.
-func (s *streamState) pathQuery(v *bergamotcluster.View) bergamotpath.Query {
-	return bergamotpath.Query{
-		Engine: s.x.Service().Engine(), Service: s.x.Service().Name(), Fleet: v.Fleet(),
-		Tokens: s.x.Request().Tokens(), Answer: s.x.Request().AnswerTokens(), Avoid: s.avoid, Entries: v.EntryCount(),
-	}
-}
-
-// probeFullestRunner fetches the report of the runner of a path whose memory may be full, unless a recent report is
-// known, and reports whether it did. A report costs a hundredth of a request, while a rejection costs a retry from the
-// budget.
-func (s *streamState) probeFullestRunner(p bergamotroute.Plan, q bergamotpath.Query) bool {
-	name, address, ok := s.handler.Router.FullestRunner(p, q)
-	if !ok {
-		return false
-	}
-	r, err := s.handler.StallDetector.fetchReport(address)
-	if err != nil {
-		return false
-	}
-	s.handler.Router.RecordUsage(name, r.UsedMemory())
-	return true
-}
-
 // attempt returns the attempt of o for a caller that has the events up to lastEvent.
 func (s *streamState) attempt(o *opened, lastEvent int) Attempt {
-	p, first := o.plan, o.plan.Stages()[0]
-	runner, known := s.handler.Views.View().Fleet().Instance(first.Instance())
-	a := Attempt{
-		request: s.x.Request(), runner: first.Instance(), process: processOf(runner, known), address: first.Address(), plan: p,
-		workspace: s.x.Workspace().Name(), timeout: s.x.Deadline().Sub(s.handler.Clock.Now()), resumeAfter: lastEvent,
-		priority: s.priority(), onDetour: func(helper string) { o.helper = helper },
-	}
-	if !s.x.Route().IsRetryable() {
-		a.need = a.timeout
-	}
+	a := newAttempt(s.x, o.plan, s.handler.Views.View(), s.handler.Clock.Now())
+	a.resumeAfter, a.priority, a.onDetour = lastEvent, s.priority(), func(helper string) { o.helper = helper }
 	return a
 }
 
@@ -287,7 +201,7 @@
 // another attempt takes over.
 func (s *streamState) runAttempt(requestCtx context.Context, o *opened, move *handover) (err error) {
 	h, p, ctx := s.handler, o.plan, o.ctx
-	runner, known := h.Views.View().Fleet().Instance(p.Stages()[0].Instance())
+	runner, known := firstRunner(h.Views.View(), p)
 	w := h.StallDetector.watch(watchSpec{
 		request: s.x.Request().ID(), plan: p, maxPause: s.x.Route().TargetGap(), maxSilence: maxSilence(s.x.Route()),
 		maxFirst: s.x.Route().TargetLatency(), isContinued: s.started.Load(), isConfirmed: func() bool { return h.Quarantine.isConfirmed(s.x) },
@@ -354,14 +268,6 @@
 	}
 }
 
-// processOf returns the process of a runner, empty for one that has been removed.
-func processOf(runner bergamotfleet.Instance, known bool) string {
-	if !known {
-		return ""
-	}
-	return runner.Process()
-}
-
 // mayHaveCrashed reports whether the first runner of a path broke off before the first event, so that the request may have
 // made it crash. The event after which the caller wants the stream to go on shows nothing: any caller can name one.
 func (s *streamState) mayHaveCrashed(ctx context.Context, err error) bool {
--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -145,7 +145,6 @@
 		return nil
 	}
 	h := s.handler
-	query := s.pathQuery(h.Views.View())
 	failed := maps.Clone(s.avoid) // s.avoid changes once the attempt has ended, when the function may still run
 	attempts, runs := s.attempts, s.possibleRuns+1
 	allowed := func(sends, more int) bool { return s.allowsAttempt(attempts+sends, runs+more) }
@@ -153,34 +152,33 @@
 		if h.Quarantine.isConfirmed(s.x) {
 			return false
 		}
-		current := query
-		current.Fleet, current.Avoid = h.Views.View().Fleet(), maps.Clone(failed)
+		avoid := maps.Clone(failed)
 		if address != "" {
-			current.Avoid[runnerAt(p, address)] = true
+			avoid[runnerAt(p, address)] = true
 		}
-		other, ok := s.route(current)
+		other, ok := h.Runners.reserve(s.x, avoid)
 		if !ok {
 			return false
 		}
 		if s.trial.suspect.Load() {
 			// A suspect leaves its runner before it goes to another one.
-			h.Router.Withdraw(other, current)
-			return h.Budget.TakeWithin(query.Service, share)
+			h.Runners.withdraw(s.x, other)
+			return h.Budget.TakeWithin(s.x.Service().Name(), share)
 		}
 		o := newOpened(ctx, other, h.Clock.Now())
 		lastEvent, ok := move.begin(o.cancel, allowed)
 		if !ok {
 			o.cancel(nil)
-			h.Router.Withdraw(other, current)
+			h.Runners.withdraw(s.x, other)
 			return false
 		}
-		if !h.Budget.TakeWithin(query.Service, share) {
+		if !h.Budget.TakeWithin(s.x.Service().Name(), share) {
 			move.withdraw()
 			o.cancel(nil)
-			h.Router.Withdraw(other, current)
+			h.Runners.withdraw(s.x, other)
 			return false
 		}
-		runner, known := current.Fleet.Instance(other.Stages()[0].Instance())
+		runner, known := firstRunner(h.Views.View(), other)
 		f := s.open(o, lastEvent)
 		if f == nil && move.accept(o, lastEvent) {
 			return true
@@ -193,7 +191,9 @@
 		failed[name] = failed[name] || f.isOfRunner()
 		// The attempt may end meanwhile; its caller does not wait for a report of the other runner.
 		move.reject(failedSend{plan: other, helper: o.helper, runner: runner, known: known, failure: f})
-		s.reportFailed(other, name, f)
+		if f.isOfRunner() {
+			h.Runners.recordFailure(other, f)
+		}
 		return false
 	}
 }
@@ -231,8 +231,7 @@
 	return func(address string, cause error) {
 		name := runnerAt(p, address)
 		if i, ok := h.Views.View().Fleet().Instance(name); ok && !i.Failed() {
-			h.Router.Avoid(name, avoidDuration)
-			h.Observer.RunnerFailed(name, stallFailure(address, cause).Error())
+			h.Runners.recordFailure(p, stallFailure(address, cause))
 		}
 	}
 }
