--- a/core/bergamotrelay/trace.go
+++ b/core/bergamotrelay/trace.go
@@ -10,6 +10,7 @@
 // Trace records the steps taken for a request, for the request's log line.
 type Trace struct {
 	filter         string // the last one that the request has reached
+	handler        string // the one that answers the request
 	steps          []string
 	failureReasons []bergamotrequest.Reason
 	attempts       int
@@ -62,6 +63,12 @@
 // Filter returns the name of the last filter that the request has reached.
 func (t *Trace) Filter() string { return t.filter }
 
+func (t *Trace) recordHandler(name string) { t.handler = name }
+
+// Handler returns the name of the handler that answers the request: "layered" or "plain" for the runners of its service, and "whole" or
+// "events" for how the answer is passed on. It is empty for a request that has reached none.
+func (t *Trace) Handler() string { return t.handler }
+
 // Steps returns the steps in order, separated by semicolons.
 func (t *Trace) Steps() string { return strings.Join(t.steps, "; ") }
 
