Pass on the answers of model runners as a whole where the route says so

The runner counted as failed.

Cause: the dispatcher chose the handler by the service alone, so that a call was passed on as a series of events. Evidence: the line of the request names the handler layered.events on a route that is no stream.

A call gets a path with memory for its tokens, waits while layers are repaired as a stream does, and blames the runner of the path that is at fault.

--- a/core/bergamotrelay/call_test.go
+++ b/core/bergamotrelay/call_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"bergamotspur/core/bergamotcluster"
 	"bergamotspur/core/bergamotconfig"
+	"bergamotspur/core/bergamotfleet"
+	"bergamotspur/core/bergamotrequest"
 	"bergamotspur/core/bergamottest"
 )
 
@@ -94,3 +98,58 @@
 		}
 	})
 })
+
+type pathCallCase struct {
+	repeat    bergamotconfig.RouteType
+	holders   []string // runners with all layers; without any, x holds the first half and y and z the second one
+	replies   []reply
+	want      string
+	wantSends int
+	failed    []string // runners that are reported
+	isSuspect bool     // the crash of a runner is attributed to the call
+	waits     bool     // until a runner may be tried again
+}
+
+var _ = ginkgo.Describe("a call over a path", func() {
+	const once, many = bergamotconfig.RouteNonIdempotent, bergamotconfig.RouteIdempotent
+	ok, all := reply{body: "ok"}, []string{"x", "y", "z"}
+	atSecond := reply{failure: NewFailure(bergamotrequest.RunNo, bergamotrequest.ReasonTarget, errors.New("status 421")).WithFaultAddress("y:1")}
+	// Guards against calls to model runners that are refused while layers are repaired, that hold back an answer for another one, that blame
+	// the first runner of a path for another one, and against sound calls that are refused because they waited at a runner that crashed.
+	bergamottest.Cases(map[string]pathCallCase{
+		"is answered": {repeat: once, holders: all, replies: []reply{ok}, want: "answered", wantSends: 1},
+		"waits when all runners have rejected it":             {repeat: once, holders: all, replies: []reply{{failure: rejected()}, {failure: rejected()}, {failure: rejected()}, ok}, want: "answered", wantSends: 4, failed: all, waits: true},
+		"is refused as not run when no runner takes it":       {repeat: once, holders: all, replies: []reply{{failure: rejected()}}, want: "full no", wantSends: 4, failed: append(all, "x"), waits: true},
+		"returns an answer without waiting for another path":  {repeat: many, holders: all[:1], replies: []reply{{status: 500}, ok}, want: "answered", wantSends: 1},
+		"avoids the runner at fault":                          {repeat: once, replies: []reply{atSecond, ok}, want: "answered", wantSends: 2, failed: all[1:2]},
+		"is not blamed for a crash when another runner is up": {repeat: many, holders: all, replies: []reply{{failure: reset()}, ok}, want: "answered", wantSends: 2, failed: all[:1]},
+		"is suspect when it ends with a crash":                {repeat: once, holders: all, replies: []reply{{failure: reset()}}, want: "target unknown", wantSends: 1, failed: all[:1], isSuspect: true},
+	}, func(c pathCallCase) {
+		g := newRig(route(bergamotconfig.RouteSpec{Type: c.repeat, MaxAttempts: 1 + int(c.repeat)}), model, c.replies...)
+		var list []bergamotfleet.Instance
+		for _, name := range c.holders {
+			list = append(list, instance(name, "llm"))
+		}
+		if len(c.holders) == 0 {
+			list = []bergamotfleet.Instance{holder("x", 0, 4), holder("y", 4, 8), holder("z", 4, 8)}
+		}
+		g.views = fixedView{bergamotcluster.NewView(nil, 0, bergamotfleet.NewFleet(list))}
+		h := g.callHandler()
+		h.Clock = instantClock{g.clock}
+		gomega.Expect(outcomeOf(h.Handle(context.Background(), g.x))).To(gomega.Equal(c.want))
+		gomega.Expect(g.upstream.attempts).To(gomega.HaveLen(c.wantSends))
+		gomega.Expect(g.observer.failed).To(gomega.HaveLen(len(c.failed)))
+		if len(c.holders) == 0 {
+			gomega.Expect(g.observer.failed).To(gomega.Equal(c.failed))
+		}
+		gomega.Expect(g.ledger.IsSuspect(g.x.Contents()...)).To(gomega.Equal(c.isSuspect))
+		gomega.Expect(g.clock.Now().After(now.Add(avoidDuration/2))).To(gomega.Equal(c.waits), "%s", g.clock.Now().Sub(now))
+	})
+})
+
+// holder returns a model runner that holds a range of layers.
+func holder(name string, from, to int) bergamotfleet.Instance {
+	spec := instance(name, "llm").Spec()
+	spec.Holdings = []bergamotfleet.Holding{bergamotfleet.NewHolding("m", "1", from, to)}
+	return bergamotfleet.NewInstance(spec)
+}
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -72,6 +72,18 @@
 	StartTime     time.Time // when the runner started to run the request
 }
 
+// isStream reports whether the request is answered with events: by the beginning of its target, and else if it goes over a path.
+func (r RelayRun) isStream() bool {
+	switch {
+	case strings.HasPrefix(r.Target, "/events/"):
+		return true
+	case strings.HasPrefix(r.Target, "/whole/"):
+		return false
+	default:
+		return r.Path != ""
+	}
+}
+
 // NewRelayRunner returns a runner that holds nothing.
 func NewRelayRunner(id string) *RelayRunner {
 	return &RelayRunner{ID: id, EventInterval: time.Millisecond, startTime: time.Now().UnixMilli()}
@@ -336,7 +348,7 @@
 		f.answerUnframed(w, run, breaks, after)
 		return
 	}
-	if run.Path == "" {
+	if !run.isStream() {
 		if breaks {
 			panic(http.ErrAbortHandler)
 		}
@@ -381,10 +393,10 @@
 	_, _ = out.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
 	_ = w.Header().Write(out)
 	_, _ = out.WriteString("\r\n")
-	if run.Path == "" {
+	if !run.isStream() {
 		_, _ = fmt.Fprintf(out, "answer to %s", run.ID)
 	}
-	for n := run.LastEvent + 1; run.Path != "" && n < streamEvents; n++ {
+	for n := run.LastEvent + 1; run.isStream() && n < streamEvents; n++ {
 		if breaks && n == run.LastEvent+1+after {
 			_, _ = fmt.Fprintf(out, "id: %d\ndata: tok", n)
 			break
