--- a/core/bergamotconfig/route.go
+++ b/core/bergamotconfig/route.go
@@ -52,9 +52,12 @@
 // IsStreaming reports whether the answer is a stream of events.
 func (r Route) IsStreaming() bool { return r.spec.Type == RouteStreaming }
 
+// IsResumable reports whether a stream that was interrupted may go on after one of its events.
+func (r Route) IsResumable() bool { return r.IsStreaming() && r.spec.Resumable }
+
 // IsRetryable reports whether a request may run more than once.
 func (r Route) IsRetryable() bool {
-	return r.spec.Type == RouteIdempotent || r.spec.Type == RouteStreaming && r.spec.Resumable
+	return r.spec.Type == RouteIdempotent || r.IsResumable()
 }
 
 // Timeout returns the maximum time that a caller waits, 0 for none.
--- a/core/bergamotrelay/admission.go
+++ b/core/bergamotrelay/admission.go
@@ -102,7 +102,7 @@
 func admissionRequest(c *bergamotconfig.Config, x *Exchange) bergamotcapacity.Request {
 	return bergamotcapacity.Request{
 		Workspace: x.Workspace().Name(), Priority: bergamotconfig.ClampPriority(x.Priority()), MostUrgent: c.Priorities(x.Service().Name()).MostUrgent(),
-		Tokens: x.Request().Tokens(), Resumes: x.Request().LastEvent() >= 0,
+		Tokens: x.Request().Tokens(), Resumes: x.LastEvent() >= 0,
 		Arrived: x.Request().ArrivedAt(), TargetLatency: x.Route().TargetLatency(), Deadline: x.Deadline(),
 	}
 }
--- a/core/bergamotrelay/admission_test.go
+++ b/core/bergamotrelay/admission_test.go
@@ -38,7 +38,7 @@
 
 func priorityRoute(name string, priority int, target time.Duration) bergamotconfig.Route {
 	return bergamotconfig.NewRoute(bergamotconfig.RouteSpec{
-		Name: name, Host: "h", Prefix: "/" + name + "/", Type: bergamotconfig.RouteStreaming, TargetLatency: target, Priority: priority,
+		Name: name, Host: "h", Prefix: "/" + name + "/", Type: bergamotconfig.RouteStreaming, Resumable: true, TargetLatency: target, Priority: priority,
 		Split: []bergamotconfig.Share{{Service: "llm", Weight: 1}},
 	})
 }
--- a/core/bergamotrelay/exchange.go
+++ b/core/bergamotrelay/exchange.go
@@ -85,6 +85,15 @@
 	return x.route.Priority()
 }
 
+// LastEvent returns the number of the event after which the stream goes on, -1 for its beginning. What the caller says of it holds only where
+// the route allows it: a run that may not be resumed sends all its events.
+func (x *Exchange) LastEvent() int {
+	if !x.route.IsResumable() {
+		return -1
+	}
+	return x.request.LastEvent()
+}
+
 // Trace returns the record of the steps taken for the request.
 func (x *Exchange) Trace() *Trace { return &x.trace }
 
--- a/core/bergamotrelay/request.go
+++ b/core/bergamotrelay/request.go
@@ -69,7 +69,7 @@
 	return r.spec.PromptParts[:len(r.spec.PromptParts)-1]
 }
 
-// LastEvent returns the number of the last event of the stream that the caller has received, -1 for none.
+// LastEvent returns the number of the last event of the stream that the caller says it has received, -1 for none.
 func (r *Request) LastEvent() int { return r.spec.LastEvent }
 
 // Fields returns the header fields to pass on; they must not be modified.
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -95,7 +95,7 @@
 // Handle sends the request over a path and forwards the events to the caller. It returns a *bergamotrequest.Refusal
 // when there is no complete response.
 func (h *StreamHandler) Handle(ctx context.Context, x *Exchange) error {
-	s := &streamState{handler: h, x: x, lastEvent: x.Request().LastEvent(), avoid: map[string]bool{}}
+	s := &streamState{handler: h, x: x, lastEvent: x.LastEvent(), avoid: map[string]bool{}}
 	h.Budget.RecordFirst(x.Service().Name())
 	t, err := h.Quarantine.begin(ctx, x)
 	if err != nil {
@@ -164,6 +164,10 @@
 // plan returns a plan, waiting for one, and for the limits of runners; ok is false if there is none.
 func (s *streamState) plan(ctx context.Context) (p bergamotroute.Plan, ok bool) {
 	r := s.handler.Runners
+	maxWait := r.maxWait()
+	if s.started.Load() {
+		maxWait = maxPathWait // the caller loses what it has if the stream breaks off
+	}
 	search := runnerSearch{
 		resumes: s.started.Load(),
 		atLimit: func() (process string, ok bool) { return r.atLimit(s.x, s.avoid) },
@@ -172,7 +176,7 @@
 			return found
 		},
 	}
-	ok, s.heldBack = awaitRunners(ctx, s.handler.Clock, s.handler.Gate, s.x, search, r.maxWait(), func() {
+	ok, s.heldBack = awaitRunners(ctx, s.handler.Clock, s.handler.Gate, s.x, search, maxWait, func() {
 		// A runner that failed this request may be the only one left with its layers.
 		s.avoid = map[string]bool{}
 	})
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -20,11 +20,19 @@
 	wantSends int
 }
 
+type lastEventCase struct {
+	resumable bool
+	again     bool // the runner sends all events wherever the request goes on
+	want      string
+	text      string
+	after     int // that the runner is told
+}
+
 var _ = ginkgo.Describe("a stream", func() {
 	broken := reply{events: 3, broken: true}
 	// Guards against missing or duplicate events, against a second run that the route does not allow, and against an
 	// incomplete response that looks complete.
-	bergamottest.Cases(map[string]streamCase{
+	cases := map[string]streamCase{
 		"ends with a failure when it has no event":             {true, 9, []reply{{}, {events: 2}}, "target yes", "", 1},
 		"is forwarded completely":                              {true, 9, []reply{{events: 4}}, "answered", "0 1 2 3 ", 1},
 		"is resumed after its last event at another runner":    {true, 9, []reply{broken, {events: 2}}, "answered", "0 1 2 3 4 ", 2},
@@ -40,13 +48,42 @@
 		"is not retried without a retry budget":                {true, 0, []reply{{failure: rejected()}, {events: 2}}, "full no", "", 1},
 		"ends with a failure when the next runner fails":       {true, 9, []reply{broken, {status: 500, body: "no"}}, "target yes", "0 1 2 ", 2},
 		"returns a status 500 of its runner":                   {true, 9, []reply{{status: 500, body: "no"}}, "answered", "no", 1},
-	}, func(c streamCase) {
-		g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: c.resumable, MaxAttempts: 2}), model, c.replies...)
+	}
+	plainCases := map[string]streamCase{}
+	for name, c := range cases {
+		plainCases["of a service without layers "+name] = c
+	}
+	// Without layers, a stream that has not begun tries no runner twice.
+	for _, name := range []string{"is refused as not run when all runners reject it", "may have run after an unproven promise"} {
+		c := cases[name]
+		c.wantSends = 3
+		plainCases["of a service without layers "+name] = c
+	}
+	check := func(service bergamotconfig.Service, c streamCase) {
+		g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: c.resumable, MaxAttempts: 2}), service, c.replies...)
 		g.budget.left = c.budget
 		gomega.Expect(outcomeOf(g.stream(context.Background()))).To(gomega.Equal(c.want))
 		gomega.Expect(g.caller.text).To(gomega.Equal(c.text))
 		gomega.Expect(g.upstream.attempts).To(gomega.HaveLen(c.wantSends))
 		gomega.Expect(g.caller.starts).To(gomega.BeNumerically("<=", 1))
+	}
+	bergamottest.Cases(cases, func(c streamCase) { check(model, c) })
+	bergamottest.Cases(plainCases, func(c streamCase) { check(plain, c) })
+
+	// Guards against a caller that joins two runs where the route does not allow it, and against one that gets events again where it does.
+	bergamottest.Cases(map[string]lastEventCase{
+		"goes on after the last event of its caller":            {resumable: true, want: "answered", text: "3 4 ", after: 2},
+		"ends with a failure when its runner begins anew":       {resumable: true, again: true, want: "target yes", after: 2},
+		"begins anew where it may not be resumed":               {want: "answered", text: "0 1 ", after: -1},
+		"begins anew where it may not be resumed, as it should": {again: true, want: "answered", text: "0 1 ", after: -1},
+	}, func(c lastEventCase) {
+		for _, service := range []bergamotconfig.Service{model, plain} {
+			g := newRig(route(bergamotconfig.RouteSpec{Type: bergamotconfig.RouteStreaming, Resumable: c.resumable, MaxAttempts: 1}), service, reply{events: 2, again: c.again})
+			g.x.request = NewRequest(RequestSpec{ID: "1", LastEvent: 2, ArrivedAt: now})
+			gomega.Expect(outcomeOf(g.stream(context.Background()))).To(gomega.Equal(c.want))
+			gomega.Expect(g.caller.text).To(gomega.Equal(c.text))
+			gomega.Expect(g.upstream.attempts[0].ResumeAfter()).To(gomega.Equal(c.after))
+		}
 	})
 
 	// Guards against interrupted streams that cannot be resumed because rejected requests have used up the retry
--- a/io/bergamotfake/relayrunner.go
+++ b/io/bergamotfake/relayrunner.go
@@ -16,7 +16,7 @@
 	Faults        Faults
 	ID            string
 	EventInterval time.Duration // time between two events of a stream
-	Prefill       time.Duration // time from the header of a stream to its first event
+	Prefill       time.Duration // time from the header of a stream to its first event, or before the answer to a call
 	RequireFence  bool          // orders with a lower fencing token than an earlier one are refused
 
 	mu          sync.Mutex
@@ -352,6 +352,9 @@
 		if breaks {
 			panic(http.ErrAbortHandler)
 		}
+		if f.Prefill > 0 {
+			<-time.After(f.Prefill)
+		}
 		_, _ = fmt.Fprintf(w, "answer to %s", run.ID)
 		return
 	}
