Pass on plain answers on routes of streams

Callers saw: 502 or a closed connection in place of a 200 with a plain body, for example JSON with a length, on a route of streams; the runner counted as failed. The same for HEAD, whose answers have no events.

Change: an answer whose head names another type than text/event-stream is passed on whole, as other statuses are. It continues no stream that has begun.

--- a/core/bergamotrelay/fakes_test.go
+++ b/core/bergamotrelay/fakes_test.go
@@ -23,6 +23,7 @@
 	failure *Failure      // returned instead of a response
 	status  int           // 0 means 200
 	body    string        // body of a response that is not a stream
+	whole   bool          // the response is not a stream whatever its status
 	events  int           // number of events in a stream, numbered from the position at which the attempt resumes
 	broken  bool          // the stream breaks off after its events
 	again   bool          // the events are numbered from 0 wherever the attempt resumes
@@ -96,6 +97,7 @@
 	}
 	return f.reply.status
 }
+func (f *fakeResponse) IsEventStream() bool   { return !f.reply.whole }
 func (f *fakeResponse) Fields() Fields        { return Fields{"Stamp": {"s"}} }
 func (f *fakeResponse) Body() ([]byte, error) { return []byte(f.reply.body), nil }
 func (f *fakeResponse) Close()                {}
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -232,7 +232,7 @@
 	defer func() {
 		s.crashed = known && s.mayHaveCrashed(ctx, err) && s.trial.checkCrash(ctx, runner, s.trial.suspect.Load())
 	}()
-	if response.Status() != http.StatusOK {
+	if response.Status() != http.StatusOK || !response.IsEventStream() {
 		return s.forwardResponse(response)
 	}
 	if !s.started.Load() {
--- a/core/bergamotrelay/stream_test.go
+++ b/core/bergamotrelay/stream_test.go
@@ -47,6 +47,9 @@
 		"ends with a failure when a runner sends events again": {true, 9, []reply{broken, {events: 5, again: true}}, "target yes", "0 1 2 ", 2},
 		"is not retried without a retry budget":                {true, 0, []reply{{failure: rejected()}, {events: 2}}, "full no", "", 1},
 		"ends with a failure when the next runner fails":       {true, 9, []reply{broken, {status: 500, body: "no"}}, "target yes", "0 1 2 ", 2},
+		"returns a whole answer of its runner":                 {false, 9, []reply{{body: "yes", whole: true}}, "answered", "yes", 1},
+		"returns a whole answer after a rejection":             {true, 9, []reply{{failure: rejected()}, {body: "yes", whole: true}}, "answered", "yes", 2},
+		"ends with a failure when the next answer is whole":    {true, 9, []reply{broken, {body: "yes", whole: true}}, "target yes", "0 1 2 ", 2},
 		"returns a status 500 of its runner":                   {true, 9, []reply{{status: 500, body: "no"}}, "answered", "no", 1},
 	}
 	plainCases := map[string]streamCase{}
--- a/core/bergamotrelay/streamforward.go
+++ b/core/bergamotrelay/streamforward.go
@@ -40,7 +40,8 @@
 	return failureCause(ctx, ctx.Err())
 }
 
-// forwardResponse forwards a response that is not a stream to the caller unchanged.
+// forwardResponse forwards a response that is not a series of events to the caller unchanged, also on a route of streams: what the runner says
+// is its answer.
 func (s *streamState) forwardResponse(response Response) error {
 	body, err := response.Body()
 	if err != nil {
--- a/core/bergamotrelay/successor.go
+++ b/core/bergamotrelay/successor.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return asFailure(failureCause(o.ctx, err))
 	}
-	if response.Status() != http.StatusOK {
+	if response.Status() != http.StatusOK || s.started.Load() && !response.IsEventStream() {
 		response.Close()
 		return NewFailure(bergamotrequest.RunUnknown, bergamotrequest.ReasonTarget, fmt.Errorf("status %d", response.Status()))
 	}
--- a/core/bergamotrelay/successor_test.go
+++ b/core/bergamotrelay/successor_test.go
@@ -26,14 +26,16 @@
 	// Guards against streams that are cut off because the only other path refuses, fails or is silent too, although their own runners
 	// only pause, and against events that come twice or are missing when it takes over.
 	bergamottest.Cases(map[string]pathCase{
-		"goes on when the other path refuses":          {2, reply{failure: rejected()}, false, "0 1 2 3 "},
-		"goes on when the other path breaks off":       {2, reply{failure: reset()}, false, "0 1 2 3 "},
-		"goes on when the other path fails":            {2, reply{status: 500, body: "no"}, false, "0 1 2 3 "},
-		"goes on when the other path is silent":        {2, reply{delay: never}, false, "0 1 2 3 "},
-		"moves when the other path accepts":            {2, reply{events: 3}, true, "0 1 2 3 4 "},
-		"begins when the other path refuses":           {0, reply{failure: rejected()}, false, "0 1 "},
-		"begins when the other path is silent":         {0, reply{delay: never}, false, "0 1 "},
-		"begins over the other path when that accepts": {0, reply{events: 3}, true, "0 1 2 "},
+		"goes on when the other path refuses":            {2, reply{failure: rejected()}, false, "0 1 2 3 "},
+		"goes on when the other path breaks off":         {2, reply{failure: reset()}, false, "0 1 2 3 "},
+		"goes on when the other path fails":              {2, reply{status: 500, body: "no"}, false, "0 1 2 3 "},
+		"goes on when the other path answers as a whole": {2, reply{body: "yes", whole: true}, false, "0 1 2 3 "},
+		"begins when the other path answers as a whole":  {0, reply{body: "yes", whole: true}, false, "0 1 "},
+		"goes on when the other path is silent":          {2, reply{delay: never}, false, "0 1 2 3 "},
+		"moves when the other path accepts":              {2, reply{events: 3}, true, "0 1 2 3 4 "},
+		"begins when the other path refuses":             {0, reply{failure: rejected()}, false, "0 1 "},
+		"begins when the other path is silent":           {0, reply{delay: never}, false, "0 1 "},
+		"begins over the other path when that accepts":   {0, reply{events: 3}, true, "0 1 2 "},
 	}, func(c pathCase) {
 		pause := make(chan struct{})
 		first := reply{events: c.begun, pause: pause, rest: 2}
--- a/core/bergamotrelay/upstream.go
+++ b/core/bergamotrelay/upstream.go
@@ -81,6 +81,8 @@
 type Response interface {
 	Status() int
 	Fields() Fields
+	// IsEventStream reports whether the body is a series of events, if the status is a success. One that does not say what it is may be.
+	IsEventStream() bool
 	// Body returns the complete body, or a *Failure if it is cut off.
 	Body() ([]byte, error)
 	// Next returns one or more complete events and the number of the last one. The error is io.EOF after the last event
