Let the soak send calls to model runners and streams to plain ones

The soak knew two of the four combinations of runners and answers. Its callers send a call that may run once to the service with a model engine and a resumable stream to the one without as well, and check them like the others.

--- a/io/bergamotsoak/caller_test.go
+++ b/io/bergamotsoak/caller_test.go
@@ -16,14 +16,20 @@
 	method  string
 	path    string
 	maxRuns int // how often the route allows a request to run
+	events  bool
 }
 
 var kinds = map[string]requestKind{
-	"booking": {http.MethodPost, "/o/1", 1},
-	"lookup":  {http.MethodGet, "/l/1", 2},
-	"stream":  {http.MethodPost, "/s/1", 2},
+	"booking":    {method: http.MethodPost, path: "/o/1", maxRuns: 1},
+	"lookup":     {method: http.MethodGet, path: "/l/1", maxRuns: 2},
+	"stream":     {method: http.MethodPost, path: "/s/1", maxRuns: 2, events: true},
+	"model call": {method: http.MethodPost, path: "/whole/1", maxRuns: 1},
+	"text":       {method: http.MethodPost, path: "/events/1", maxRuns: 2, events: true},
 }
 
+// baseKinds are the kinds that all builds serve; the others combine runners and answers in ways that earlier ones did not.
+var baseKinds = []string{"booking", "lookup", "stream"}
+
 // result is what a caller received for one request.
 type result struct {
 	id       string
@@ -85,7 +91,7 @@
 
 // isExpectedAnswer reports whether the body of a success is the complete answer to this request.
 func (v result) isExpectedAnswer() bool {
-	if v.kind != "stream" {
+	if !kinds[v.kind].events {
 		return v.body == "answer to "+v.id
 	}
 	var b strings.Builder
--- a/io/bergamotsoak/harness_test.go
+++ b/io/bergamotsoak/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -39,6 +40,7 @@
 	entries []*entry
 	targets []*target
 	results results
+	kinds   []string // of the requests that callers send
 	version atomic.Int64
 	revoked sync.Map // time at which the store confirmed the revocation, by key
 	cuts    []cut    // that no other fault overlapped
@@ -47,11 +49,15 @@
 }
 
 // newHarness starts entries in the data centres of the soak.
-func newHarness(dir string) *harness { return newHarnessOf(dir, "", "a", "a", "b") }
+func newHarness(dir string) *harness {
+	h := newHarnessOf(dir, "", "a", "a", "b")
+	h.kinds = slices.Sorted(maps.Keys(kinds))
+	return h
+}
 
 // newHarnessOf starts an entry of a build in each of the data centres; an empty program is this build.
 func newHarnessOf(dir, program string, centres ...string) *harness {
-	h := &harness{store: bergamotfake.NewMetadataStore()}
+	h := &harness{store: bergamotfake.NewMetadataStore(), kinds: baseKinds}
 	var err error
 	h.server, err = bergamotfake.Listen("127.0.0.1:0", h.store.Handler())
 	must(err)
@@ -106,7 +112,7 @@
 		"version": h.version.Add(3),
 		"routes": []any{
 			route("once", "/o/", "non_idempotent", "app", 1), route("lookup", "/l/", "idempotent", "app", 2),
-			route("stream", "/s/", "streaming", "llm", 2),
+			route("stream", "/s/", "streaming", "llm", 2), route("whole", "/whole/", "non_idempotent", "llm", 1), route("events", "/events/", "streaming", "app", 2),
 		},
 		"services": []any{
 			map[string]any{"name": "app"},
@@ -123,7 +129,6 @@
 // sendRequests sends requests of random kinds to random entries until ctx ends.
 func (h *harness) sendRequests(ctx context.Context, n int, key func() string) {
 	r := rand.New(rand.NewPCG(uint64(n), 1))
-	names := []string{"booking", "lookup", "stream"}
 	kept := &http.Client{Transport: &http.Transport{}}
 	for i := 0; ctx.Err() == nil; i++ {
 		client := kept
@@ -131,7 +136,7 @@
 			client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		}
 		e := h.entries[r.IntN(len(h.entries))]
-		h.results.add(send(ctx, client, e, fmt.Sprintf("%d-%d-%d", n, i, r.Uint64()), names[r.IntN(3)], key()))
+		h.results.add(send(ctx, client, e, fmt.Sprintf("%d-%d-%d", n, i, r.Uint64()), h.kinds[r.IntN(len(h.kinds))], key()))
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(5+r.IntN(25)) * time.Millisecond):
--- a/io/bergamotsoak/soak_test.go
+++ b/io/bergamotsoak/soak_test.go
@@ -219,7 +219,7 @@
 
 // isServing reports whether an entry serves all kinds of requests.
 func (s *faultScript) isServing(e *entry) bool {
-	for name := range kinds {
+	for _, name := range s.harness.kinds {
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		id := fmt.Sprint("after-", name, "-", time.Now().UnixNano())
 		v := send(context.Background(), client, e, id, name, fmt.Sprint("key-", s.latestKey))
