Keep what a search for runners needs in one place

The wait for runners, the interval between two searches and what is forgotten between them were parameters and constants of three files. go test ./core/bergamotrelay

--- a/core/bergamotrelay/attemptwatch.go
+++ b/core/bergamotrelay/attemptwatch.go
@@ -146,7 +146,7 @@
 		return
 	}
 	if w.stranded.Load() {
-		next = pathPollInterval
+		next = runnerPollInterval
 	}
 	w.timer.Reset(next)
 }
--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -169,9 +169,8 @@
 	return awaitRunners(ctx, h.Clock, h.Gate, c.x, runnerSearch{
 		atLimit: func() (process string, ok bool) { return h.Runners.atLimit(c.x, c.tried) },
 		take:    func() bool { return c.startAttempt(ctx) },
-	}, h.Runners.maxWait(), func() {
-		// A runner that failed this call may be the only one left with its layers.
-		c.tried = map[string]bool{}
+		maxWait: h.Runners.maxWait(),
+		forget:  func() { c.tried = map[string]bool{} },
 	})
 }
 
--- a/core/bergamotrelay/layeredrunners.go
+++ b/core/bergamotrelay/layeredrunners.go
@@ -11,14 +11,6 @@
 	"bergamotspur/core/bergamotroute"
 )
 
-const (
-	// maxPathWait is how long a request waits for a path. Repairing the layers takes about a second, and callers give
-	// up on a stream that is silent for two.
-	maxPathWait = 1200 * time.Millisecond
-	// pathPollInterval is the time between two searches for a path; a search takes a few microseconds.
-	pathPollInterval = 40 * time.Millisecond
-)
-
 // LayeredRunners chooses paths over runners that hold the layers of a model, with memory for the tokens of each request.
 type LayeredRunners struct {
 	Clock    Clock
@@ -72,7 +64,8 @@
 	return ""
 }
 
-func (r *LayeredRunners) maxWait() time.Duration { return maxPathWait }
+// maxWait allows the time in which layers are repaired.
+func (r *LayeredRunners) maxWait() time.Duration { return maxRunnerWait }
 
 func (r *LayeredRunners) unavailable() (reason bergamotrequest.Reason, text string) {
 	return bergamotrequest.ReasonPath, "no path covers all layers"
--- a/core/bergamotrelay/limitgate.go
+++ b/core/bergamotrelay/limitgate.go
@@ -58,6 +58,10 @@
 	atLimit func() (process string, ok bool)
 	// take takes a runner and reports whether there was one.
 	take func() bool
+	// maxWait is how long the request waits for runners while there are none.
+	maxWait time.Duration
+	// forget drops what keeps the request from runners that failed it: one of them may be the only one left.
+	forget func()
 }
 
 // pass calls take once a runner may get the request, and reports whether it got one. It returns a refusal if the request would have to wait
--- a/core/bergamotrelay/plainrunners.go
+++ b/core/bergamotrelay/plainrunners.go
@@ -79,6 +79,7 @@
 	return ""
 }
 
+// maxWait allows none: a runner that can take the request is known at once.
 func (r *PlainRunners) maxWait() time.Duration { return 0 }
 
 func (r *PlainRunners) unavailable() (reason bergamotrequest.Reason, text string) {
--- a/core/bergamotrelay/runners.go
+++ b/core/bergamotrelay/runners.go
@@ -11,6 +11,16 @@
 	"bergamotspur/core/bergamotroute"
 )
 
+const (
+	// maxRunnerWait is how long a request waits for runners. Repairing the layers takes about a second, and callers give
+	// up on a stream that is silent for two.
+	maxRunnerWait = 1200 * time.Millisecond
+	// runnerPollInterval is the time between two searches for runners; a search takes a few microseconds.
+	runnerPollInterval = 40 * time.Millisecond
+	// maxIsolationPaths is how many plans a suspect tries in search of a first runner without another suspect.
+	maxIsolationPaths = 4
+)
+
 // Runners chooses the runners of a service for the attempts of its requests. How an answer is passed on is not its concern.
 type Runners interface {
 	// reserve returns a plan without the runners in avoid and reserves what the request needs on it; ok is false if there is none now.
@@ -32,19 +42,19 @@
 	returnIn(x *Exchange) time.Duration
 }
 
-// awaitRunners searches for runners until there are some, for at most maxWait, and passes the gate for each search. It calls again after a
-// search without success. heldBack is a refusal because of the limits of runners.
-func awaitRunners(ctx context.Context, clock Clock, gate *LimitGate, x *Exchange, s runnerSearch, maxWait time.Duration, again func()) (ok bool, heldBack error) {
-	end := clock.Now().Add(maxWait)
+// awaitRunners searches for runners until there are some or the wait is over, and passes the gate for each search. heldBack is a refusal because
+// of the limits of runners.
+func awaitRunners(ctx context.Context, clock Clock, gate *LimitGate, x *Exchange, s runnerSearch) (ok bool, heldBack error) {
+	end := clock.Now().Add(s.maxWait)
 	for {
 		if ok, heldBack = gate.pass(ctx, x, s); ok || heldBack != nil || !clock.Now().Before(end) {
 			return ok, heldBack
 		}
-		again()
+		s.forget()
 		select {
 		case <-ctx.Done():
 			return false, nil
-		case <-clock.After(pathPollInterval):
+		case <-clock.After(runnerPollInterval):
 		}
 	}
 }
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -13,11 +13,7 @@
 	"bergamotspur/core/bergamotroute"
 )
 
-const (
-	// maxIsolationPaths is how many paths a suspect tries in search of a first runner without another suspect.
-	maxIsolationPaths = 4
-	minTimedEvents    = 10 // fewest events of an attempt from which the time per event is measured
-)
+const minTimedEvents = 10 // fewest events of an attempt from which the time per event is measured
 
 // errNoEvent is the cause of the failure of a stream that ends before its first event. Where the answer has neither a length
 // nor chunks, the crash of a runner looks like the end of the stream, also of one that resumes after its last event.
@@ -166,7 +162,7 @@
 	r := s.handler.Runners
 	maxWait := r.maxWait()
 	if s.started.Load() {
-		maxWait = maxPathWait // the caller loses what it has if the stream breaks off
+		maxWait = maxRunnerWait // the caller loses what it has if the stream breaks off
 	}
 	search := runnerSearch{
 		resumes: s.started.Load(),
@@ -175,11 +171,10 @@
 			p, found = r.reserve(s.x, s.avoid)
 			return found
 		},
+		maxWait: maxWait,
+		forget:  func() { s.avoid = map[string]bool{} },
 	}
-	ok, s.heldBack = awaitRunners(ctx, s.handler.Clock, s.handler.Gate, s.x, search, maxWait, func() {
-		// A runner that failed this request may be the only one left with its layers.
-		s.avoid = map[string]bool{}
-	})
+	ok, s.heldBack = awaitRunners(ctx, s.handler.Clock, s.handler.Gate, s.x, search)
 	return p, ok
 }
 
