Read an early answer though its runner takes no more of the request

Callers saw: 502 in place of a sound answer without a length, where its runner ends the answer in order and closes with the upload unread.

Cause: closing with unread bytes resets the connection after its orderly end. The write of the request met that as EPIPE, and the transport closes a connection whose write fails, before the answer is read.

Change: bergamotwire.Conn drops what is written after such an end and reports no error, so that the transport reads the answer and then its end. Any other failure is reported as before, and so is an end without an answer.

--- a/io/bergamotwire/conn.go
+++ b/io/bergamotwire/conn.go
@@ -13,6 +13,9 @@
 //
 // The kernel reports the failure of a connection, such as a reset, to a single call. If that is a Write, the next Read returns the same
 // as after an orderly end, which would complete an answer that has neither a length nor chunks.
+//
+// The other side may also end its answer in order and then reset the connection, since it does not take the rest of the request. What is
+// still written is dropped then, so that the writer does not close the connection before the answer has been read.
 type Conn struct {
 	net.Conn
 	writing sync.Mutex // held by Write
@@ -22,7 +25,8 @@
 // NewConn returns a connection that reads from and writes to c.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// Write writes p, and keeps an error with which the connection fails for Read.
+// Write writes p, and keeps an error with which the connection fails for Read. It drops p without an error once the other side has closed the
+// connection in order and takes nothing more.
 func (c *Conn) Write(p []byte) (n int, err error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -30,10 +34,15 @@
 	// EPIPE is not the report of a failure: either the other side had closed the connection in order before it reset it, or the failure has
 	// been reported already.
 	var errno syscall.Errno
-	if errors.As(err, &errno) && errno != syscall.EPIPE {
+	switch {
+	case !errors.As(err, &errno):
+		return n, err
+	case errno == syscall.EPIPE:
+		return len(p), nil
+	default:
 		c.lost = err
+		return n, err
 	}
-	return n, err
 }
 
 // Read reads into p. At the end it returns the error of a Write if the connection failed there, and otherwise io.EOF; a Write that still
