Label the endless streams of the stand-in as streams

The stand-in sent events without a type, which net/http took for text/plain, so that the entry now passes them on as a plain answer: held until their end, up to the bound of bodies, then 502. The platform's streams are text/event-stream, and the stand-in says so.

--- a/io/bergamotfake/endless.go
+++ b/io/bergamotfake/endless.go
@@ -41,6 +41,7 @@
 		}
 		_, _ = conn.Write(begin.Bytes()) // fails only like the writes below
 	case EndlessEvent, EndlessComments:
+		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, "id: 0\ndata: token 0\n\n")
 		if p == EndlessComments {
 			filler, pause = []byte(": still here\n\n"), commentInterval
