Try streams of plain runners again while the links are in doubt

The soak, which sends such streams now, refused some in the first moments of a cut: all runners of the service had refused or reset their connections within milliseconds, and a service without layers has no search that waits. As calls, these streams had been tried again; the handler of streams had no part of that.

Both handlers share it now: a request that no runner has got is tried at all of them again, up to three times after 60 ms, while the links are in doubt.

--- a/core/bergamotrelay/call.go
+++ b/core/bergamotrelay/call.go
@@ -12,16 +12,10 @@
 	"bergamotspur/core/bergamotroute"
 )
 
-const (
-	// hedgeDelayRatio is the share of the route's latency objective after which a repeatable call without a response is
-	// also sent to a second runner. It is late enough that few calls of normal duration are hedged, and early enough
-	// that the second response arrives within the objective.
-	hedgeDelayRatio = 0.5
-	// maxLinkRounds is how often a call that reached no runner is tried at all of them again while the links of the entry are in doubt, and
-	// linkRoundDelay the time before that. By then the entry has found others over which it reaches them, or knows that there are none.
-	maxLinkRounds  = 3
-	linkRoundDelay = 60 * time.Millisecond
-)
+// hedgeDelayRatio is the share of the route's latency objective after which a repeatable call without a response is
+// also sent to a second runner. It is late enough that few calls of normal duration are hedged, and early enough
+// that the second response arrives within the objective.
+const hedgeDelayRatio = 0.5
 
 // CallHandler is the handler for requests that are answered as a whole.
 type CallHandler struct {
@@ -92,7 +86,7 @@
 	results      chan attemptResult
 	failure      *Failure // failure of the last attempt
 	heldBack     error    // refusal of a retry because of the limits of runners, nil for none
-	linkRounds   int      // how often all runners were tried again because of the links
+	linkRounds   linkRounds
 	trial        *trial
 	answers      answers
 	fallback     *attemptResult // 5xx response of an attempt, returned if no later attempt gives a better one
@@ -317,20 +311,12 @@
 func (h *CallHandler) mayLackLinks() bool { return h.MayLackLinks != nil && h.MayLackLinks() }
 
 // awaitLinks waits for a moment if the call has reached no runner although they may all be well, and reports whether it may be tried at all of
-// them again. Nothing was sent to any of them.
+// them again.
 func (c *callState) awaitLinks(ctx context.Context) bool {
 	h := c.handler
-	isUnreached := c.possibleRuns == 0 && c.failure.runState == bergamotrequest.RunNo && c.failure.reason == bergamotrequest.ReasonTarget
-	if !isUnreached || !h.mayLackLinks() || c.linkRounds >= maxLinkRounds {
-		return false
-	}
-	c.linkRounds++
-	select {
-	case <-ctx.Done():
+	if !c.linkRounds.await(ctx, h.Clock, c.x, c.failure, c.possibleRuns, h.MayLackLinks) {
 		return false
-	case <-h.Clock.After(linkRoundDelay):
 	}
-	c.x.Trace().AddStep("tried again, since the links are in doubt")
 	c.tried, c.attempts = map[string]bool{}, 0
 	return true
 }
--- a/core/bergamotrelay/link_test.go
+++ b/core/bergamotrelay/link_test.go
@@ -68,8 +68,8 @@
 		}
 	})
 
-	// Guards against calls that are refused within milliseconds of the loss of the links, before others are found that reach the runners, and
-	// against calls that are tried again although a runner may have got them, or the links work.
+	// Guards against calls, and streams of plain runners, that are refused within milliseconds of the loss of the links, before others are
+	// found that reach the runners, and against those that are tried again although a runner may have got them, or the links work.
 	bergamottest.Cases(map[string]doubtCase{
 		"reaches a runner a moment later":         {doubt: true, replies: []reply{unreached, unreached, unreached, ok}, want: "answered", wantSends: 4},
 		"ends when no runner is reached":          {doubt: true, replies: []reply{unreached}, want: "target no", wantSends: 12},
@@ -79,12 +79,16 @@
 		"is not repeated once it may have run":    {doubt: true, replies: []reply{{failure: reset()}, ok}, want: "target unknown", wantSends: 1},
 		"is not repeated where runners are full":  {doubt: true, replies: []reply{{failure: rejected()}}, want: "full no", wantSends: 3},
 	}, func(c doubtCase) {
-		g := newRig(route(bergamotconfig.RouteSpec{Type: once, MaxAttempts: 1}), plain, c.replies...)
-		g.budget.left = map[bool]int{false: 100}[c.noBudget]
-		h := g.callHandler()
-		h.Clock, h.MayLackLinks = instantClock{g.clock}, func() bool { return c.doubt }
-		gomega.Expect(outcomeOf(h.Handle(context.Background(), g.x))).To(gomega.Equal(c.want))
-		gomega.Expect(g.upstream.attempts).To(gomega.HaveLen(c.wantSends))
+		for _, kind := range []bergamotconfig.RouteType{once, stream} {
+			g := newRig(route(bergamotconfig.RouteSpec{Type: kind, MaxAttempts: 1}), plain, c.replies...)
+			g.budget.left = map[bool]int{false: 100}[c.noBudget]
+			calls, streams := g.callHandler(), g.streamHandler(g.upstream, silentReporter{})
+			calls.Clock, calls.MayLackLinks = instantClock{g.clock}, func() bool { return c.doubt }
+			streams.MayLackLinks = calls.MayLackLinks
+			handler := map[bergamotconfig.RouteType]Handler{once: calls, stream: streams}[kind]
+			gomega.Expect(outcomeOf(handler.Handle(context.Background(), g.x))).To(gomega.Equal(c.want))
+			gomega.Expect(g.upstream.attempts).To(gomega.HaveLen(c.wantSends))
+		}
 	})
 
 	// Guards against a stream whose outcome is left open although its connection was never opened.
--- a/core/bergamotrelay/recovery.go
+++ b/core/bergamotrelay/recovery.go
@@ -85,7 +85,7 @@
 		return false
 	case f.retryTaken:
 		return true
-	case f.unsent && s.handler.MayLackLinks != nil && s.handler.MayLackLinks():
+	case f.unsent && s.handler.mayLackLinks():
 		return true // nothing has reached a runner, and the links are at fault
 	case !s.handler.Budget.TakeWithin(s.x.Service().Name(), s.budgetShare()):
 		s.x.Trace().AddStep("no retry budget")
@@ -94,6 +94,18 @@
 	return true
 }
 
+// awaitLinks is that of calls. Where the search for runners waits, as for a path, it bridges such a time by itself.
+func (s *streamState) awaitLinks(ctx context.Context) bool {
+	h := s.handler
+	if h.Runners.maxWait() > 0 || !s.linkRounds.await(ctx, h.Clock, s.x, s.failure, s.possibleRuns, h.MayLackLinks) {
+		return false
+	}
+	s.avoid, s.attempts = map[string]bool{}, 0
+	return true
+}
+
+func (h *StreamHandler) mayLackLinks() bool { return h.MayLackLinks != nil && h.MayLackLinks() }
+
 // budgetShare returns the share of the retry budget that the next attempt may use.
 func (s *streamState) budgetShare() float64 {
 	if s.started.Load() {
--- a/core/bergamotrelay/stream.go
+++ b/core/bergamotrelay/stream.go
@@ -76,11 +76,12 @@
 type streamState struct {
 	handler      *StreamHandler
 	x            *Exchange
-	started      atomic.Bool     // the status and header fields have been sent to the caller
-	progressed   bool            // a runner has sent an event, so that the request does not make runners crash
-	lastEvent    int             // last event sent to the caller, -1 for none
-	possibleRuns int             // attempts that may have run the request to completion
-	attempts     int             // attempts so far
+	started      atomic.Bool // the status and header fields have been sent to the caller
+	progressed   bool        // a runner has sent an event, so that the request does not make runners crash
+	lastEvent    int         // last event sent to the caller, -1 for none
+	possibleRuns int         // attempts that may have run the request to completion
+	attempts     int         // attempts so far
+	linkRounds   linkRounds
 	avoid        map[string]bool // runners that failed this request
 	failure      *Failure        // failure of the last attempt
 	trial        *trial
@@ -104,6 +105,9 @@
 		o := next
 		if o == nil {
 			plan, ok := s.plan(ctx)
+			if !ok && s.awaitLinks(ctx) {
+				continue
+			}
 			if !ok {
 				return s.refuse(ctx)
 			}
@@ -130,7 +134,7 @@
 		s.failure = asFailure(err)
 		s.recordFailure(o.plan)
 		s.recordSends(ctx, move)
-		if ctx.Err() != nil || s.crashed || next == nil && !s.takeRetry() {
+		if ctx.Err() != nil || s.crashed || next == nil && !s.takeRetry() && !s.awaitLinks(ctx) {
 			s.abandon(next)
 			return s.refuse(ctx)
 		}
