--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,9 +24,12 @@
 // scenario plays a case and returns what broke the rule, empty if it held.
 type scenario func(d *deployment, trouble bool) (broken string, err error)
 
-var scenarios = map[string]scenario{"reused-address": playReusedAddress}
+var scenarios = map[string]scenario{"reused-address": playReusedAddress, "crash-after-event": playCrashAfterEvent, "killed-runner": playKilledRunner, "killed-app": playKilledApp}
 
 func main() {
+	if len(os.Args) == 7 && os.Args[1] == "runner" {
+		runRunner(os.Args[2], os.Args[3], os.Args[4], os.Args[5], os.Args[6])
+	}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(exitNotRun)
@@ -86,9 +89,13 @@
 	record *record
 	store  *store
 
+	// storeAddress is the address of a store in another process, empty for the own one.
+	storeAddress string
+
 	mu      sync.Mutex
 	entries []*entry
 	dirs    []string
+	runners []*runnerProcess
 }
 
 // entry is a process of the project.
@@ -143,8 +150,10 @@
 platform: {address: "%[8]s", form: "table", writesPerS: 400, readsPerS: 2000, txMs: 5.0, partWritesS: 200, rowBytes: 65536, across: false, historyS: 20}
 `
 
-// startEntry starts the command of the deploy file on a loopback address of its own.
-func (d *deployment) startEntry(name, ip, zone string) (*entry, error) {
+// startEntry starts the command of the deploy file on a loopback address of its own, another one in each process of the stand-ins.
+func (d *deployment) startEntry(n int, zone string) (*entry, error) {
+	name := fmt.Sprint("entry-", n)
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%128, 1+os.Getpid()%250, 1+n)
 	dir, err := os.MkdirTemp("", "stand3")
 	if err != nil {
 		return nil, err
@@ -194,4 +203,7 @@
 		_ = os.RemoveAll(d.dirs[n]) // a folder that is left over does no harm
 	}
 	d.entries, d.dirs = nil, nil
+	for _, r := range d.runners {
+		r.kill()
+	}
 }
--- a/review/stand3/reusedaddress.go
+++ b/review/stand3/reusedaddress.go
@@ -40,10 +40,17 @@
 	}
 	return map[string]any{
 		"version": 3,
-		"routes":  []any{route("advice", "/advice/", "advice"), route("notes", "/notes/", "notes")},
+		"routes": []any{
+			route("advice", "/advice/", "advice"), route("notes", "/notes/", "notes"),
+			map[string]any{
+				"name": "pickup", "hostname": "h.example", "pathPrefix": "/pickup/", "routeType": "non_idempotent", "service": appService,
+				"timeoutMs": 800, "targetLatencyMs": 300, "priority": 2, "maxAttempts": 1, "public": false,
+			},
+		},
 		"services": []any{
 			map[string]any{"name": "advice", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-advice")},
 			map[string]any{"name": "notes", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-notes")},
+			map[string]any{"name": appService, "healthPath": "/health", "maxConns": 110},
 		},
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "kitchen", "apiKeys": []string{"key-1"}, "priority": 1}},
@@ -69,7 +76,7 @@
 		return "", err
 	}
 	for n, zone := range []string{"z-a", "z-b"} {
-		if _, err = d.startEntry(fmt.Sprint("entry-", n+1), fmt.Sprint("127.83.1.", n+1), zone); err != nil {
+		if _, err = d.startEntry(n, zone); err != nil {
 			return "", err
 		}
 	}
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,48 +20,176 @@
 	layers int
 }
 
+const (
+	// streamEvents is the number of events of each stream, and eventInterval the time between two of them.
+	streamEvents  = 20
+	eventInterval = 20 * time.Millisecond
+	// appService is a service without a model, and callTime the time of its answers.
+	appService = "pickup"
+	callTime   = 80 * time.Millisecond
+)
+
 // runner is a stand-in of a model runner.
 type runner struct {
 	id, service, zone string
 	kind              kind
 	address           string
-	born              int64
 	deployment        *deployment
-	server            *server
+	// onRun is called when a request begins to run, with a function that sends its next event. It reports whether the runner goes on with it;
+	// nil for runners that always do.
+	onRun func(r *runner, q *http.Request, next func()) bool
+	// unframed is set for a runner whose streams have neither a length nor chunks, and end with their connection.
+	unframed bool
 
 	mu       sync.Mutex
+	server   *server
+	born     int64
 	from, to int
 	seq      int64
 	beats    int64
-	crashed  string // why it has crashed because of an order, empty if it has not
-	ended    chan struct{}
+	crashed  string        // why it has crashed because of an order, empty if it has not
+	ended    chan struct{} // closed when the process ends
 }
 
 // startRunner starts a runner at an address, a free one if it is empty. It registers after a delay, and then once in each heartbeat.
 func (d *deployment) startRunner(id, service, zone string, k kind, address string, registerAfter time.Duration) (*runner, error) {
-	r := &runner{id: id, service: service, zone: zone, kind: k, born: time.Now().UnixMilli(), deployment: d, ended: make(chan struct{})}
+	r := &runner{id: id, service: service, zone: zone, kind: k, address: address, deployment: d}
 	if address == "" {
-		address = "127.0.0.1:0"
+		r.address = "127.0.0.1:0"
 	}
+	return r, r.start(registerAfter)
+}
+
+// start starts a process of the runner, which holds and knows nothing of an earlier one.
+func (r *runner) start(registerAfter time.Duration) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /order", r.order)
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Bergamotspur-Instance-Id", id) })
-	var err error
-	if r.server, err = serveAt(address, mux); err != nil {
-		return nil, err
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Bergamotspur-Instance-Id", r.id) })
+	mux.HandleFunc("POST /", r.run)
+	s, err := serveAt(r.address, mux)
+	if err != nil {
+		return err
 	}
-	r.address = r.server.listener.Addr().String()
-	d.record.write(id, "runner of %s (%s, %d layers at most) started at %s", service, k.name, k.layers, r.address)
-	go r.beat(registerAfter)
-	return r, nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.address, r.server, r.ended = s.listener.Addr().String(), s, make(chan struct{})
+	r.born, r.from, r.to, r.seq = time.Now().UnixMilli(), 0, 0, 0
+	r.deployment.record.write(r.id, "runner of %s (%s, %d layers at most) started at %s", r.service, r.kind.name, r.kind.layers, r.address)
+	go r.beat(registerAfter, r.ended)
+	return nil
+}
+
+// run answers a request with a stream of events, after the one that the request names.
+func (r *runner) run(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return // the entry has gone away
+	}
+	id, h := q.Header.Get("X-Bergamotspur-Attempt-Id"), w.Header()
+	if expected := q.Header.Get("X-Bergamotspur-Expect-Instance"); expected != "" && expected != r.id {
+		h.Set("X-Bergamotspur-Instance-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.service == appService {
+		r.runCall(w, id)
+		return
+	}
+	if from, to := r.held(); to-from < modelLayers {
+		w.WriteHeader(http.StatusMisdirectedRequest) // its paths have one runner only
+		return
+	}
+	h.Set("X-Bergamotspur-Attempt-Id", id)
+	h.Set("X-Bergamotspur-Server-Stamp", r.id)
+	h.Set("Content-Type", "text/event-stream")
+	first, last := 0, q.Header.Get("Last-Event-Id")
+	if n, err := strconv.Atoi(last); err == nil {
+		first = n + 1
+	}
+	control, n := http.NewResponseController(w), first
+	next := func() {
+		_, _ = io.WriteString(w, event(n)) // the entry may have gone away
+		_ = control.Flush()
+		n++
+	}
+	if r.unframed {
+		r.runUnframed(w, id, first)
+		return
+	}
+	if r.onRun != nil && !r.onRun(r, q, next) {
+		panic(http.ErrAbortHandler)
+	}
+	if len(body) == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for n < streamEvents {
+		select {
+		case <-q.Context().Done():
+			return
+		case <-time.After(eventInterval):
+		}
+		next()
+	}
+}
+
+// event returns an event of a stream.
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
+
+// runCall answers a request as a whole, in two parts and without a length.
+func (r *runner) runCall(w http.ResponseWriter, id string) {
+	c, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the server supports it
+	}
+	defer func() { _ = c.Close() }() // the answer has ended
+	time.Sleep(callTime / 2)
+	answer := callAnswer(id)
+	r.deployment.record.write(r.id, "runs %s", id)
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: application/json\r\n"+
+		"X-Bergamotspur-Attempt-Id: %s\r\nX-Bergamotspur-Server-Stamp: %s\r\n\r\n%s", id, r.id, answer[:len(answer)/2])
+	if out.Flush() != nil {
+		return // the entry has gone away
+	}
+	time.Sleep(callTime / 2)
+	_, _ = out.WriteString(answer[len(answer)/2:])
+	if out.Flush() == nil {
+		r.deployment.record.write(r.id, "has sent all of %s", id)
+	}
+}
+
+// callAnswer returns the answer to a call, of about 800 bytes.
+func callAnswer(id string) string {
+	return `{"booked":"` + id + `","slot":"tuesday-10","notes":"` + strings.Repeat("courier ", 90) + `","end":true}`
+}
+
+// runUnframed answers a request with a stream that ends with its connection.
+func (r *runner) runUnframed(w http.ResponseWriter, id string, first int) {
+	c, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the server supports it
+	}
+	defer func() { _ = c.Close() }() // the stream has ended
+	r.deployment.record.write(r.id, "runs %s from event %d", id, first)
+	_, _ = out.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n") // failed writes show at Flush
+	_ = w.Header().Write(out)
+	_, _ = out.WriteString("\r\n")
+	for n := first; n < streamEvents; n++ {
+		_, _ = out.WriteString(event(n))
+		if out.Flush() != nil {
+			return // the entry has gone away
+		}
+		time.Sleep(eventInterval)
+	}
+	r.deployment.record.write(r.id, "has sent all of %s", id)
 }
 
 // beat writes the entry of the runner in the store.
-func (r *runner) beat(delay time.Duration) {
+func (r *runner) beat(delay time.Duration, ended <-chan struct{}) {
 	for {
 		select {
-		case <-r.ended:
+		case <-ended:
 			return
 		case <-time.After(delay):
 		}
@@ -70,7 +201,7 @@
 		}
 		r.describe(value)
 		r.mu.Unlock()
-		if err := r.deployment.store.put("servers", r.id, value); err != nil {
+		if err := r.deployment.register(r.id, value); err != nil {
 			r.deployment.record.write(r.id, "not registered: %v", err)
 			return
 		}
@@ -136,16 +267,26 @@
 	w.WriteHeader(status)
 }
 
-// crash ends the runner as a crash of its process does: it says nothing more. Its entry goes after three heartbeats.
-func (r *runner) crash() {
+// end ends the process as a crash does: it says nothing more. It reports whether it still ran.
+func (r *runner) end() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	select {
 	case <-r.ended:
-		return
+		return false
 	default:
 	}
 	close(r.ended)
 	r.server.crash()
 	r.deployment.record.write(r.id, "ended")
+	return true
+}
+
+// crash ends the runner for good. Its entry goes after three heartbeats.
+func (r *runner) crash() {
+	if !r.end() {
+		return
+	}
 	time.AfterFunc(3*heartbeat, func() {
 		r.deployment.store.remove("servers", r.id)
 		r.deployment.record.write(r.id, "its entry is removed after three intervals of silence")
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -40,6 +40,7 @@
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.transaction)
+	mux.HandleFunc("POST "+registerPath+"{id}", s.register)
 	server, err := serveAt("127.0.0.1:0", mux)
 	if err != nil {
 		return nil, err
@@ -48,6 +49,16 @@
 	return s, nil
 }
 
+// registerPath is where runners in processes of their own register. Entries do not know it.
+const registerPath = "/stand-in/servers/"
+
+func (s *store) register(w http.ResponseWriter, r *http.Request) {
+	var value json.RawMessage
+	if json.NewDecoder(r.Body).Decode(&value) != nil || s.put("servers", r.PathValue("id"), value) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
 // put writes a row as the operator and the runners do.
 func (s *store) put(table, key string, value any) error {
 	text, err := json.Marshal(value)
