--- a/review/stand3/crashafterevent.go
+++ b/review/stand3/crashafterevent.go
@@ -20,7 +20,7 @@
 	// maxLateRetries is how many retries may reach runners after the third crash and contactTime.
 	maxLateRetries = 3
 	repeatInterval = 1500 * time.Millisecond
-	repeats        = 24
+	eventRepeats   = 24
 	deadlyPath     = "/advice/deadly"
 )
 
@@ -31,6 +31,13 @@
 	arrived []time.Time
 }
 
+// add records a run on which the runner crashes.
+func (d *deadlyRuns) add() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.arrived, d.crashes = append(d.arrived, time.Now()), append(d.crashes, time.Now())
+}
+
 // late returns how many runs began later than contactTime after the third crash.
 func (d *deadlyRuns) late() (n int) {
 	d.mu.Lock()
@@ -101,6 +108,11 @@
 	if err = waitPlaced(runners); err != nil {
 		return "", err
 	}
+	return d.repeatDeadly(runs, eventRepeats)
+}
+
+// repeatDeadly sends the deadly request again and again, and others beside it, and returns what broke the rule.
+func (d *deployment) repeatDeadly(runs *deadlyRuns, repeats int) (string, error) {
 	time.Sleep(3 * time.Second)
 	served := 0
 	for n := range repeats {
@@ -109,7 +121,7 @@
 		d.record.write("requester", "deadly request at %s: status %d, %d of %d events, %v", e.name, status, events, streamEvents, err)
 		for range 3 {
 			e := d.entries[rand.IntN(len(d.entries))]
-			if status, events, _ := d.stream(e, "/advice/"+fmt.Sprintf("%08x", rand.Uint32()), fmt.Sprintf("%08x", rand.Uint32())); status == http.StatusOK && events == streamEvents {
+			if status, events, _ := d.stream(e, "/advice/"+newID(), newID()[:8]); status == http.StatusOK && events == streamEvents {
 				served++
 			}
 		}
@@ -119,9 +131,10 @@
 	runs.mu.Lock()
 	crashes, arrived := len(runs.crashes), len(runs.arrived)
 	runs.mu.Unlock()
+	late := runs.late()
 	d.record.write("runners", "the request began to run %d times and made %d runners crash, %d runs later than %v after the third crash",
-		arrived, crashes, runs.late(), contactTime)
-	if late := runs.late(); late > maxLateRetries {
+		arrived, crashes, late, contactTime)
+	if late > maxLateRetries {
 		return fmt.Sprintf("BUDGET: %d retries of the request reached runners later than %v after it had crashed the third, %d are allowed; %d crashes",
 			late, contactTime, maxLateRetries, crashes), nil
 	}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,7 +24,10 @@
 // scenario plays a case and returns what broke the rule, empty if it held.
 type scenario func(d *deployment, trouble bool) (broken string, err error)
 
-var scenarios = map[string]scenario{"reused-address": playReusedAddress, "crash-after-event": playCrashAfterEvent, "killed-runner": playKilledRunner, "killed-app": playKilledApp}
+var scenarios = map[string]scenario{
+	"reused-address": playReusedAddress, "crash-after-event": playCrashAfterEvent, "killed-runner": playKilledRunner, "killed-app": playKilledApp,
+	"dark-crash": playDarkCrash,
+}
 
 func main() {
 	if len(os.Args) == 7 && os.Args[1] == "runner" {
--- a/review/stand3/process.go
+++ b/review/stand3/process.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -33,10 +34,27 @@
 	return nil
 }
 
-// runRunner is the process of a runner whose answers have no length. It ends with the process that started it.
+// darkLine is what a runner says before it goes dark.
+const darkLine = "goes dark"
+
+// goDark makes the process of a runner go dark when a request to deadlyPath begins to run there.
+func goDark(r *runner, q *http.Request, _ func()) bool {
+	if q.URL.Path != deadlyPath || os.Getenv("TROUBLE") == "0" {
+		return true
+	}
+	r.deployment.record.write(r.id, "%s on %s", darkLine, q.Header.Get("X-Bergamotspur-Attempt-Id"))
+	_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP) // the process that started it ends it
+	return false
+}
+
+// runRunner is the process of a runner whose answers have no length or, with the variable DEADLY, of one that goes dark on requests to
+// deadlyPath. It ends with the process that started it.
 func runRunner(storeAddress, id, service, zone, address string) {
 	d := &deployment{record: &record{out: os.Stdout, begin: time.Now()}, storeAddress: storeAddress}
-	r := &runner{id: id, service: service, zone: zone, kind: largeKind, address: address, deployment: d, unframed: true}
+	r := &runner{id: id, service: service, zone: zone, kind: largeKind, address: address, deployment: d, unframed: os.Getenv("DEADLY") == ""}
+	if !r.unframed {
+		r.onRun = goDark
+	}
 	if err := r.start(0); err != nil {
 		d.record.write(id, "not started: %v", err)
 		os.Exit(exitNotRun)
@@ -53,11 +71,33 @@
 	id  string
 	cmd *exec.Cmd
 	end sync.Once
+
+	mu     sync.Mutex
+	onDark func() // called when the runner goes dark, nil for runners that don't
+}
+
+func (p *runnerProcess) setDark(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onDark = f
+}
+
+// read looks for darkLine in a line of the runner.
+func (p *runnerProcess) read(line string) {
+	p.mu.Lock()
+	f := p.onDark
+	p.mu.Unlock()
+	if f != nil && strings.Contains(line, darkLine) {
+		f()
+	}
 }
 
 // startRunnerProcess starts a runner in a process of its own, whose lines go to the record.
 func (d *deployment) startRunnerProcess(id, service, zone, address string) (*runnerProcess, error) {
-	p := &runnerProcess{id: id, cmd: exec.Command(os.Args[0], "runner", d.store.address, id, service, zone, address)}
+	return d.start(&runnerProcess{id: id, cmd: exec.Command(os.Args[0], "runner", d.store.address, id, service, zone, address)})
+}
+
+func (d *deployment) start(p *runnerProcess) (*runnerProcess, error) {
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -67,7 +107,8 @@
 	}
 	go func() {
 		for lines := bufio.NewScanner(out); lines.Scan(); {
-			d.record.write(id, "process: %s", lines.Text())
+			d.record.write(p.id, "process: %s", lines.Text())
+			p.read(lines.Text())
 		}
 	}()
 	d.mu.Lock()
