--- a/review/stand3/killedrunner.go
+++ b/review/stand3/killedrunner.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	requestsAtOnce = 12
+	requestsAtOnce = 24
 	kills          = 4
 	killInterval   = 4 * time.Second
 )
@@ -24,7 +24,7 @@
 
 // playKilledApp kills a runner of an application while its answers, which have no length, are under way.
 func playKilledApp(d *deployment, trouble bool) (string, error) {
-	return playKilled(d, trouble, appService, 3, func(r *answers) string {
+	return playKilled(d, trouble, appService, 6, func(r *answers) string {
 		return fmt.Sprintf("MIXED: %d requesters got a success with a part of the runner's body", r.short)
 	})
 }
--- a/review/stand3/reusedaddress.go
+++ b/review/stand3/reusedaddress.go
@@ -6,13 +6,19 @@
 	"time"
 )
 
-// Layers of both models, each of 1,000 MB.
-const modelLayers = 8
+// Layers of the models, each of 1,000 MB.
+const (
+	modelLayers = 8
+	notesLayers = 15
+)
+
+// notesRunners is the number of runners with which the model of the second service doesn't fit yet.
+const notesRunners = 7
 
 var (
-	mediumKind = kind{name: "medium", layers: 5}
-	smallKind  = kind{name: "small", layers: 2}
-	largeKind  = kind{name: "large", layers: 8}
+	tinyKind  = kind{name: "tiny", layers: 1}
+	smallKind = kind{name: "small", layers: 2}
+	largeKind = kind{name: "large", layers: 8}
 )
 
 // reuseAfter is reuseAfterS of the settings.
@@ -20,16 +26,16 @@
 
 // desiredState has two services with a model each.
 func desiredState() map[string]any {
-	engine := func(model string) map[string]any {
+	engine := func(model string, layers int) map[string]any {
 		kinds := []any{}
-		for _, k := range []kind{smallKind, mediumKind, largeKind} {
+		for _, k := range []kind{tinyKind, smallKind, largeKind} {
 			// Room for the layers and for the requests that pass through them.
 			kinds = append(kinds, map[string]any{"name": k.name, "sizeMb": float64(k.layers)*1000 + 900, "pace": 1.0, "readFactor": 1.0})
 		}
 		return map[string]any{
 			"slots": 192, "kvCapacityTokens": 100000, "kvBytes": 8000, "linkMbps": 480000.0, "stride": 2, "step_ms": 0.85, "chunk": 512,
 			"models": []any{map[string]any{"name": model, "pace": 1.0, "loadS": 1.0}}, "usual": map[string]int{"prompt": 100, "answer": 100},
-			"layers": modelLayers, "layerMb": 1000.0, "actBytes": 29500, "pipeMbps": 11000.0, "kinds": kinds, "read_per_s": 196000.0,
+			"layers": layers, "layerMb": 1000.0, "actBytes": 29500, "pipeMbps": 11000.0, "kinds": kinds, "read_per_s": 196000.0,
 		}
 	}
 	route := func(name, prefix, service string) map[string]any {
@@ -48,8 +54,8 @@
 			},
 		},
 		"services": []any{
-			map[string]any{"name": "advice", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-advice")},
-			map[string]any{"name": "notes", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-notes")},
+			map[string]any{"name": "advice", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-advice", modelLayers)},
+			map[string]any{"name": "notes", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-notes", notesLayers)},
 			map[string]any{"name": appService, "healthPath": "/health", "maxConns": 110},
 		},
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -57,8 +63,8 @@
 	}
 }
 
-// playReusedAddress lets the address of a crashed runner that held no layers yet be used by a runner of another service, and then starts the
-// runner with which the first one would have held a whole model.
+// playReusedAddress lets the address of a crashed runner that held no layers yet be used by a runner of another service, and starts the runner
+// with which the others of its service can hold their model.
 func playReusedAddress(d *deployment, trouble bool) (string, error) {
 	var err error
 	if d.store, err = newStore(); err != nil {
@@ -71,9 +77,15 @@
 	if err != nil {
 		return "", err
 	}
-	notes, err := d.startRunner("notes-1", "notes", "z-a", mediumKind, "", 0)
-	if err != nil {
-		return "", err
+	var notes *runner // the first of its service
+	for n := range notesRunners {
+		r, err := d.startRunner(fmt.Sprint("notes-", 1+n), "notes", "z-a", smallKind, "", 0)
+		if err != nil {
+			return "", err
+		}
+		if notes == nil {
+			notes = r
+		}
 	}
 	for n, zone := range []string{"z-a", "z-b"} {
 		if _, err = d.startEntry(n, zone); err != nil {
@@ -94,19 +106,19 @@
 		notes.crash()
 		address = notes.address
 	}
-	time.Sleep(reuseAfter + 50*time.Millisecond)
-	// It registers within its first heartbeat.
-	other, err := d.startRunner("advice-2", "advice", "z-a", smallKind, address, 1000*time.Millisecond)
-	if err != nil {
+	time.Sleep(reuseAfter - 300*time.Millisecond)
+	if _, err = d.startRunner(fmt.Sprint("notes-", 1+notesRunners), "notes", "z-a", smallKind, "", 0); err != nil {
 		return "", err
 	}
-	time.Sleep(50 * time.Millisecond)
-	if _, err = d.startRunner("notes-2", "notes", "z-a", mediumKind, "", 0); err != nil {
+	time.Sleep(350 * time.Millisecond)
+	// It writes its entry within its first interval.
+	other, err := d.startRunner("advice-2", "advice", "z-a", tinyKind, address, heartbeat-50*time.Millisecond)
+	if err != nil {
 		return "", err
 	}
 	time.Sleep(8 * time.Second)
 	if cause := other.crashCause(); cause != "" {
-		return fmt.Sprintf("LIMIT: advice-2 holds %d layers at most and was ordered %s, which was meant for notes-1", smallKind.layers, cause), nil
+		return fmt.Sprintf("LIMIT: advice-2 holds %d layer at most and was ordered %s, which was meant for notes-1", tinyKind.layers, cause), nil
 	}
 	return "", nil
 }
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -26,7 +26,7 @@
 	eventInterval = 20 * time.Millisecond
 	// appService is a service without a model, and callTime the time of its answers.
 	appService = "pickup"
-	callTime   = 80 * time.Millisecond
+	callTime   = 160 * time.Millisecond
 )
 
 // runner is a stand-in of a model runner.
@@ -185,27 +185,35 @@
 	r.deployment.record.write(r.id, "has sent all of %s", id)
 }
 
-// beat writes the entry of the runner in the store.
+// beat writes the entry of the runner in the store whenever more than its seq has changed since the last beat.
 func (r *runner) beat(delay time.Duration, ended <-chan struct{}) {
+	last := ""
 	for {
 		select {
 		case <-ended:
 			return
 		case <-time.After(delay):
 		}
+		delay = heartbeat
 		r.mu.Lock()
 		r.beats++
 		value := map[string]any{
 			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 192, "state": "ready", "coldRemainingMs": 0,
-			"seq": r.beats, "born": r.born, "routeType": r.kind.name, "stage": "both", "models": []any{},
+			"born": r.born, "routeType": r.kind.name, "stage": "both", "models": []any{},
 		}
 		r.describe(value)
+		text := fmt.Sprint(value) // maps are printed in the order of their keys
+		value["seq"] = r.beats
 		r.mu.Unlock()
+		if text == last {
+			continue
+		}
+		last = text
 		if err := r.deployment.register(r.id, value); err != nil {
 			r.deployment.record.write(r.id, "not registered: %v", err)
 			return
 		}
-		delay = heartbeat
+		r.deployment.record.write(r.id, "has written its entry: %s", text)
 	}
 }
 
