--- a/review/stand3/killedrunner.go
+++ b/review/stand3/killedapp.go
@@ -10,27 +10,14 @@
 )
 
 const (
+	appRunners     = 6
 	requestsAtOnce = 24
 	kills          = 4
 	killInterval   = 4 * time.Second
 )
 
-// playKilledRunner kills a runner while its streams, which have no length, are under way.
-func playKilledRunner(d *deployment, trouble bool) (string, error) {
-	return playKilled(d, trouble, "advice", 6, func(r *answers) string {
-		return fmt.Sprintf("ORDER: %d streams ended as complete before their last event", r.short)
-	})
-}
-
-// playKilledApp kills a runner of an application while its answers, which have no length, are under way.
+// playKilledApp kills runners of an application, one at a time, while their answers, which have no length, are under way.
 func playKilledApp(d *deployment, trouble bool) (string, error) {
-	return playKilled(d, trouble, appService, 6, func(r *answers) string {
-		return fmt.Sprintf("MIXED: %d requesters got a success with a part of the runner's body", r.short)
-	})
-}
-
-// playKilled kills runners of a service, one at a time, while their answers are under way.
-func playKilled(d *deployment, trouble bool, service string, runners int, broken func(r *answers) string) (string, error) {
 	var err error
 	if d.store, err = newStore(); err != nil {
 		return "", err
@@ -38,14 +25,14 @@
 	if err = d.store.put("op", "config", desiredState()); err != nil {
 		return "", err
 	}
-	addresses, err := freePorts("127.0.0.1", runners)
+	addresses, err := freePorts("127.0.0.1", appRunners)
 	if err != nil {
 		return "", err
 	}
 	zone := func(n int) string { return []string{"z-a", "z-b"}[n%2] }
 	processes := make([]*runnerProcess, len(addresses))
 	for n, address := range addresses {
-		if processes[n], err = d.startRunnerProcess(fmt.Sprint(service, "-", n), service, zone(n), address); err != nil {
+		if processes[n], err = d.startRunnerProcess(fmt.Sprint(appService, "-", n), appService, zone(n), address); err != nil {
 			return "", err
 		}
 	}
@@ -54,11 +41,7 @@
 			return "", err
 		}
 	}
-	ask := d.askStream
-	if service == appService {
-		ask = d.askCall
-	}
-	if err = d.waitServed(ask); err != nil {
+	if err = d.waitServed(d.askCall); err != nil {
 		return "", err
 	}
 	done, results := make(chan struct{}), &answers{}
@@ -70,7 +53,7 @@
 				case <-done:
 					return
 				default:
-					results.add(d, ask)
+					results.add(d, d.askCall)
 				}
 			}
 		})
@@ -84,7 +67,7 @@
 		processes[victim].kill()
 		d.record.write(processes[victim].id, "killed with SIGKILL")
 		time.Sleep(restartDelay)
-		if processes[victim], err = d.startRunnerProcess(processes[victim].id, service, zone(victim), addresses[victim]); err != nil {
+		if processes[victim], err = d.startRunnerProcess(processes[victim].id, appService, zone(victim), addresses[victim]); err != nil {
 			return "", err
 		}
 	}
@@ -93,7 +76,7 @@
 	requesters.Wait()
 	d.record.write("requesters", "%d answers whole, %d in part and complete by their framing, %d ended otherwise", results.whole, results.short, results.failed)
 	if results.short > 0 {
-		return broken(results), nil
+		return fmt.Sprintf("MIXED: %d requesters got a success with a part of the runner's body", results.short), nil
 	}
 	if results.whole == 0 {
 		return "", errors.New("no request was served")
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -25,7 +25,7 @@
 type scenario func(d *deployment, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"reused-address": playReusedAddress, "crash-after-event": playCrashAfterEvent, "killed-runner": playKilledRunner, "killed-app": playKilledApp,
+	"reused-address": playReusedAddress, "crash-after-event": playCrashAfterEvent, "killed-app": playKilledApp,
 	"dark-crash": playDarkCrash,
 }
 
--- a/review/stand3/process.go
+++ b/review/stand3/process.go
@@ -47,12 +47,12 @@
 	return false
 }
 
-// runRunner is the process of a runner whose answers have no length or, with the variable DEADLY, of one that goes dark on requests to
-// deadlyPath. It ends with the process that started it.
+// runRunner is the process of a runner that, with the variable DEADLY, goes dark on requests to deadlyPath. It ends with the process that
+// started it.
 func runRunner(storeAddress, id, service, zone, address string) {
 	d := &deployment{record: &record{out: os.Stdout, begin: time.Now()}, storeAddress: storeAddress}
-	r := &runner{id: id, service: service, zone: zone, kind: largeKind, address: address, deployment: d, unframed: os.Getenv("DEADLY") == ""}
-	if !r.unframed {
+	r := &runner{id: id, service: service, zone: zone, kind: largeKind, address: address, deployment: d}
+	if os.Getenv("DEADLY") != "" {
 		r.onRun = goDark
 	}
 	if err := r.start(0); err != nil {
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -38,8 +38,6 @@
 	// onRun is called when a request begins to run, with a function that sends its next event. It reports whether the runner goes on with it;
 	// nil for runners that always do.
 	onRun func(r *runner, q *http.Request, next func()) bool
-	// unframed is set for a runner whose streams have neither a length nor chunks, and end with their connection.
-	unframed bool
 
 	mu       sync.Mutex
 	server   *server
@@ -109,14 +107,10 @@
 	}
 	control, n := http.NewResponseController(w), first
 	next := func() {
-		_, _ = io.WriteString(w, event(n)) // the entry may have gone away
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n) // the entry may have gone away
 		_ = control.Flush()
 		n++
 	}
-	if r.unframed {
-		r.runUnframed(w, id, first)
-		return
-	}
 	if r.onRun != nil && !r.onRun(r, q, next) {
 		panic(http.ErrAbortHandler)
 	}
@@ -134,9 +128,6 @@
 	}
 }
 
-// event returns an event of a stream.
-func event(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
-
 // runCall answers a request as a whole, in two parts and without a length.
 func (r *runner) runCall(w http.ResponseWriter, id string) {
 	c, out, err := http.NewResponseController(w).Hijack()
@@ -164,27 +155,6 @@
 	return `{"booked":"` + id + `","slot":"tuesday-10","notes":"` + strings.Repeat("courier ", 90) + `","end":true}`
 }
 
-// runUnframed answers a request with a stream that ends with its connection.
-func (r *runner) runUnframed(w http.ResponseWriter, id string, first int) {
-	c, out, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err) // the server supports it
-	}
-	defer func() { _ = c.Close() }() // the stream has ended
-	r.deployment.record.write(r.id, "runs %s from event %d", id, first)
-	_, _ = out.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n") // failed writes show at Flush
-	_ = w.Header().Write(out)
-	_, _ = out.WriteString("\r\n")
-	for n := first; n < streamEvents; n++ {
-		_, _ = out.WriteString(event(n))
-		if out.Flush() != nil {
-			return // the entry has gone away
-		}
-		time.Sleep(eventInterval)
-	}
-	r.deployment.record.write(r.id, "has sent all of %s", id)
-}
-
 // beat writes the entry of the runner in the store whenever more than its seq has changed since the last beat.
 func (r *runner) beat(delay time.Duration, ended <-chan struct{}) {
 	last := ""
