Show an entry without all fields that is taken for a runner

The case starts two entries with the command of the deploy file, a store, and model runners of two services that can't hold their models. Then another writer puts one entry into the list of runners.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -26,7 +26,7 @@
 
 var scenarios = map[string]scenario{
 	"reused-address": playReusedAddress, "crash-after-event": playCrashAfterEvent, "killed-app": playKilledApp,
-	"dark-crash": playDarkCrash,
+	"dark-crash": playDarkCrash, "foreign-entry": playForeignEntry,
 }
 
 func main() {
