--- a/review/stand3/reusedaddress.go
+++ b/review/stand3/reusedaddress.go
@@ -56,7 +56,6 @@
 		"services": []any{
 			map[string]any{"name": "advice", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-advice", modelLayers)},
 			map[string]any{"name": "notes", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-notes", notesLayers)},
-			map[string]any{"name": "drafts", "healthPath": "/health", "maxConns": 1000, "engine": engine("m-drafts", notesLayers)},
 			map[string]any{"name": appService, "healthPath": "/health", "maxConns": 110},
 		},
 		"limits":  map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
